Thin whole path: one daemon, one operators' command, stand-ins

Cause: nothing existed; everything after this is to be a measured change to something that runs. Ruled out: a simulator or one combined process, since the proofs need processes that can be killed, frozen and cut off one at a time. Before: no code. Conclusion: the path stands; each mechanism on it is the simplest one and is yet to be proved under failure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GO ?= go
+REPORT := bin/report.json
+
+.PHONY: all build demo test lint race fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# demo starts a small deployment, serves some work and stops it again.
+demo: build
+	sh scripts/demo.sh
+
+# test runs every suite; failures listed in KNOWN-RED.txt are printed and set aside.
+test: build
+	$(GO) build -o bin/ ./internal/tools/testreport
+	rm -f $(REPORT)
+	-$(GO) tool ginkgo run -r --keep-going --no-color --seed=1 --timeout=40m --output-dir=bin --json-report=report.json $(GINKGOFLAGS)
+	bin/testreport $(REPORT) KNOWN-RED.txt
+
+lint:
+	@test -z "$$(gofmt -l .)" || (gofmt -l .; echo "run gofmt"; exit 1)
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# race runs the suites of the concurrent packages under the race detector.
+race:
+	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./usage/...
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/pomelocrossd/main.go
@@ -0,0 +1,55 @@
+// Command pomelocrossd is the daemon of one entry instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomelocross/pomelocross/instance"
+	"github.com/pomelocross/pomelocross/settings"
+	"github.com/pomelocross/pomelocross/telemetry"
+)
+
+const version = "0.1.0"
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "pomelocrossd:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	s, err := settings.Parse(version, os.Args[1:])
+	if err != nil {
+		return err
+	}
+	if s.Check {
+		s.Print(os.Stdout)
+		return nil
+	}
+	t, err := telemetry.Start(telemetry.Options{Service: "pomelocrossd", Instance: s.Name, LogLevel: s.LogLevel, TraceFile: s.TraceFile})
+	if err != nil {
+		return err
+	}
+	defer stop(t)
+	i, err := instance.New(s, t, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return i.Run(ctx)
+}
+
+func stop(t *telemetry.Telemetry) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	t.Stop(ctx)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,184 @@
+// Package instance wires one entry instance: its control goroutine, its
+// listeners and its roles.
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/attempt"
+	"github.com/pomelocross/pomelocross/domain"
+	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/link"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/rollout"
+	"github.com/pomelocross/pomelocross/settings"
+	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
+	"github.com/pomelocross/pomelocross/usage"
+)
+
+// eventBuffer bounds events that wait for the control goroutine.
+const eventBuffer = 256
+
+// Instance is one entry instance.
+type Instance struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	clock    clockwork.Clock
+	counters *counters
+	platform *platform.Client
+	client   *upstream.Client
+	runner   *attempt.Runner
+	meter    *usage.Meter
+	dialer   *link.Dialer
+	peers    *link.Server
+	sessions *sessions
+	metrics  http.Handler
+
+	view   atomic.Pointer[View]
+	events chan event
+	queues queues
+
+	upstreamRole *lease.Keeper
+	billingRole  *lease.Keeper
+
+	homesMu sync.Mutex // guards homes
+	homes   map[string]*rollout.Home
+
+	draining atomic.Bool
+}
+
+// New builds an instance; nothing runs before Run.
+func New(s *settings.Settings, t *telemetry.Telemetry, clock clockwork.Clock) (*Instance, error) {
+	identity, err := link.NewIdentity(s.Deployment, s.Secret)
+	if err != nil {
+		return nil, err
+	}
+	counters, err := newCounters(t.Meter)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewClient(s.Platform, counters)
+	timing := lease.DefaultTiming()
+	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
+	i := &Instance{
+		settings: s, log: t.Log, clock: clock, counters: counters, metrics: t.Metrics,
+		platform: store, client: upstream.NewClient(), meter: usage.NewMeter(s.UsageWindow),
+		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
+		events:       make(chan event, eventBuffer),
+		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
+		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
+		homes:        map[string]*rollout.Home{},
+	}
+	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
+	return i, i.registerPeerServices()
+}
+
+func (i *Instance) self() platform.Member {
+	s := i.settings
+	return platform.Member{Name: s.Name, Role: platform.RoleEntry, Domain: s.Domain, Region: s.Region, Address: s.Listen, Peer: s.PeerListen}
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (i *Instance) Run(ctx context.Context) error {
+	servers, err := i.listen()
+	if err != nil {
+		return err
+	}
+	control, stopControl := context.WithCancel(context.Background())
+	var background sync.WaitGroup
+	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+		background.Go(func() { loop(control) })
+	}
+	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
+		zap.String("admin", i.settings.AdminListen), zap.String("peer", i.settings.PeerListen))
+	<-ctx.Done()
+	i.drain(servers)
+	stopControl()
+	background.Wait()
+	i.release()
+	i.peers.Close()
+	i.dialer.Close()
+	i.log.Info("stopped")
+	return nil
+}
+
+type servers struct{ traffic, admin *http.Server }
+
+// listen opens the listeners. Addresses with port 0 are replaced by the real
+// ones.
+func (i *Instance) listen() (*servers, error) {
+	traffic, err := open("--listen", &i.settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	admin, err := open("--admin-listen", &i.settings.AdminListen)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := open("--peer-listen", &i.settings.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	s := &servers{traffic: newServer(i.trafficHandler()), admin: newServer(i.adminHandler())}
+	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
+	go s.traffic.Serve(traffic)
+	go s.admin.Serve(admin)
+	go i.peers.Serve(peers)
+	return s, nil
+}
+
+func open(flag string, address *string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", *address)
+	if err != nil {
+		return nil, oops.In("instance").With("step", "listen", "flag", flag).Wrapf(err, "%s", flag)
+	}
+	*address = listener.Addr().String()
+	return listener, nil
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+func newServer(handler http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
+}
+
+// drain refuses new requests and waits for running ones.
+func (i *Instance) drain(s *servers) {
+	i.log.Info("draining")
+	i.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
+	defer cancel()
+	if err := s.traffic.Shutdown(ctx); err != nil {
+		i.log.Warn("requests were cut off", zap.Error(err))
+		s.traffic.Close()
+	}
+	i.closeHomes()
+	s.admin.Close()
+}
+
+// release gives up roles, so that successors need not wait out their terms.
+func (i *Instance) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
+		if err := role.Release(ctx); err != nil {
+			i.log.Warn("role was not released", zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/instance/traffic.go
@@ -0,0 +1,175 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/internal/httpjson"
+	"github.com/pomelocross/pomelocross/queue"
+	"github.com/pomelocross/pomelocross/route"
+)
+
+// TimeoutHeader carries a caller's own time limit in seconds.
+const TimeoutHeader = "X-Request-Timeout"
+
+var tracer = otel.Tracer("github.com/pomelocross/pomelocross/instance")
+
+func newRequestID() string { return uuid.NewString() }
+
+// request is one caller's request after its route and team are known.
+type request struct {
+	id       string
+	view     *View
+	route    contract.Route
+	service  contract.Service
+	key      contract.Key // empty on open routes
+	received time.Time
+}
+
+// ticket returns the request's place in its queue.
+func (r *request) ticket(domain string, cost int64) queue.Ticket {
+	return queue.Ticket{
+		Team: r.key.Team, Weight: weightOf(r.view.Contract, r.key.Team), Class: r.route.Class, Cost: cost,
+		Route: route.Request{Service: r.service.Name, Domain: domain},
+	}
+}
+
+func weightOf(c *contract.Snapshot, team string) int {
+	t, _ := c.Team(team)
+	return max(1, t.Weight)
+}
+
+func (i *Instance) trafficHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/runs", i.withTeam(i.createRun))
+	mux.HandleFunc("POST /v1/runs/{run}/steps", i.withTeam(i.postStep))
+	mux.HandleFunc("POST /v1/runs/{run}/pull", i.withTeam(i.postPull))
+	mux.HandleFunc("/", i.serveRouted)
+	return mux
+}
+
+// serveRouted serves the declared routes.
+func (i *Instance) serveRouted(w http.ResponseWriter, r *http.Request) {
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	admitted, refusal := i.admit(r)
+	if refusal != nil {
+		refusal.write(w)
+		return
+	}
+	span.SetAttributes(attribute.String("route", admitted.route.Name), attribute.String("team", admitted.key.Team))
+	ctx, end := i.sessions.begin(ctx, admitted.key)
+	defer end()
+	if admitted.key.ID != "" && !i.view.Load().Contract.HasKey(admitted.key) {
+		refuseKey().write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r, admitted.route))
+	defer cancel()
+	if admitted.service.Kind == contract.KindEngine {
+		i.serveCompletion(ctx, w, r, admitted)
+		return
+	}
+	i.servePlain(ctx, w, r, admitted)
+}
+
+// admit finds the route and the team of a request.
+func (i *Instance) admit(r *http.Request) (*request, *refusal) {
+	view := i.view.Load()
+	if i.draining.Load() {
+		return nil, &refusal{status: http.StatusServiceUnavailable, code: "draining", notRun: true, retryAfter: time.Second}
+	}
+	if view.Contract == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, code: "no_configuration", notRun: true, retryAfter: time.Second}
+	}
+	matched, ok := view.Contract.Match(r.Method, r.URL.Path)
+	if !ok {
+		return nil, &refusal{status: http.StatusNotFound, code: "no_route", notRun: true}
+	}
+	service, _ := view.Contract.Service(matched.Service)
+	admitted := &request{id: newRequestID(), view: view, route: matched, service: service, received: i.clock.Now()}
+	key, ok := view.Contract.Authenticate(presentedKey(r))
+	if !ok && !matched.Open {
+		return nil, refuseKey()
+	}
+	admitted.key = key
+	return admitted, nil
+}
+
+// presentedKey returns the bearer token of a request.
+func presentedKey(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+func timeoutOf(r *http.Request, matched contract.Route) time.Duration {
+	seconds, err := strconv.ParseFloat(r.Header.Get(TimeoutHeader), 64)
+	asked := time.Duration(seconds * float64(time.Second))
+	if err != nil || asked <= 0 || asked > matched.Timeout.Std() {
+		return matched.Timeout.Std()
+	}
+	return asked
+}
+
+// withTeam authenticates requests of the rollout interface.
+func (i *Instance) withTeam(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		view := i.view.Load()
+		if i.draining.Load() || view.Contract == nil {
+			(&refusal{status: http.StatusServiceUnavailable, code: "draining", notRun: true, retryAfter: time.Second}).write(w)
+			return
+		}
+		key, ok := view.Contract.Authenticate(presentedKey(r))
+		if !ok {
+			refuseKey().write(w)
+			return
+		}
+		ctx, end := i.sessions.begin(r.Context(), key)
+		defer end()
+		if !i.view.Load().Contract.HasKey(key) {
+			refuseKey().write(w)
+			return
+		}
+		next(w, r.WithContext(ctx), key.Team)
+	}
+}
+
+// refusal is an answer with an error status.
+type refusal struct {
+	status     int
+	code       string
+	message    string
+	notRun     bool
+	retryAfter time.Duration
+}
+
+func refuseKey() *refusal {
+	return &refusal{status: http.StatusUnauthorized, code: "key_refused", message: "the key is missing, unknown or withdrawn", notRun: true}
+}
+
+func (f *refusal) write(w http.ResponseWriter) {
+	httpjson.WriteError(w, f.status, httpjson.Error{Code: f.code, Message: f.message, NotRun: f.notRun}, f.retryAfter)
+}
+
+// cause returns why ctx ended, which tells a withdrawn key from a caller that left.
+func cause(ctx context.Context) error {
+	if err := context.Cause(ctx); errors.Is(err, errWithdrawn) {
+		return err
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,270 @@
+// Package engine is a small stand-in for a model engine. Its text depends only
+// on prompt, seed and position, so that a resumed answer can be checked byte for
+// byte.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+// Options describe an engine.
+type Options struct {
+	Name          string
+	WeightVersion int64
+	TokenTime     time.Duration // between two tokens of one answer
+	LoadTime      time.Duration // to load a weight version
+	// Fences makes the engine refuse orders with an old epoch.
+	Fences bool
+}
+
+// Faults are switched while the engine runs.
+type Faults struct {
+	// CutAfter ends each answer after this many tokens of it; 0 never does.
+	CutAfter int `json:"cutAfter"`
+	// Foreign sends a chunk with another request's identifier first.
+	Foreign bool `json:"foreign"`
+	// Refuse answers new requests with status 503.
+	Refuse bool `json:"refuse"`
+	// FailLoads makes weight loads end without effect.
+	FailLoads bool `json:"failLoads"`
+	// Slow multiplies the time between tokens; 0 and 1 change nothing.
+	Slow int `json:"slow"`
+}
+
+// Received is one request the engine was sent.
+type Received struct {
+	ID            string      `json:"id"`
+	Header        http.Header `json:"header"`
+	Prompt        string      `json:"prompt"`
+	ResumedTokens int         `json:"resumedTokens"`
+	Tokens        int         `json:"tokens"` // generated here
+	Whole         bool        `json:"whole"`
+	Query         string      `json:"query,omitempty"`
+	WeightVersion int64       `json:"weightVersion"` // when it began
+}
+
+// Record is what the engine was told, in order.
+type Record struct {
+	Requests []*Received          `json:"requests"`
+	Orders   []upstream.LoadOrder `json:"orders"`
+}
+
+// Server is the engine. It implements http.Handler.
+type Server struct {
+	options Options
+	mux     *http.ServeMux
+
+	mu      sync.Mutex // guards all below
+	version int64
+	loading int64
+	epoch   int64
+	running int
+	tokens  int64
+	faults  Faults
+	record  Record
+}
+
+// New returns an engine.
+func New(o Options) *Server {
+	s := &Server{options: o, mux: http.NewServeMux(), version: o.WeightVersion}
+	s.mux.HandleFunc("POST /v1/generate", s.generate)
+	s.mux.HandleFunc("GET /v1/load", s.load)
+	s.mux.HandleFunc("POST /v1/orders", s.order)
+	s.mux.HandleFunc("PUT /faults", s.putFaults)
+	s.mux.HandleFunc("GET /record", s.getRecord)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults switches faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Record returns a copy of what was received.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := Record{Orders: append([]upstream.LoadOrder(nil), s.record.Orders...)}
+	for _, r := range s.record.Requests {
+		one := *r
+		copied.Requests = append(copied.Requests, &one)
+	}
+	return copied
+}
+
+// Token returns the token at a position of the answer to prompt and seed.
+func Token(prompt string, seed int64, position int) string {
+	return fmt.Sprintf("%04x ", xxhash.Sum64String(fmt.Sprint(prompt, seed, position))&0xffff)
+}
+
+// Text returns the first tokens of the answer to prompt and seed.
+func Text(prompt string, seed int64, tokens int) string {
+	var b strings.Builder
+	for n := range tokens {
+		b.WriteString(Token(prompt, seed, n))
+	}
+	return b.String()
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var request upstream.CompletionRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	received, ok := s.begin(r, request)
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end()
+	w.Header().Set("Content-Type", "text/event-stream")
+	prompt := promptOf(request)
+	for n := request.ResumedTokens; n < request.MaxTokens; n++ {
+		select {
+		case <-time.After(s.tokenTime()):
+		case <-r.Context().Done():
+			return
+		}
+		faults := s.faultsNow()
+		if faults.CutAfter > 0 && n-request.ResumedTokens >= faults.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		chunk := upstream.Chunk{ID: request.ID, Text: Token(prompt, request.Seed, n), Tokens: 1, WeightVersion: s.count(received)}
+		if faults.Foreign {
+			chunk.ID = "foreign"
+		}
+		if n == request.MaxTokens-1 {
+			chunk.FinishReason, chunk.PromptTokens = "length", len(strings.Fields(prompt))
+		}
+		if writeChunk(w, chunk) != nil {
+			return
+		}
+	}
+	s.mu.Lock()
+	received.Whole = true
+	s.mu.Unlock()
+}
+
+func promptOf(request upstream.CompletionRequest) string {
+	prompt := request.Prompt
+	for _, m := range request.Messages {
+		prompt += m.Role + ": " + m.Content + "\n"
+	}
+	return prompt
+}
+
+func writeChunk(w http.ResponseWriter, chunk upstream.Chunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+func (s *Server) begin(r *http.Request, request upstream.CompletionRequest) (*Received, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Refuse {
+		return nil, false
+	}
+	received := &Received{ID: request.ID, Header: r.Header.Clone(), Prompt: promptOf(request), ResumedTokens: request.ResumedTokens, Query: r.URL.RawQuery, WeightVersion: s.version}
+	s.record.Requests = append(s.record.Requests, received)
+	s.running++
+	return received, true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// count counts a token and returns the weight version that produced it.
+func (s *Server) count(received *Received) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	received.Tokens++
+	s.tokens++
+	return s.version
+}
+
+func (s *Server) faultsNow() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) tokenTime() time.Duration {
+	return s.options.TokenTime * time.Duration(max(1, s.faultsNow().Slow))
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, upstream.Load{Running: s.running, Tokens: s.tokens, WeightVersion: s.version, Loading: s.loading, FreeKV: 1})
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var order upstream.LoadOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.Fences && order.Epoch < s.epoch {
+		http.Error(w, "old epoch", http.StatusConflict)
+		return
+	}
+	s.epoch = max(s.epoch, order.Epoch)
+	s.record.Orders = append(s.record.Orders, order)
+	if s.loading == 0 {
+		s.loading = order.WeightVersion
+		time.AfterFunc(s.options.LoadTime, s.finishLoad)
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (s *Server) finishLoad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.faults.FailLoads {
+		s.version = s.loading
+	}
+	s.loading = 0
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Record()) }
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,302 @@
+// Package platform is a small stand-in for the platform: objects with versions,
+// conditional updates and watches, the usage and scaling interfaces, and the
+// instance list. It keeps a record of every report and order for the proofs.
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	client "github.com/pomelocross/pomelocross/platform"
+)
+
+// historyLength is how many changes a watch can look back on.
+const historyLength = 4096
+
+// Faults are switched while the stand-in runs.
+type Faults struct {
+	Down bool `json:"down"` // refuse every call with status 503
+	// LoseAnswers carries out this many writes and then cuts the connection.
+	LoseAnswers int           `json:"loseAnswers"`
+	Delay       time.Duration `json:"delay"`     // nanoseconds added to each call
+	UsageDown   bool          `json:"usageDown"` // refuse usage reports only
+}
+
+// Record is what the stand-in was told, in order.
+type Record struct {
+	Usage []client.UsageReport `json:"usage"`
+	Scale []client.ScaleOrder  `json:"scale"`
+	// Calls counts calls by method and path prefix.
+	Calls map[string]int64 `json:"calls"`
+}
+
+// Server is the stand-in. It implements http.Handler.
+type Server struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex // guards all below; handlers run concurrently
+	version client.Version
+	objects map[string]map[string]client.Object
+	history []client.Object
+	changed chan struct{} // closed and replaced at every write
+	members []client.Member
+	faults  Faults
+	record  Record
+}
+
+// New returns an empty platform.
+func New() *Server {
+	s := &Server{
+		mux:     http.NewServeMux(),
+		objects: map[string]map[string]client.Object{},
+		changed: make(chan struct{}),
+		record:  Record{Calls: map[string]int64{}},
+	}
+	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
+	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.put)
+	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
+	s.mux.HandleFunc("GET /v1/objects/{kind}", s.list)
+	s.mux.HandleFunc("GET /v1/instances", s.listMembers)
+	s.mux.HandleFunc("PUT /v1/instances", s.setMembers)
+	s.mux.HandleFunc("POST /v1/usage", s.usage)
+	s.mux.HandleFunc("POST /v1/scale", s.scale)
+	s.mux.HandleFunc("PUT /faults", s.setFaults)
+	s.mux.HandleFunc("GET /record", s.getRecord)
+	return s
+}
+
+// SetFaults switches faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetMembers replaces the instance list.
+func (s *Server) SetMembers(members []client.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = members
+}
+
+// Record returns a copy of what was received.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := Record{Calls: map[string]int64{}}
+	copied.Usage = append(copied.Usage, s.record.Usage...)
+	copied.Scale = append(copied.Scale, s.record.Scale...)
+	for k, v := range s.record.Calls {
+		copied.Calls[k] = v
+	}
+	return copied
+}
+
+// ServeHTTP implements http.Handler. Control paths are never subject to faults.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/faults" || r.URL.Path == "/record" || (r.Method == http.MethodPut && r.URL.Path == "/v1/instances") {
+		s.mux.ServeHTTP(w, r)
+		return
+	}
+	s.mu.Lock()
+	faults := s.faults
+	_, pattern := s.mux.Handler(r)
+	s.record.Calls[pattern]++
+	s.mu.Unlock()
+	if faults.Delay > 0 {
+		time.Sleep(faults.Delay)
+	}
+	if faults.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.objects[r.PathValue("kind")][r.PathValue("name")]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	write(w, o)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, client.MaxValueBytes)).Decode(&value); err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.change(w, r, client.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name"), Value: value})
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.change(w, r, client.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name"), Deleted: true})
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request, o client.Object) {
+	expect, err := strconv.ParseInt(r.URL.Query().Get("expect"), 10, 64)
+	if err != nil {
+		http.Error(w, "expect is required", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if s.objects[o.Kind][o.Name].Version != client.Version(expect) {
+		s.mu.Unlock()
+		http.Error(w, "conflict", http.StatusConflict)
+		return
+	}
+	o = s.commit(o)
+	lose := s.faults.LoseAnswers > 0
+	if lose {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, o)
+}
+
+// commit stores o under the next version. The caller holds mu.
+func (s *Server) commit(o client.Object) client.Object {
+	s.version++
+	o.Version = s.version
+	if s.objects[o.Kind] == nil {
+		s.objects[o.Kind] = map[string]client.Object{}
+	}
+	if o.Deleted {
+		delete(s.objects[o.Kind], o.Name)
+	} else {
+		s.objects[o.Kind][o.Name] = o
+	}
+	s.history = append(s.history, o)
+	if len(s.history) > historyLength {
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	kind := r.PathValue("kind")
+	if !r.URL.Query().Has("after") {
+		write(w, s.all(kind))
+		return
+	}
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, changed, gap := s.since(kind, client.Version(after))
+		if gap {
+			http.Error(w, "gap", http.StatusGone)
+			return
+		}
+		if len(found.Objects) > 0 {
+			write(w, found)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			write(w, found)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) all(kind string) client.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := client.List{Version: s.version, Objects: []client.Object{}}
+	for _, o := range s.objects[kind] {
+		l.Objects = append(l.Objects, o)
+	}
+	return l
+}
+
+func (s *Server) since(kind string, after client.Version) (client.List, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := client.List{Version: s.version, Objects: []client.Object{}}
+	if len(s.history) > 0 && after < s.history[0].Version-1 {
+		return l, s.changed, true
+	}
+	for _, o := range s.history {
+		if o.Version > after && o.Kind == kind {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	return l, s.changed, false
+}
+
+func (s *Server) listMembers(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	members := s.members
+	s.mu.Unlock()
+	write(w, members)
+}
+
+func (s *Server) setMembers(w http.ResponseWriter, r *http.Request) {
+	var members []client.Member
+	if err := json.NewDecoder(r.Body).Decode(&members); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetMembers(members)
+}
+
+func (s *Server) usage(w http.ResponseWriter, r *http.Request) {
+	var report client.UsageReport
+	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.UsageDown {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	s.record.Usage = append(s.record.Usage, report)
+	write(w, struct{}{})
+}
+
+func (s *Server) scale(w http.ResponseWriter, r *http.Request) {
+	var order client.ScaleOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Scale = append(s.record.Scale, order)
+	write(w, struct{}{})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) { write(w, s.Record()) }
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,51 @@
+// Package lease decides which instance holds a control role. A lease is an
+// object in the platform with an epoch that rises with each new holder and
+// serves as the fencing number of the holder's orders.
+//
+// A holder counts its term from before it sent the renewal, on its own
+// monotonic clock. A candidate waits a whole term plus a margin after it last
+// saw the object's version change, on its own clock. Clocks are never compared
+// between machines.
+package lease
+
+import "time"
+
+// Default timing of leases.
+const (
+	DefaultTerm   = 10 * time.Second
+	DefaultRenew  = 3 * time.Second
+	DefaultMargin = 2 * time.Second // for clock rates that differ
+)
+
+// Timing is the same at all instances of a deployment.
+type Timing struct {
+	Term   time.Duration // how long a renewal is valid
+	Renew  time.Duration // how often a holder renews
+	Margin time.Duration // how much longer a candidate waits
+}
+
+// DefaultTiming returns the default timing.
+func DefaultTiming() Timing {
+	return Timing{Term: DefaultTerm, Renew: DefaultRenew, Margin: DefaultMargin}
+}
+
+// Value is the stored form of a lease.
+type Value struct {
+	Holder string `json:"holder"` // empty after release
+	Epoch  int64  `json:"epoch"`
+	// Renewal counts renewals so that each write changes the value.
+	Renewal int64 `json:"renewal"`
+}
+
+// Grant proves that its owner holds a role for a while.
+type Grant struct {
+	Role  string
+	Epoch int64
+	// Until is on the holder's monotonic clock.
+	Until time.Time
+}
+
+// Valid reports whether the grant covers now with at least spare left.
+func (g Grant) Valid(now time.Time, spare time.Duration) bool {
+	return g.Epoch > 0 && now.Add(spare).Before(g.Until)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,145 @@
+// Package settings reads the settings of an instance from its environment and
+// its flags, which win, and checks them all before anything starts.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/caarlos0/env/v11"
+	"github.com/go-playground/validator/v10"
+	"github.com/integrii/flaggy"
+	"github.com/samber/oops"
+)
+
+// Settings configures one instance. Each field's tags give its environment
+// variable, default, flag, description and check.
+type Settings struct {
+	Name            string        `env:"POMELOCROSS_NAME" flag:"name" usage:"name of this instance" validate:"required,hostname_rfc1123"`
+	Deployment      string        `env:"POMELOCROSS_DEPLOYMENT" flag:"deployment" usage:"deployment to serve" validate:"required"`
+	Domain          string        `env:"POMELOCROSS_DOMAIN" flag:"domain" usage:"failure domain of this instance" validate:"required"`
+	Region          string        `env:"POMELOCROSS_REGION" flag:"region" usage:"region of this instance" validate:"required"`
+	Listen          string        `env:"POMELOCROSS_LISTEN" envDefault:"127.0.0.1:8080" flag:"listen" usage:"IP:port for callers" validate:"ip_port"`
+	AdminListen     string        `env:"POMELOCROSS_ADMIN_LISTEN" envDefault:"127.0.0.1:8081" flag:"admin-listen" usage:"IP:port for health, metrics and status" validate:"ip_port"`
+	PeerListen      string        `env:"POMELOCROSS_PEER_LISTEN" envDefault:"127.0.0.1:8082" flag:"peer-listen" usage:"IP:port for other instances" validate:"ip_port"`
+	Platform        string        `env:"POMELOCROSS_PLATFORM" flag:"platform" usage:"IP:port of the platform" validate:"ip_port"`
+	Secret          string        `env:"POMELOCROSS_SECRET" flag:"secret" usage:"secret shared by all instances of the deployment; at least 16 bytes" validate:"min=16" secret:"true"`
+	DrainTimeout    time.Duration `env:"POMELOCROSS_DRAIN_TIMEOUT" envDefault:"10m" flag:"drain-timeout" usage:"longest time a planned stop waits for running requests" validate:"min=1s"`
+	UsageWindow     time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"1m" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
+	UsageGrace      time.Duration `env:"POMELOCROSS_USAGE_GRACE" envDefault:"10s" flag:"usage-grace" usage:"time after a window's end before its figures are frozen" validate:"min=0"`
+	LeaseTerm       time.Duration `env:"POMELOCROSS_LEASE_TERM" envDefault:"10s" flag:"lease-term" usage:"how long a control role is held without renewal" validate:"min=1s"`
+	MembersInterval time.Duration `env:"POMELOCROSS_MEMBERS_INTERVAL" envDefault:"2s" flag:"members-interval" usage:"time between readings of the instance list" validate:"min=100ms"`
+	LoadInterval    time.Duration `env:"POMELOCROSS_LOAD_INTERVAL" envDefault:"500ms" flag:"load-interval" usage:"time between readings of upstream load" validate:"min=50ms"`
+	TraceFile       string        `env:"POMELOCROSS_TRACE_FILE" flag:"trace-file" usage:"file that spans are appended to; empty for none"`
+	LogLevel        string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
+
+	// Check prints the effective settings and ends.
+	Check bool `env:"-" flag:"check" usage:"check the settings, print them with secrets masked, and end"`
+}
+
+const masked = "********"
+
+// Parse reads the environment, then args without the program's name. The error
+// lists every fault, a line each.
+func Parse(version string, args []string) (*Settings, error) {
+	s := &Settings{}
+	if err := env.Parse(s); err != nil {
+		return nil, environmentFaults(err)
+	}
+	parser := flaggy.NewParser("pomelocrossd")
+	parser.Description = "Serves rollouts and order-desk requests for one failure domain."
+	parser.Version = version
+	register(parser, s)
+	if err := parser.ParseArgs(args); err != nil {
+		return nil, oops.In("settings").Wrapf(err, "parse flags")
+	}
+	return s, s.Validate()
+}
+
+func environmentFaults(err error) error {
+	var all env.AggregateError
+	if !errors.As(err, &all) {
+		return oops.In("settings").Wrap(err)
+	}
+	return oops.In("settings").Wrap(errors.Join(all.Errors...))
+}
+
+// field is one setting with its description.
+type field struct {
+	reflect.StructField
+	value reflect.Value
+}
+
+func (f field) flag() string { return f.Tag.Get("flag") }
+
+func fields(s *Settings) []field {
+	v := reflect.ValueOf(s).Elem()
+	list := make([]field, v.NumField())
+	for i := range list {
+		list[i] = field{StructField: v.Type().Field(i), value: v.Field(i)}
+	}
+	return list
+}
+
+func register(parser *flaggy.Parser, s *Settings) {
+	for _, f := range fields(s) {
+		description := f.Tag.Get("usage") + " (" + f.Tag.Get("env") + ")"
+		switch target := f.value.Addr().Interface().(type) {
+		case *string:
+			parser.String(target, "", f.flag(), description)
+		case *bool:
+			parser.Bool(target, "", f.flag(), description)
+		case *time.Duration:
+			parser.Duration(target, "", f.flag(), description)
+		}
+	}
+}
+
+// Validate returns every fault, named by flag.
+func (s *Settings) Validate() error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return "--" + f.Tag.Get("flag") })
+	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
+		return oops.In("settings").Wrap(err)
+	}
+	err := v.Struct(s)
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	faults := make([]error, len(invalid))
+	for i, fault := range invalid {
+		faults[i] = fmt.Errorf("%s: %s", fault.Field(), describe(fault))
+	}
+	return errors.Join(faults...)
+}
+
+func describe(fault validator.FieldError) string {
+	switch fault.Tag() {
+	case "required":
+		return "is required"
+	case "ip_port":
+		return "must be an IP number and a port, such as 127.0.0.1:8080"
+	case "min":
+		return "must be at least " + fault.Param()
+	}
+	return "must be " + fault.Tag() + " " + fault.Param()
+}
+
+// Print writes the effective settings, a line each, with secrets masked.
+func (s *Settings) Print(w io.Writer) {
+	for _, f := range fields(s) {
+		if f.Tag.Get("env") == "-" {
+			continue
+		}
+		value := fmt.Sprint(f.value.Interface())
+		if f.Tag.Get("secret") == "true" && value != "" {
+			value = masked
+		}
+		fmt.Fprintf(w, "%s=%s\n", strings.TrimSpace(f.flag()), value)
+	}
+}
--- /dev/null
+++ b/test/e2e/e2e_test.go
@@ -0,0 +1,32 @@
+// Package e2e proves the system as separate processes: real daemons on the
+// loopback interface, stand-ins for everything outside.
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(20 * time.Second)
+	SetDefaultEventuallyPollingInterval(20 * time.Millisecond)
+	RunSpecs(t, "End to end")
+}
+
+// daemonPath is the daemon built for this run.
+var daemonPath string
+
+var _ = SynchronizedBeforeSuite(func() []byte {
+	path, err := gexec.Build("github.com/pomelocross/pomelocross/cmd/pomelocrossd")
+	Expect(err).NotTo(HaveOccurred())
+	return []byte(path)
+}, func(path []byte) {
+	daemonPath = string(path)
+})
+
+var _ = SynchronizedAfterSuite(func() {}, gexec.CleanupBuildArtifacts)
--- /dev/null
+++ b/test/e2e/failure_test.go
@@ -0,0 +1,85 @@
+package e2e
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/internal/standin/engine"
+)
+
+var _ = Describe("Single failures", func() {
+	var (
+		d    *deployment
+		a, b *daemon
+	)
+
+	BeforeEach(func() {
+		d = newDeployment("botiquin")
+		d.addEngine("lm-1", "lm-pool", "mty-a", engine.Options{TokenTime: time.Millisecond})
+		d.addEngine("lm-2", "lm-pool", "mty-a", engine.Options{TokenTime: time.Millisecond})
+		a = d.startDaemon("entry-a", "mty-a")
+		b = d.startDaemon("entry-b", "mty-a")
+		Eventually(func() int { return a.complete(demoKey("fabricas"), "warm", 1, false).status }).Should(Equal(200))
+		Eventually(func() int { return b.complete(demoKey("fabricas"), "warm", 1, false).status }).Should(Equal(200))
+	})
+
+	holder := func(role string) *daemon {
+		for _, one := range d.daemons {
+			s, err := one.status()
+			if err == nil && slices.Contains(s.Roles, role) {
+				return one
+			}
+		}
+		return nil
+	}
+
+	It("goes on serving while the platform does not answer", func() {
+		a.platform.setSilent(true)
+		Consistently(func() int { return a.complete(demoKey("fabricas"), "x", 2, false).status }, time.Second).Should(Equal(200))
+	})
+
+	It("gives a frozen holder's role to another instance", func() {
+		var first *daemon
+		Eventually(func() *daemon { first = holder("upstreams-mty-a"); return first }).ShouldNot(BeNil())
+		first.freeze()
+		other := a
+		if first == a {
+			other = b
+		}
+		Eventually(func() []string { s, _ := other.status(); return s.Roles }).Should(ContainElement("upstreams-mty-a"))
+		first.thaw()
+		Eventually(func() []string { s, _ := first.status(); return s.Roles }).ShouldNot(ContainElement("upstreams-mty-a"))
+	})
+
+	It("gives no new work to an upstream that left the list", func() {
+		d.unlist("lm-1")
+		Eventually(func() bool {
+			before := len(d.engines["lm-1"].Record().Requests)
+			for range 20 {
+				Expect(a.complete(demoKey("fabricas"), "x", 1, false).status).To(Equal(200))
+			}
+			return len(d.engines["lm-1"].Record().Requests) == before
+		}).Should(BeTrue())
+	})
+
+	It("ends a running stream when its key is withdrawn", func() {
+		ended := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			ended <- a.complete(demoKey("escuelas"), "long", 100000, true)
+		}()
+		Eventually(func() int { return len(d.engines["lm-1"].Record().Requests) + len(d.engines["lm-2"].Record().Requests) }).Should(BeNumerically(">", 2))
+		without := *d.bundle
+		without.Keys = slices.DeleteFunc(slices.Clone(without.Keys), func(k contract.Key) bool { return k.ID == "escuelas" })
+		d.apply(&without)
+		var got answer
+		Eventually(ended).Should(Receive(&got))
+		Expect(got.body).To(ContainSubstring("key_refused"))
+		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+		Expect(a.complete(demoKey("escuelas"), "x", 1, false).status).To(Equal(401))
+	})
+})
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,114 @@
+package e2e
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/internal/standin/engine"
+	"github.com/pomelocross/pomelocross/internal/standin/trainer"
+	"github.com/pomelocross/pomelocross/rollout"
+)
+
+var _ = Describe("The whole path", func() {
+	var (
+		d       *deployment
+		a, b, c *daemon
+	)
+
+	BeforeEach(func() {
+		d = newDeployment("botiquin")
+		fast := engine.Options{TokenTime: time.Millisecond, LoadTime: 50 * time.Millisecond, Fences: true}
+		d.addEngine("lm-a", "lm-pool", "mty-a", fast)
+		d.addEngine("lm-b", "lm-pool", "mty-b", fast)
+		d.addService("refill-a", "refill-check", "mty-a")
+		d.addService("refill-b", "refill-check", "mty-b")
+		a = d.startDaemon("entry-a", "mty-a", "--usage-window", "2s", "--usage-grace", "500ms")
+		b = d.startDaemon("entry-b", "mty-b", "--usage-window", "2s", "--usage-grace", "500ms")
+		c = d.startDaemon("entry-c", "mty-a", "--usage-window", "2s", "--usage-grace", "500ms")
+	})
+
+	It("streams a completion, answers a plain request and hands a trainer each sample once", func() {
+		var got answer
+		Eventually(func() int {
+			got = a.complete(demoKey("fabricas"), "two gauze rolls", 8, true)
+			return got.status
+		}).Should(Equal(200))
+		Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(streamedText(got.body)).To(Equal(engine.Text("two gauze rolls", 0, 8)))
+
+		plain := c.do(call{method: "GET", path: "/kits/7", key: demoKey("desk")})
+		Expect(plain.status).To(Equal(200))
+		Expect(plain.body).To(ContainSubstring("/kits/7"))
+
+		t := &trainer.Trainer{Addresses: []string{a.listen, b.listen, c.listen}, Key: demoKey("restockplans"), Run: "plans"}
+		ctx := within(20 * time.Second)
+		Expect(t.Create(ctx, rollout.RunSpec{Run: "plans", Model: "restock", MaxStaleness: 1, BatchSamples: 4})).To(Succeed())
+		for step := int64(1); step <= 3; step++ {
+			Expect(t.Step(ctx, stepOf(step, 3, 4))).To(Succeed())
+			Expect(t.Collect(ctx, step)).To(Succeed())
+		}
+		Expect(t.Settle(ctx)).To(Succeed())
+		Expect(t.Held).To(HaveLen(36))
+		Expect(t.Doubled()).To(BeEmpty())
+		for _, s := range t.Held {
+			Expect(s.Oldest()).To(BeNumerically(">=", s.Step-1))
+		}
+		Eventually(func() int64 { return reportedTokens(d, "fabricas") }).Should(Equal(int64(8)))
+	})
+
+	It("refuses a request without a key and sends no caller's key upstream", func() {
+		Expect(a.complete("", "x", 4, false).status).To(Equal(401))
+		Eventually(func() int { return a.complete(demoKey("fabricas"), "x", 4, false).status }).Should(Equal(200))
+		record, err := json.Marshal(d.engines["lm-a"].Record())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(record)).NotTo(ContainSubstring("pmx_"))
+	})
+
+	It("stops a daemon gracefully", func() {
+		a.terminate()
+		Eventually(a.exited).Should(BeClosed())
+		Expect(a.exit).NotTo(HaveOccurred())
+	})
+})
+
+// streamedText joins the text of a streamed completion.
+func streamedText(body string) string {
+	var text strings.Builder
+	for line := range strings.Lines(body) {
+		data, found := strings.CutPrefix(line, "data: ")
+		var chunk struct{ Choices []struct{ Text string } }
+		if !found || json.Unmarshal([]byte(data), &chunk) != nil {
+			continue
+		}
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	return text.String()
+}
+
+// stepOf returns a step of groups with the given samples each, 8 tokens long.
+func stepOf(step int64, groups, samples int) rollout.StepSpec {
+	spec := rollout.StepSpec{Step: step, WeightVersion: step}
+	for g := range groups {
+		spec.Groups = append(spec.Groups, rollout.Group{ID: string(rune('a' + g)), Prompt: "plan", Samples: samples, MaxTokens: 8, Seed: step * 100})
+	}
+	return spec
+}
+
+// reportedTokens sums the output tokens reported for a team.
+func reportedTokens(d *deployment, team string) int64 {
+	total := int64(0)
+	for _, r := range d.platform.Record().Usage {
+		if r.Team == team {
+			for _, f := range r.Figures {
+				total += f.OutputTokens
+			}
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,42 @@
+// Package upstream speaks to what stands behind services: model engines that
+// stream tokens and plain HTTP services. Requests to them are built from allow
+// lists, so nothing of a caller's credentials can reach them.
+package upstream
+
+import (
+	"github.com/pomelocross/pomelocross/platform"
+)
+
+// Upstream is one back end as an instance knows it.
+type Upstream struct {
+	platform.Member
+	Load Load
+}
+
+// Load is what an upstream last reported of itself. It lags.
+type Load struct {
+	Running int   `json:"running"` // requests it works on
+	Waiting int   `json:"waiting"` // requests it has admitted but not begun
+	Tokens  int64 `json:"tokens"`  // generated since its start
+	// WeightVersion is what the engine says it runs; 0 for plain services.
+	WeightVersion int64 `json:"weightVersion"`
+	// Loading is the version being loaded; 0 when none is.
+	Loading int64 `json:"loading,omitempty"`
+	// FreeKV is the share of cache memory free, 0 to 1.
+	FreeKV float64 `json:"freeKV"`
+}
+
+// Table lists upstreams by service. It is immutable.
+type Table struct{ services map[string][]Upstream }
+
+// NewTable joins the member list with the last known loads, by upstream name.
+func NewTable(members []platform.Member, loads map[string]Load) *Table {
+	t := &Table{services: map[string][]Upstream{}}
+	for _, m := range members {
+		t.services[m.Service] = append(t.services[m.Service], Upstream{Member: m, Load: loads[m.Name]})
+	}
+	return t
+}
+
+// Of returns the upstreams of a service, leaving ones included.
+func (t *Table) Of(service string) []Upstream { return t.services[service] }
