Capacity: measure an instance's control cost by the number of instances

Change: specs behind the build tag capacity start 4 to 48 real instances with two engines each, read /proc, and write a row a size.

--- /dev/null
+++ b/test/e2e/capacity_test.go
@@ -0,0 +1,205 @@
+//go:build capacity
+
+package e2e
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/internal/standin/engine"
+)
+
+// Control cost of an instance at rest and for each configuration change, by the
+// number of instances. The rows go to the file named by CAPACITY_CSV.
+//
+//	CAPACITY_CSV=out.csv go test -tags capacity ./test/e2e -ginkgo.focus Capacity -ginkgo.seed 1
+var _ = Describe("Capacity", func() {
+	DescribeTable("at rest and under changes", measureControl,
+		Entry(nil, 4), Entry(nil, 8), Entry(nil, 16), Entry(nil, 32), Entry(nil, 48))
+})
+
+const (
+	settleTime = 12 * time.Second // longer than a lease term
+	restTime   = 15 * time.Second
+	changes    = 20
+	// enginesEach is about the target's 640 engines to 330 instances.
+	enginesEach = 2
+	clockTick   = 10 * time.Millisecond // of /proc, USER_HZ
+)
+
+var capacityDomains = []string{"mty-a", "mty-b", "mty-c", "mty-d"}
+
+func measureControl(instances int) {
+	d := newDeployment("botiquin")
+	for n := range instances * enginesEach {
+		d.addEngine(fmt.Sprintf("lm-%d", n), "lm-pool", capacityDomains[n%len(capacityDomains)], engine.Options{})
+	}
+	var daemons []*daemon
+	for n := range instances {
+		daemons = append(daemons, d.startDaemon(fmt.Sprintf("entry-%d", n), capacityDomains[n%len(capacityDomains)],
+			"--members-interval", "2s", "--load-interval", "500ms", "--lease-term", "10s"))
+	}
+	time.Sleep(settleTime)
+
+	before, calls := readAll(daemons), d.calls()
+	time.Sleep(restTime)
+	rest := readAll(daemons).minus(before).per(restTime.Seconds())
+	reads, writes := d.calls().minus(calls).per(restTime.Seconds())
+
+	last := d.timeChanges(daemons)
+
+	before = readAll(daemons)
+	began := time.Now()
+	for range changes {
+		d.change()
+		time.Sleep(200 * time.Millisecond)
+	}
+	busy := readAll(daemons).minus(before)
+	idle := rest.per(1 / time.Since(began).Seconds())
+	change := busy.minus(idle).per(changes)
+
+	row := fmt.Sprintf("%d,%d,%.3f,%.3f,%.0f,%.0f,%.1f,%.1f,%.2f,%.2f,%.0f,%.0f,%.3f,%.0f\n",
+		instances, instances*enginesEach, rest.mean(cpu), rest.max(cpu), rest.mean(bytesMoved), rest.max(bytesMoved),
+		before.mean(resident)/(1<<20), before.max(resident)/(1<<20), reads, writes,
+		last.mean, last.max, change.mean(cpu), change.mean(bytesMoved))
+	GinkgoWriter.Print(row)
+	file, err := os.OpenFile(os.Getenv("CAPACITY_CSV"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	_, err = file.WriteString(row)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// change applies a bundle that differs from the last in one team's weight.
+func (d *deployment) change() contract.Accepted {
+	next := *d.bundle
+	next.Teams = append([]contract.Team(nil), next.Teams...)
+	next.Teams[0].Weight = next.Teams[0].Weight%1000 + 1
+	d.bundle = &next
+	return d.apply(&next)
+}
+
+type spread struct{ mean, max float64 }
+
+// timeChanges returns how many milliseconds changes take to the last instance.
+func (d *deployment) timeChanges(daemons []*daemon) spread {
+	var s spread
+	const tries = 5
+	for range tries {
+		began := time.Now()
+		accepted := d.change()
+		for _, one := range daemons {
+			Eventually(func() contract.Revision { now, _ := one.status(); return now.Revision }).
+				WithPolling(time.Millisecond).Should(BeNumerically(">=", accepted.Revision))
+		}
+		took := float64(time.Since(began).Milliseconds())
+		s.mean += took / tries
+		s.max = math.Max(s.max, took)
+	}
+	return s
+}
+
+// callCounts are calls to the platform, reads and writes.
+type callCounts struct{ reads, writes float64 }
+
+func (d *deployment) calls() callCounts {
+	var c callCounts
+	for pattern, n := range d.platform.Record().Calls {
+		if strings.HasPrefix(pattern, "GET") {
+			c.reads += float64(n)
+		} else {
+			c.writes += float64(n)
+		}
+	}
+	return c
+}
+
+func (c callCounts) minus(other callCounts) callCounts {
+	return callCounts{c.reads - other.reads, c.writes - other.writes}
+}
+
+func (c callCounts) per(seconds float64) (reads, writes float64) {
+	return c.reads / seconds, c.writes / seconds
+}
+
+// cost is what a process has used: milliseconds of processor time, bytes read
+// and written, resident bytes.
+type cost [3]float64
+
+const (
+	cpu = iota
+	bytesMoved
+	resident
+)
+
+type costs []cost
+
+func readAll(daemons []*daemon) costs {
+	all := make(costs, len(daemons))
+	for n, one := range daemons {
+		all[n] = readCost(one.command.Process.Pid)
+	}
+	return all
+}
+
+func readCost(pid int) cost {
+	stat := strings.Fields(proc(pid, "stat"))
+	pages, _ := strconv.ParseFloat(stat[23], 64)
+	user, _ := strconv.ParseFloat(stat[13], 64)
+	system, _ := strconv.ParseFloat(stat[14], 64)
+	var moved float64
+	for line := range strings.Lines(proc(pid, "io")) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name == "rchar" || name == "wchar" {
+			n, _ := strconv.ParseFloat(value, 64)
+			moved += n
+		}
+	}
+	return cost{(user + system) * float64(clockTick.Milliseconds()), moved, pages * float64(os.Getpagesize())}
+}
+
+func proc(pid int, name string) string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, name))
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+func (c costs) minus(other costs) costs {
+	result := make(costs, len(c))
+	for n := range c {
+		result[n] = cost{c[n][cpu] - other[n][cpu], c[n][bytesMoved] - other[n][bytesMoved], c[n][resident]}
+	}
+	return result
+}
+
+func (c costs) per(divisor float64) costs {
+	result := make(costs, len(c))
+	for n := range c {
+		result[n] = cost{c[n][cpu] / divisor, c[n][bytesMoved] / divisor, c[n][resident]}
+	}
+	return result
+}
+
+func (c costs) mean(field int) float64 {
+	total := 0.0
+	for _, one := range c {
+		total += one[field]
+	}
+	return total / float64(len(c))
+}
+
+func (c costs) max(field int) float64 {
+	largest := 0.0
+	for _, one := range c {
+		largest = math.Max(largest, one[field])
+	}
+	return largest
+}
