Fence orders by lease, budget platform calls, decide swaps and scaling

Cause: a lease named only the instance, so a restarted process could not be told from its predecessor; an order was checked before it was built, not as it left; platform calls had no bound; swaps had no pause after a failure and scaling was not decided at all. Ruled out: fencing at receivers alone, since some upstreams ignore epochs; a held-back newline as last byte, since a JSON decoder does not wait for it. Change: incarnations in leases, intents by conditional update, a last check once the receiver asks for the body, TCP user timeout on orders, call classes with a shared budget and breakers, settled writes, Swapper, Scaler, notices of leaving upstreams between domains; stand-ins hold single calls.

--- a/instance/counters.go
+++ b/instance/counters.go
@@ -39,6 +39,7 @@
 	c.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("team", team), attribute.String("code", code)))
 }
 
-func (c *counters) order(kind string, err error) {
-	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.Bool("failed", err != nil)))
+// order counts an order or its intent by how it ended.
+func (c *counters) order(kind, outcome string) {
+	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome)))
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,6 +50,7 @@
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
+	commander    *commander
 
 	homesMu sync.Mutex // guards homes
 	homes   map[string]*rollout.Home
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewClient(s.Platform, counters)
+	store := platform.NewClientWith(s.Platform, platform.Options{Counter: counters, Budget: budget(s)})
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
 	i := &Instance{
@@ -79,6 +80,10 @@
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
 	}
+	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
+		role.SetStandby(func() bool { return i.isStandby(role.Role()) })
+	}
+	i.commander = newCommander(i)
 	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
 	return i, i.registerPeerServices()
 }
@@ -171,14 +176,3 @@
 	i.closeHomes()
 	s.admin.Close()
 }
-
-// release gives up roles, so that successors need not wait out their terms.
-func (i *Instance) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
-		if err := role.Release(ctx); err != nil {
-			i.log.Warn("role was not released", zap.Error(err))
-		}
-	}
-}
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/pomelocross/pomelocross/fleet"
+	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/upstream"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/usage"
 )
 
@@ -18,15 +20,24 @@
 	// quarter is left, so that it ends inside the term.
 	orderTimeoutPart = 5
 	orderSparePart   = 4
+	// activeCandidates is how many instances follow a lease closely.
+	activeCandidates = 2
+	releaseTimeout   = 3 * time.Second
 )
 
 func (i *Instance) orderTimeout() time.Duration { return i.settings.LeaseTerm / orderTimeoutPart }
 
 func (i *Instance) orderSpare() time.Duration { return i.settings.LeaseTerm / orderSparePart }
 
+// budget returns the instance's share of the platform's rates.
+func budget(s *settings.Settings) *platform.Budget {
+	fleet := platform.Rates{Reads: float64(s.PlatformReads), Writes: float64(s.PlatformWrites)}
+	return platform.NewBudget(fleet.Share(s.FleetSize))
+}
+
 // holdUpstreams seeks the domain's upstream role and gives orders while it holds it.
 func (i *Instance) holdUpstreams(ctx context.Context) {
-	i.hold(ctx, i.upstreamRole, orderInterval, i.orderSwaps)
+	i.hold(ctx, i.upstreamRole, orderInterval, i.commander.pass)
 }
 
 // holdBilling seeks the billing role and closes windows while it holds it.
@@ -45,42 +56,32 @@
 	}
 }
 
-func (i *Instance) orderSwaps(ctx context.Context, grant lease.Grant) {
+// isStandby reports whether others come first in the succession of a role: the
+// instances of the domain for its upstreams, all instances for billing.
+func (i *Instance) isStandby(role string) bool {
 	view := i.view.Load()
-	if view.Contract == nil {
-		return
-	}
-	for _, service := range view.Contract.Bundle.Services {
-		if service.Model == "" {
-			continue
-		}
-		engines := inDomain(view.Upstream.Of(service.Name), i.settings.Domain)
-		for _, swap := range fleet.Swaps(engines, service.Model, view.Weights[service.Model]) {
-			i.orderSwap(ctx, grant, swap)
-		}
+	candidates := view.Domain.Entries()
+	if role == i.upstreamRole.Role() {
+		candidates = view.Domain.Peers(i.settings.Domain)
 	}
+	rank := slices.IndexFunc(domain.Ranked(candidates, role), func(m platform.Member) bool { return m.Name == i.settings.Name })
+	return rank >= activeCandidates
 }
 
-func (i *Instance) orderSwap(ctx context.Context, grant lease.Grant, swap fleet.Swap) {
-	if !grant.Valid(i.clock.Now(), i.orderSpare()) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, i.orderTimeout())
+// release gives up roles, so that successors need not wait out their terms. The
+// upstream role is left to lapse while an order may still be on its way.
+func (i *Instance) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	err := i.client.OrderLoad(ctx, swap.Address, upstream.LoadOrder{
-		Model: swap.Model, WeightVersion: swap.WeightVersion, Holder: i.settings.Name, Epoch: grant.Epoch,
-	})
-	i.counters.order("load", err)
-}
-
-func inDomain(all []upstream.Upstream, domain string) []upstream.Upstream {
-	var found []upstream.Upstream
-	for _, u := range all {
-		if u.Domain == domain {
-			found = append(found, u)
+	roles := []*lease.Keeper{i.billingRole}
+	if i.commander.settled(i.clock.Now()) {
+		roles = append(roles, i.upstreamRole)
+	}
+	for _, role := range roles {
+		if err := role.Release(ctx); err != nil {
+			i.log.Warn("role was not released", zap.Error(err))
 		}
 	}
-	return found
 }
 
 // closeWindow freezes and reports the last window that is over.
--- /dev/null
+++ b/instance/scaling.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/fleet"
+	"github.com/pomelocross/pomelocross/internal/fenced"
+	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+// queueTimeout bounds the reading of the domain's queues; decisions on weights
+// wait for it.
+const queueTimeout = 200 * time.Millisecond
+
+// scales returns the scaling orders that are due under the domain's cost limits.
+func (c *commander) scales(ctx context.Context, view *View, grant lease.Grant, now time.Time) []order {
+	if now.Sub(c.scaled) < scaleInterval {
+		return nil
+	}
+	c.scaled = now
+	waiting := c.waiting(ctx, view)
+	var orders []order
+	for _, limit := range view.Contract.Bundle.CostLimits {
+		if limit.Domain != c.instance.settings.Domain {
+			continue
+		}
+		live := inDomain(view.Upstream.Of(limit.Service), limit.Domain)
+		demand := demandOf(view.Contract, limit.Service, waiting[limit.Service], live)
+		counts, due := c.scaler(limit.Service).Next(limit, demand, live, now)
+		if due {
+			orders = append(orders, c.scale(limit, platform.CostDear, counts.Dear, grant), c.scale(limit, platform.CostCheap, counts.Cheap, grant))
+		}
+	}
+	return orders
+}
+
+func (c *commander) scaler(service string) *fleet.Scaler {
+	scaler := c.scalers[service]
+	if scaler == nil {
+		scaler = fleet.NewScaler(fleet.DefaultScaleLimits())
+		c.scalers[service] = scaler
+	}
+	return scaler
+}
+
+func (c *commander) scale(limit contract.CostLimit, cost platform.CostClass, count int, grant lease.Grant) order {
+	o := platform.ScaleOrder{
+		Service: limit.Service, Domain: limit.Domain, Cost: cost, Count: count,
+		Holder: c.instance.settings.Name, Epoch: grant.Epoch,
+	}
+	return order{
+		record: lease.Order{Kind: orderScale, Target: limit.Service + " " + limit.Domain, Detail: fmt.Sprintf("%s %d", cost, count)},
+		send: func(ctx context.Context, check fenced.Check) error {
+			return c.instance.platform.ScaleWhile(ctx, o, c.instance.orderTimeout(), check)
+		},
+	}
+}
+
+// waiting sums the queues of the domain's instances that answer, by service.
+func (c *commander) waiting(ctx context.Context, view *View) map[string]int {
+	ctx, cancel := context.WithTimeout(ctx, queueTimeout)
+	defer cancel()
+	var mu sync.Mutex // guards sum
+	sum := map[string]int{}
+	var asking sync.WaitGroup
+	for _, peer := range view.Domain.Peers(c.instance.settings.Domain) {
+		asking.Go(func() {
+			answer := c.instance.askStatus(ctx, peer)
+			if answer.Status == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for service, depth := range answer.Status.Queues {
+				sum[service] += depth
+			}
+		})
+	}
+	asking.Wait()
+	return sum
+}
+
+// demandOf joins what waits with what the upstreams report.
+func demandOf(s *contract.Snapshot, name string, waiting int, live []upstream.Upstream) fleet.Demand {
+	service, _ := s.Service(name)
+	demand := fleet.Demand{Waiting: waiting, Slots: service.Slots}
+	for _, u := range live {
+		demand.Waiting += u.Load.Waiting
+		demand.Running += u.Load.Running
+	}
+	if needsDear(s, service) {
+		demand.Desk = demand.Total()
+	}
+	return demand
+}
+
+// needsDear reports whether the loss of an upstream of the service may harm a
+// caller: a plain service's request that may not be repeated has no resume.
+func needsDear(s *contract.Snapshot, service contract.Service) bool {
+	if service.Kind != contract.KindPlain {
+		return false
+	}
+	for _, r := range s.Bundle.Routes {
+		if r.Service == service.Name && !r.Idempotent {
+			return true
+		}
+	}
+	return false
+}
--- a/instance/view.go
+++ b/instance/view.go
@@ -18,6 +18,8 @@
 	// Weights are the wanted weight versions by model.
 	Weights map[string]int64
 	loads   map[string]upstream.Load
+	// noticed are the upstreams that other domains say are leaving.
+	noticed notices
 }
 
 // event changes control state.
@@ -61,13 +63,13 @@
 
 func (e listed) apply(v *View) {
 	v.Domain = domain.NewView(v.Domain.Self(), e.members)
-	v.Upstream = upstream.NewTable(v.Domain.Upstreams(), v.loads)
+	v.Upstream = v.table()
 }
 
 // loaded are loads that upstreams have reported, by name.
 type loaded struct{ loads map[string]upstream.Load }
 
 func (e loaded) apply(v *View) {
-	v.loads = e.loads
-	v.Upstream = upstream.NewTable(v.Domain.Upstreams(), v.loads)
+	v.loads = keepLeaving(v.loads, e.loads)
+	v.Upstream = v.table()
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -36,6 +37,10 @@
 	Refuse bool `json:"refuse"`
 	// FailLoads makes weight loads end without effect.
 	FailLoads bool `json:"failLoads"`
+	// ClaimLoads makes orders be answered as done while nothing is loaded.
+	ClaimLoads bool `json:"claimLoads"`
+	// Leaving makes load reports say that the engine is being taken away.
+	Leaving bool `json:"leaving"`
 	// Slow multiplies the time between tokens; 0 and 1 change nothing.
 	Slow int `json:"slow"`
 }
@@ -56,12 +61,16 @@
 type Record struct {
 	Requests []*Received          `json:"requests"`
 	Orders   []upstream.LoadOrder `json:"orders"`
+	// OrderTimes are when the orders of Orders were received.
+	OrderTimes []time.Time `json:"orderTimes"`
 }
 
 // Server is the engine. It implements http.Handler.
 type Server struct {
 	options Options
 	mux     *http.ServeMux
+	// Holds stops single orders for tests.
+	Holds hold.Set
 
 	mu      sync.Mutex // guards all below
 	version int64
@@ -99,6 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	copied := Record{Orders: append([]upstream.LoadOrder(nil), s.record.Orders...)}
+	copied.OrderTimes = append(copied.OrderTimes, s.record.OrderTimes...)
 	for _, r := range s.record.Requests {
 		one := *r
 		copied.Requests = append(copied.Requests, &one)
@@ -217,42 +227,6 @@
 	return s.options.TokenTime * time.Duration(max(1, s.faultsNow().Slow))
 }
 
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, upstream.Load{Running: s.running, Tokens: s.tokens, WeightVersion: s.version, Loading: s.loading, FreeKV: 1})
-}
-
-func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	var order upstream.LoadOrder
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.options.Fences && order.Epoch < s.epoch {
-		http.Error(w, "old epoch", http.StatusConflict)
-		return
-	}
-	s.epoch = max(s.epoch, order.Epoch)
-	s.record.Orders = append(s.record.Orders, order)
-	if s.loading == 0 {
-		s.loading = order.WeightVersion
-		time.AfterFunc(s.options.LoadTime, s.finishLoad)
-	}
-	writeJSON(w, struct{}{})
-}
-
-func (s *Server) finishLoad() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.faults.FailLoads {
-		s.version = s.loading
-	}
-	s.loading = 0
-}
-
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -10,25 +10,21 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	client "github.com/pomelocross/pomelocross/platform"
 )
 
 // historyLength is how many changes a watch can look back on.
 const historyLength = 4096
 
-// Faults are switched while the stand-in runs.
-type Faults struct {
-	Down bool `json:"down"` // refuse every call with status 503
-	// LoseAnswers carries out this many writes and then cuts the connection.
-	LoseAnswers int           `json:"loseAnswers"`
-	Delay       time.Duration `json:"delay"`     // nanoseconds added to each call
-	UsageDown   bool          `json:"usageDown"` // refuse usage reports only
-}
-
 // Record is what the stand-in was told, in order.
 type Record struct {
 	Usage []client.UsageReport `json:"usage"`
 	Scale []client.ScaleOrder  `json:"scale"`
+	// ScaleTimes are when the orders of Scale were received.
+	ScaleTimes []time.Time `json:"scaleTimes"`
 	// Calls counts calls by method and path prefix.
 	Calls map[string]int64 `json:"calls"`
 }
@@ -36,6 +32,8 @@
 // Server is the stand-in. It implements http.Handler.
 type Server struct {
 	mux *http.ServeMux
+	// Holds stops single calls for tests.
+	Holds hold.Set
 
 	mu      sync.Mutex // guards all below; handlers run concurrently
 	version client.Version
@@ -43,7 +41,10 @@
 	history []client.Object
 	changed chan struct{} // closed and replaced at every write
 	members []client.Member
+	stale   []client.Member // what a stale list shows
 	faults  Faults
+	limiter *rate.Limiter
+	epochs  map[string]int64 // highest of a domain's scaling orders
 	record  Record
 }
 
@@ -53,6 +54,7 @@
 		mux:     http.NewServeMux(),
 		objects: map[string]map[string]client.Object{},
 		changed: make(chan struct{}),
+		epochs:  map[string]int64{},
 		record:  Record{Calls: map[string]int64{}},
 	}
 	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
@@ -68,13 +70,6 @@
 	return s
 }
 
-// SetFaults switches faults.
-func (s *Server) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
 // SetMembers replaces the instance list.
 func (s *Server) SetMembers(members []client.Member) {
 	s.mu.Lock()
@@ -89,6 +84,7 @@
 	copied := Record{Calls: map[string]int64{}}
 	copied.Usage = append(copied.Usage, s.record.Usage...)
 	copied.Scale = append(copied.Scale, s.record.Scale...)
+	copied.ScaleTimes = append(copied.ScaleTimes, s.record.ScaleTimes...)
 	for k, v := range s.record.Calls {
 		copied.Calls[k] = v
 	}
@@ -101,18 +97,14 @@
 		s.mux.ServeHTTP(w, r)
 		return
 	}
-	s.mu.Lock()
-	faults := s.faults
 	_, pattern := s.mux.Handler(r)
+	s.mu.Lock()
 	s.record.Calls[pattern]++
 	s.mu.Unlock()
-	if faults.Delay > 0 {
-		time.Sleep(faults.Delay)
-	}
-	if faults.Down {
-		http.Error(w, "down", http.StatusServiceUnavailable)
+	if !s.admit(w) {
 		return
 	}
+	s.Holds.Wait(hold.Arrived, r)
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -147,20 +139,22 @@
 		return
 	}
 	s.mu.Lock()
+	if takeFault(&s.faults.DropWrites, s.faults.DropKind, o.Kind) {
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if s.objects[o.Kind][o.Name].Version != client.Version(expect) {
 		s.mu.Unlock()
 		http.Error(w, "conflict", http.StatusConflict)
 		return
 	}
 	o = s.commit(o)
-	lose := s.faults.LoseAnswers > 0
-	if lose {
-		s.faults.LoseAnswers--
-	}
+	lose := takeFault(&s.faults.LoseAnswers, s.faults.LoseKind, o.Kind)
 	s.mu.Unlock()
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	s.Holds.Wait(hold.Answering, r)
 	write(w, o)
 }
 
@@ -230,7 +224,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := client.List{Version: s.version, Objects: []client.Object{}}
-	if len(s.history) > 0 && after < s.history[0].Version-1 {
+	if s.faults.Gaps || len(s.history) > 0 && after < s.history[0].Version-1 {
 		return l, s.changed, true
 	}
 	for _, o := range s.history {
@@ -243,7 +237,7 @@
 
 func (s *Server) listMembers(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	members := s.members
+	members := s.listed()
 	s.mu.Unlock()
 	write(w, members)
 }
@@ -281,7 +275,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.FenceScale && order.Epoch < s.epochs[order.Domain] {
+		http.Error(w, "old epoch", http.StatusConflict)
+		return
+	}
+	s.epochs[order.Domain] = max(s.epochs[order.Domain], order.Epoch)
 	s.record.Scale = append(s.record.Scale, order)
+	s.record.ScaleTimes = append(s.record.ScaleTimes, time.Now())
 	write(w, struct{}{})
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,7 +8,11 @@
 // between machines.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
 
 // Default timing of leases.
 const (
@@ -29,11 +33,24 @@
 	return Timing{Term: DefaultTerm, Renew: DefaultRenew, Margin: DefaultMargin}
 }
 
+// Identity tells one process of an instance from its predecessors, which may
+// still run.
+type Identity struct {
+	Name        string // of the instance
+	Incarnation string // unique to the process
+}
+
+// NewIdentity returns an identity that no other process has.
+func NewIdentity(name string) Identity {
+	return Identity{Name: name, Incarnation: uuid.NewString()}
+}
+
 // Value is the stored form of a lease.
 type Value struct {
-	Holder string `json:"holder"` // empty after release
-	Epoch  int64  `json:"epoch"`
-	// Renewal counts renewals so that each write changes the value.
+	Holder      string `json:"holder"` // empty after release
+	Incarnation string `json:"incarnation,omitempty"`
+	Epoch       int64  `json:"epoch"`
+	// Renewal counts the holder's writes so that no two have the same value.
 	Renewal int64 `json:"renewal"`
 }
 
@@ -41,11 +58,14 @@
 type Grant struct {
 	Role  string
 	Epoch int64
-	// Until is on the holder's monotonic clock.
+	// Until carries the holder's monotonic and wall clock.
 	Until time.Time
 }
 
-// Valid reports whether the grant covers now with at least spare left.
+// Valid reports whether the grant covers now with at least spare left. Both
+// clocks must agree: the monotonic one stands still while the machine is
+// suspended, the wall clock may be set back.
 func (g Grant) Valid(now time.Time, spare time.Duration) bool {
-	return g.Epoch > 0 && now.Add(spare).Before(g.Until)
+	end := now.Add(spare)
+	return g.Epoch > 0 && end.Before(g.Until) && end.Round(0).Before(g.Until.Round(0))
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,9 @@
 	LeaseTerm       time.Duration `env:"POMELOCROSS_LEASE_TERM" envDefault:"10s" flag:"lease-term" usage:"how long a control role is held without renewal" validate:"min=1s"`
 	MembersInterval time.Duration `env:"POMELOCROSS_MEMBERS_INTERVAL" envDefault:"2s" flag:"members-interval" usage:"time between readings of the instance list" validate:"min=100ms"`
 	LoadInterval    time.Duration `env:"POMELOCROSS_LOAD_INTERVAL" envDefault:"500ms" flag:"load-interval" usage:"time between readings of upstream load" validate:"min=50ms"`
+	FleetSize       int           `env:"POMELOCROSS_FLEET_SIZE" envDefault:"7" flag:"fleet-size" usage:"number of instances that share the platform's rates" validate:"min=1"`
+	PlatformReads   int           `env:"POMELOCROSS_PLATFORM_READS" envDefault:"2000" flag:"platform-reads" usage:"reads a second that the platform gives the whole fleet" validate:"min=1"`
+	PlatformWrites  int           `env:"POMELOCROSS_PLATFORM_WRITES" envDefault:"300" flag:"platform-writes" usage:"writes a second that the platform gives the whole fleet" validate:"min=1"`
 	TraceFile       string        `env:"POMELOCROSS_TRACE_FILE" flag:"trace-file" usage:"file that spans are appended to; empty for none"`
 	LogLevel        string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
 
@@ -93,6 +96,8 @@
 			parser.String(target, "", f.flag(), description)
 		case *bool:
 			parser.Bool(target, "", f.flag(), description)
+		case *int:
+			parser.Int(target, "", f.flag(), description)
 		case *time.Duration:
 			parser.Duration(target, "", f.flag(), description)
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -24,15 +24,19 @@
 	Loading int64 `json:"loading,omitempty"`
 	// FreeKV is the share of cache memory free, 0 to 1.
 	FreeKV float64 `json:"freeKV"`
+	// Leaving says that the upstream is being taken away.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Table lists upstreams by service. It is immutable.
 type Table struct{ services map[string][]Upstream }
 
 // NewTable joins the member list with the last known loads, by upstream name.
+// An upstream leaves when either says so.
 func NewTable(members []platform.Member, loads map[string]Load) *Table {
 	t := &Table{services: map[string][]Upstream{}}
 	for _, m := range members {
+		m.Leaving = m.Leaving || loads[m.Name].Leaving
 		t.services[m.Service] = append(t.services[m.Service], Upstream{Member: m, Load: loads[m.Name]})
 	}
 	return t
