--- /dev/null
+++ b/lease/keeper_test.go
@@ -0,0 +1,95 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
+	"github.com/pomelocross/pomelocross/platform"
+)
+
+var _ = Describe("Keepers", func() {
+	var (
+		ctx    = context.Background()
+		server *standin.Server
+		store  *platform.Client
+		clock  *clockwork.FakeClock
+		a, b   *Keeper
+	)
+
+	BeforeEach(func() {
+		server, clock = standin.New(), clockwork.NewFakeClock()
+		listener := httptest.NewServer(server)
+		DeferCleanup(listener.Close)
+		store = platform.NewClient(strings.TrimPrefix(listener.URL, "http://"), nil)
+		a = NewKeeper("role", "entry-a", store, clock, DefaultTiming())
+		b = NewKeeper("role", "entry-b", store, clock, DefaultTiming())
+	})
+
+	held := func(k *Keeper) bool { _, ok := k.Grant(0); return ok }
+
+	It("settle a renewal whose answer was lost without losing the role", func() {
+		Expect(a.Attempt(ctx)).To(Succeed())
+		for range 5 {
+			clock.Advance(DefaultRenew)
+			server.SetFaults(standin.Faults{LoseAnswers: 1, LoseKind: platform.KindLease})
+			Expect(a.Attempt(ctx)).NotTo(Succeed())
+			Expect(held(a)).To(BeTrue())
+		}
+		g, _ := a.Grant(0)
+		Expect(g.Epoch).To(Equal(int64(1)))
+		clock.Advance(DefaultTerm)
+		Expect(held(a)).To(BeFalse())
+	})
+
+	It("do not believe in a first write whose answer was lost before they have read it", func() {
+		server.SetFaults(standin.Faults{LoseAnswers: 1})
+		Expect(a.Attempt(ctx)).NotTo(Succeed())
+		Expect(held(a)).To(BeFalse())
+		Expect(a.Attempt(ctx)).To(Succeed())
+		Expect(held(a)).To(BeTrue())
+	})
+
+	It("make a restarted process of the same name wait like any other", func() {
+		Expect(a.Attempt(ctx)).To(Succeed())
+		restarted := NewKeeper("role", "entry-a", store, clock, DefaultTiming())
+		Expect(restarted.Attempt(ctx)).To(Succeed())
+		clock.Advance(DefaultTerm + DefaultMargin - time.Nanosecond)
+		Expect(restarted.Attempt(ctx)).To(Succeed())
+		Expect(held(restarted)).To(BeFalse())
+		clock.Advance(time.Nanosecond)
+		Expect(restarted.Attempt(ctx)).To(Succeed())
+		Expect(held(restarted)).To(BeTrue())
+		Expect(a.Check(1, 0)).To(MatchError(ErrNotHeld))
+	})
+
+	It("let no earlier epoch record an intent after a later one, whatever the clock says", func() {
+		early, late := NewRecorder(a, store), NewRecorder(b, store)
+		orders := []Order{{Kind: "load", Target: "lm-1", Detail: "restock 2"}}
+		Expect(early.Record(ctx, Grant{Epoch: 1}, orders)).To(Succeed())
+		Expect(late.Record(ctx, Grant{Epoch: 2}, orders)).To(Succeed())
+		Expect(errors.Is(early.Record(ctx, Grant{Epoch: 1}, orders), platform.ErrConflict)).To(BeTrue())
+		Expect(early.Record(ctx, Grant{Epoch: 1}, orders)).To(MatchError(ErrSuperseded))
+	})
+
+	DescribeTable("record an intent whose write was lost",
+		func(faults standin.Faults) {
+			recorder := NewRecorder(a, store)
+			Expect(recorder.Record(ctx, Grant{Epoch: 1}, nil)).To(Succeed())
+			server.SetFaults(faults)
+			Expect(recorder.Record(ctx, Grant{Epoch: 1}, nil)).To(Succeed())
+			stored, err := store.Get(ctx, platform.KindIntent, "role")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(stored.Value)).To(ContainSubstring(`"sequence":2`))
+		},
+		Entry("after it took effect", standin.Faults{LoseAnswers: 1}),
+		Entry("before it took effect", standin.Faults{DropWrites: 1}),
+	)
+})
--- /dev/null
+++ b/lease/suite_test.go
@@ -0,0 +1,19 @@
+package lease
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "5000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	RunSpecs(t, "Lease")
+}
--- /dev/null
+++ b/test/e2e/orders_lease_test.go
@@ -0,0 +1,273 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/internal/standin/engine"
+	"github.com/pomelocross/pomelocross/internal/standin/hold"
+	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
+	"github.com/pomelocross/pomelocross/platform"
+)
+
+const roleA = "upstreams-mty-a"
+
+// receivedOrder is an order as a stand-in recorded it.
+type receivedOrder struct {
+	at     time.Time
+	holder string
+	epoch  int64
+	what   string
+}
+
+// String implements fmt.Stringer for failure messages.
+func (o receivedOrder) String() string { return fmt.Sprint(o.holder, "/", o.epoch, " ", o.what) }
+
+// journal returns all orders that any stand-in received for a domain, by time.
+func (d *deployment) journal(domain string) []receivedOrder {
+	var all []receivedOrder
+	for _, m := range d.members {
+		if e := d.engines[m.Name]; e != nil && m.Domain == domain {
+			record := e.Record()
+			for n, o := range record.Orders {
+				all = append(all, receivedOrder{record.OrderTimes[n], o.Holder, o.Epoch, fmt.Sprint(m.Name, " loads ", o.WeightVersion)})
+			}
+		}
+	}
+	record := d.platform.Record()
+	for n, o := range record.Scale {
+		if o.Domain == domain {
+			all = append(all, receivedOrder{record.ScaleTimes[n], o.Holder, o.Epoch, fmt.Sprint(o.Service, " ", o.Cost, " ", o.Count)})
+		}
+	}
+	slices.SortFunc(all, func(a, b receivedOrder) int { return a.at.Compare(b.at) })
+	return all
+}
+
+// overtaken returns the orders received for a domain after one of a later
+// epoch or from a second holder of their epoch.
+func (d *deployment) overtaken(domain string) []receivedOrder {
+	var wrong []receivedOrder
+	holders := map[int64]string{}
+	highest := int64(0)
+	for _, o := range d.journal(domain) {
+		first, known := holders[o.epoch]
+		if o.epoch < highest || (known && first != o.holder) {
+			wrong = append(wrong, o)
+		}
+		highest, holders[o.epoch] = max(highest, o.epoch), o.holder
+	}
+	return wrong
+}
+
+// expectOneOrderer checks that no two holders' orders overlap.
+func (d *deployment) expectOneOrderer(domain string) {
+	GinkgoHelper()
+	Expect(d.overtaken(domain)).To(BeEmpty(), "in %v", d.journal(domain))
+}
+
+// nameWeights names a weight version as a trainer's step does.
+func (d *deployment) nameWeights(model string, version int64) {
+	GinkgoHelper()
+	Eventually(func() error {
+		o, err := d.store().Get(within(time.Second), platform.KindWeights, model)
+		if err != nil && o.Version != 0 {
+			return err
+		}
+		_, err = d.store().Put(within(time.Second), platform.KindWeights, model, o.Version, version)
+		return err
+	}).Should(Succeed())
+}
+
+// orderedBy returns whether a holder's order to load a version was received by
+// every engine of a domain.
+func (d *deployment) orderedBy(holder string, version int64) bool {
+	for _, e := range d.engines {
+		found := false
+		for _, o := range e.Record().Orders {
+			found = found || (o.Holder == holder && o.WeightVersion == version)
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// holder returns the daemon that says it holds a role, or nil.
+func (d *deployment) holder(role string) *daemon {
+	for _, one := range d.daemons {
+		if s, err := one.status(); err == nil && slices.Contains(s.Roles, role) {
+			return one
+		}
+	}
+	return nil
+}
+
+func (one *daemon) holds(role string) bool {
+	s, err := one.status()
+	return err == nil && slices.Contains(s.Roles, role)
+}
+
+// counter reports whether the daemon's metrics have a line of a counter with
+// all of the given labels.
+func (one *daemon) counter(name string, labels ...string) bool {
+	got, err := http.Get("http://" + one.admin + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer got.Body.Close()
+	body := readAll(got.Body)
+	for line := range strings.Lines(body) {
+		if strings.HasPrefix(line, name) && !slices.ContainsFunc(labels, func(l string) bool { return !strings.Contains(line, l) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// gaveUp reports whether the daemon counted an intent or order that it did not
+// carry out.
+func (one *daemon) gaveUp() bool {
+	for _, outcome := range []string{"not sent", "conflict", "unknown"} {
+		if one.counter("pomelocross_orders", `outcome="`+outcome+`"`) {
+			return true
+		}
+	}
+	return false
+}
+
+func isIntent(r *http.Request) bool {
+	return r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/v1/objects/intent/"+roleA)
+}
+
+func isOrder(r *http.Request) bool { return r.URL.Path == "/v1/orders" }
+
+var _ = Describe("One orderer", func() {
+	var (
+		d             *deployment
+		first, second *daemon
+	)
+
+	start := func(fences bool) {
+		d = newDeployment("botiquin")
+		d.platform.SetFaults(standin.Faults{FenceScale: fences})
+		for _, name := range []string{"lm-1", "lm-2"} {
+			d.addEngine(name, "lm-pool", "mty-a", engine.Options{TokenTime: time.Millisecond, LoadTime: 50 * time.Millisecond, Fences: fences})
+		}
+		a, b := d.startDaemon("entry-a", "mty-a"), d.startDaemon("entry-b", "mty-a")
+		Eventually(func() *daemon { first = d.holder(roleA); return first }).ShouldNot(BeNil())
+		second = a
+		if first == a {
+			second = b
+		}
+		Eventually(func() int { return len(d.platform.Record().Scale) }).Should(BeNumerically(">=", 4))
+	}
+
+	// overtake lets the second instance take the role and give orders while the
+	// first is stopped, then lets the first go on and waits for its next decision.
+	overtake := func(version int64) {
+		Eventually(func() bool { return second.holds(roleA) }).Should(BeTrue())
+		d.nameWeights("restock", version)
+		Eventually(func() bool { return d.orderedBy(second.name, version) }).Should(BeTrue(), "%v", d.journal("mty-a"))
+		first.thaw()
+		Eventually(func() bool { return first.gaveUp() || len(d.overtaken("mty-a")) > 0 }).Should(BeTrue())
+		Eventually(func() bool { return first.holds(roleA) }).Should(BeFalse())
+		d.expectOneOrderer("mty-a")
+	}
+
+	DescribeTable("is kept when the holder is stopped",
+		func(fences bool, hold func() *hold.Held) {
+			start(fences)
+			held := hold()
+			d.nameWeights("restock", 2)
+			Eventually(held.Reached).Should(BeClosed())
+			first.freeze()
+			held.Release()
+			overtake(3)
+		},
+		Entry("before its intent is stored, upstreams refuse old epochs", true, func() *hold.Held { return d.platform.Holds.Next(hold.Arrived, isIntent) }),
+		Entry("before its intent is stored, upstreams ignore epochs", false, func() *hold.Held { return d.platform.Holds.Next(hold.Arrived, isIntent) }),
+		Entry("between intent and send, upstreams refuse old epochs", true, func() *hold.Held { return d.platform.Holds.Next(hold.Answering, isIntent) }),
+		Entry("between intent and send, upstreams ignore epochs", false, func() *hold.Held { return d.platform.Holds.Next(hold.Answering, isIntent) }),
+		Entry("inside the send, upstreams refuse old epochs", true, func() *hold.Held { return d.engines["lm-1"].Holds.Next(hold.Arrived, isOrder) }),
+		Entry("inside the send, upstreams ignore epochs", false, func() *hold.Held { return d.engines["lm-1"].Holds.Next(hold.Arrived, isOrder) }),
+	)
+
+	It("is kept over lost renewal answers, without losing the role", func() {
+		start(false)
+		for version := int64(2); version < 6; version++ {
+			d.platform.SetFaults(standin.Faults{LoseAnswers: 2, LoseKind: platform.KindLease})
+			d.nameWeights("restock", version)
+			Eventually(func() bool { return d.orderedBy(first.name, version) }).Should(BeTrue())
+		}
+		d.expectOneOrderer("mty-a")
+		for _, o := range d.journal("mty-a") {
+			Expect(o.epoch).To(Equal(int64(1)), "%v", o)
+		}
+	})
+
+	It("is kept when the holder is cut off from the platform and goes on serving", func() {
+		start(false)
+		for _, e := range d.engines {
+			e.SetFaults(engine.Faults{FailLoads: true})
+		}
+		d.nameWeights("restock", 2)
+		Eventually(func() bool { return d.orderedBy(first.name, 2) }).Should(BeTrue())
+		first.platform.setSilent(true)
+		Eventually(func() bool { return second.holds(roleA) }).Should(BeTrue())
+		Expect(first.holds(roleA)).To(BeFalse())
+		Eventually(func() bool { return d.orderedBy(second.name, 2) }).Should(BeTrue())
+		Consistently(func() int { return first.complete(demoKey("fabricas"), "x", 1, false).status }, 4*time.Second, 50*time.Millisecond).Should(Equal(200))
+		d.expectOneOrderer("mty-a")
+		first.platform.setSilent(false)
+		Consistently(func() bool { return first.holds(roleA) }, time.Second).Should(BeFalse())
+		d.expectOneOrderer("mty-a")
+	})
+
+	It("is kept when several candidates race for a role that is given up", func() {
+		start(false)
+		c := d.startDaemon("entry-c", "mty-a")
+		version := int64(2)
+		for _, leaver := range []*daemon{first, second} {
+			Eventually(func() bool { return leaver.holds(roleA) || c.holds(roleA) }).Should(BeTrue())
+			leaver.terminate()
+			Eventually(leaver.exited).Should(BeClosed())
+			delete(d.daemons, leaver.name)
+			var next *daemon
+			Eventually(func() *daemon { next = d.holder(roleA); return next }).ShouldNot(BeNil())
+			d.nameWeights("restock", version)
+			Eventually(func() bool { return d.orderedBy(next.name, version) }).Should(BeTrue(), "%v", d.journal("mty-a"))
+			version++
+		}
+		d.expectOneOrderer("mty-a")
+	})
+
+	It("is kept when the holder's process is replaced under its name", func() {
+		start(false)
+		first.kill()
+		delete(d.daemons, first.name)
+		again := d.launch(first.name, "mty-a")
+		Eventually(again.ready).Should(BeTrue())
+		Eventually(func() *daemon { return d.holder(roleA) }).ShouldNot(BeNil())
+		next := d.holder(roleA)
+		d.nameWeights("restock", 2)
+		Eventually(func() bool { return d.orderedBy(next.name, 2) }).Should(BeTrue())
+		for _, o := range d.journal("mty-a") {
+			Expect(o.epoch == 1 || o.epoch == 2 && o.holder == next.name).To(BeTrue(), "%v", o)
+		}
+	})
+})
+
+func readAll(r io.Reader) string {
+	body, err := io.ReadAll(r)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
