--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -49,6 +49,13 @@
 	return value.Holder == c.self.Name && value.Incarnation == c.self.Incarnation
 }
 
+// mustRead reports whether the stored lease must be read before a write: a
+// holder that knows its last write took effect renews without, and a conflict
+// tells it when it is wrong.
+func (c *candidate) mustRead() bool {
+	return !c.mine(c.value) || !c.pending.sent.IsZero()
+}
+
 // next returns the value to write at now, or ok false when nothing is due. A
 // lease that is still stored under our own incarnation is renewed under its
 // epoch even after it lapsed: the conditional update proves that nobody else
--- a/lease/candidate_test.go
+++ b/lease/candidate_test.go
@@ -87,6 +87,8 @@
 		c.observe(c.read.version, c.read.value, w.local(c))
 		c.read = nil
 		w.maybeWrite(c)
+	case !c.mustRead():
+		w.maybeWrite(c)
 	default:
 		c.read = &simulatedRead{w.version, w.stored}
 	}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -91,14 +91,17 @@
 	}
 }
 
-// Attempt reads the lease and writes it when a write is due. A write whose
-// answer was lost is settled by the next read: a stored value that only this
-// attempt can have written extends the term from the time it was sent.
+// Attempt reads the lease, unless the last write took effect, and writes it
+// when a write is due. A write whose answer was lost is settled by the next
+// read: a stored value that only this attempt can have written extends the term
+// from the time it was sent.
 func (k *Keeper) Attempt(ctx context.Context) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.read(ctx); err != nil {
-		return err
+	if k.candidate.mustRead() {
+		if err := k.read(ctx); err != nil {
+			return err
+		}
 	}
 	sent := k.clock.Now()
 	value, due := k.candidate.next(sent)
