--- a/instance/orders.go
+++ b/instance/orders.go
@@ -80,11 +80,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.instance.orderTimeout())
 	defer cancel()
-	if err := c.recorder.Record(ctx, grant, records(orders)); err != nil {
-		c.instance.counters.order(orderIntent, outcomeOf(err))
+	err := c.recorder.Record(ctx, grant, records(orders))
+	c.instance.counters.order(orderIntent, err)
+	if err != nil {
 		return
 	}
-	c.instance.counters.order(orderIntent, "done")
 	c.give(ctx, grant, orders)
 }
 
@@ -146,9 +146,8 @@
 
 // finished counts an order and keeps in mind one that may still arrive.
 func (c *commander) finished(o order, err error) {
-	outcome := outcomeOf(err)
-	c.instance.counters.order(o.record.Kind, outcome)
-	if outcome != "unknown" {
+	c.instance.counters.order(o.record.Kind, err)
+	if outcomeOf(err) != platform.Unknown.String() {
 		return
 	}
 	c.mu.Lock()
@@ -163,10 +162,9 @@
 	return now.After(c.unsettled)
 }
 
+// outcomeOf names how an order, or its intent, ended.
 func outcomeOf(err error) string {
 	switch {
-	case err == nil:
-		return "done"
 	case errors.Is(err, fenced.ErrNotSent), errors.Is(err, lease.ErrSuperseded):
 		return "not sent"
 	case errors.Is(err, upstream.ErrOldEpoch):
