--- a/instance/counters.go
+++ b/instance/counters.go
@@ -43,6 +43,7 @@
 	c.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("team", team), attribute.String("code", code)))
 }
 
+// order counts an order or its intent by how it ended.
 func (c *counters) order(kind string, err error) {
-	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.Bool("failed", err != nil)))
+	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcomeOf(err))))
 }
