platform: fetch the instance list only when it has changed

Cause: every instance read the whole list every 2 s. Ruled out: reading it less often (a leaving upstream must be known in seconds); relaying it between instances (a second way for the same state, while most readings find no change).

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -4,7 +4,9 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -12,7 +14,9 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
+
 	client "github.com/pomelocross/pomelocross/platform"
 )
 
@@ -235,11 +239,19 @@
 	return l, s.changed, false
 }
 
-func (s *Server) listMembers(w http.ResponseWriter, _ *http.Request) {
+// listMembers answers with the list, or with status 304 when the caller has it.
+func (s *Server) listMembers(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	members := s.listed()
 	s.mu.Unlock()
-	write(w, members)
+	data, err := json.Marshal(members)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", fmt.Sprintf("\"%x\"", xxhash.Sum64(data)))
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
 }
 
 func (s *Server) setMembers(w http.ResponseWriter, r *http.Request) {
