Tell outcomes by what left the connection; hold Idempotency-Keys at two instances

Cause: outcomes were guessed from error types, net/http sent a GET, or a POST with an Idempotency-Key, a second time when a kept-alive connection broke after the upstream had run it, retries were bounded only per request, and a caller's key was known to nobody. Ruled out: judging by httptrace.WroteHeaders alone, since net/http writes on a goroutine of its own and may write after the request was given up; keys at one holder, or at holders of the present membership only. Change: connections count their bytes and are sealed when a request is claimed as not sent; request bodies cannot be rewound; chunks carry positions; retries spend a budget; package idempotency; a planned stop in steps. Seen without the mechanism: bodies that rewind, 3 runs in place of 2 (GET, POST with key, with and without body); without chunk checks, crossed, doubled, missing and too long answers passed; without the outcome check, a request that is not idempotent ran more than once.

--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -5,8 +5,7 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"syscall"
+	"time"
 
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -40,6 +39,7 @@
 func (o Outcome) NotRun() bool { return o == NotSent || o == Refused }
 
 // Classify returns the outcome that err, the error of one attempt, proves.
+// Without proof an attempt is Unknown.
 func Classify(err error) Outcome {
 	if err == nil {
 		return Done
@@ -48,11 +48,8 @@
 	if errors.As(err, &refused) {
 		return Refused
 	}
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return NotSent
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	var send *upstream.SendError
+	if errors.As(err, &send) && send.NotSent {
 		return NotSent
 	}
 	return Unknown
@@ -62,7 +59,9 @@
 type Error struct {
 	Outcome  Outcome
 	Upstream string // last one tried; empty when none was
-	Err      error
+	// RetryAfter is what the upstream that refused asked for; 0 when none did.
+	RetryAfter time.Duration
+	Err        error
 }
 
 // Error implements error.
--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -10,20 +10,20 @@
 // Plain runs a request of a plain service. A request that is not idempotent is
 // sent again only when it was surely not run.
 func (r *Runner) Plain(ctx context.Context, ticket queue.Ticket, request upstream.PlainRequest, idempotent bool) (upstream.PlainAnswer, error) {
-	var last *Error
-	for range MaxAttempts {
-		var answer upstream.PlainAnswer
-		answer, last = r.plainOnce(ctx, ticket, request)
+	r.Budgets.Request(ticket.Route.Service)
+	earlier := NotSent
+	for attempt := 1; ; attempt++ {
+		answer, last := r.plainOnce(ctx, ticket, request)
 		if last == nil {
 			return answer, nil
 		}
-		mayRepeat := last.Outcome.NotRun() || idempotent
-		if ctx.Err() != nil || last.Upstream == "" || !mayRepeat {
-			break
+		worse(earlier, last)
+		earlier = last.Outcome
+		if attempt == MaxAttempts || !r.mayRetry(ctx, ticket.Route.Service, last, idempotent) {
+			return upstream.PlainAnswer{}, last
 		}
-		ticket.Route.Exclude = append(ticket.Route.Exclude, last.Upstream)
+		r.exclude(&ticket.Route, last.Upstream)
 	}
-	return upstream.PlainAnswer{}, last
 }
 
 func (r *Runner) plainOnce(ctx context.Context, ticket queue.Ticket, request upstream.PlainRequest) (upstream.PlainAnswer, *Error) {
@@ -35,5 +35,5 @@
 	ctx, span := startAttempt(ctx, grant.Upstream)
 	defer span.End()
 	answer, err := r.Client.Plain(ctx, grant.Upstream.Address, request)
-	return answer, finishAttempt(span, grant.Upstream, err)
+	return answer, r.finishAttempt(span, grant.Upstream, err)
 }
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -4,127 +4,71 @@
 	"context"
 	"errors"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
-// MaxAttempts bounds how often one request is sent.
-const MaxAttempts = 4
-
-// Range is a run of tokens produced by one weight version.
-type Range struct {
-	WeightVersion int64 `json:"weightVersion"`
-	Tokens        int   `json:"tokens"`
-}
-
-// Completion is the whole answer of engines to one request.
-type Completion struct {
-	Text         string  `json:"text"`
-	Ranges       []Range `json:"ranges"`
-	FinishReason string  `json:"finishReason"`
-	PromptTokens int     `json:"promptTokens"`
-	OutputTokens int     `json:"outputTokens"`
-}
-
-func (c *Completion) add(chunk upstream.Chunk) {
-	c.Text += chunk.Text
-	c.OutputTokens += chunk.Tokens
-	c.FinishReason = chunk.FinishReason
-	if chunk.PromptTokens > 0 {
-		c.PromptTokens = chunk.PromptTokens
-	}
-	if chunk.Tokens == 0 {
-		return
-	}
-	last := len(c.Ranges) - 1
-	if last >= 0 && c.Ranges[last].WeightVersion == chunk.WeightVersion {
-		c.Ranges[last].Tokens += chunk.Tokens
-		return
-	}
-	c.Ranges = append(c.Ranges, Range{WeightVersion: chunk.WeightVersion, Tokens: chunk.Tokens})
-}
-
-// Runner runs requests for one instance.
-type Runner struct {
-	Client *upstream.Client
-	// Queue returns the queue of a service, or nil when it is not declared.
-	Queue func(service string) *queue.Queue
-}
-
-var tracer = otel.Tracer("github.com/pomelocross/pomelocross/attempt")
+var errCaller = errors.New("caller stopped reading")
 
 // Stream runs a completion and hands its chunks to emit. After a failure it
 // resumes on another upstream behind the text already emitted. The Completion
 // holds what was produced, also when an *Error is returned.
 func (r *Runner) Stream(ctx context.Context, ticket queue.Ticket, request upstream.CompletionRequest, emit func(upstream.Chunk) error) (Completion, error) {
-	var whole Completion
-	var last *Error
-	for range MaxAttempts {
-		request.Resume, request.ResumedTokens = whole.Text, whole.OutputTokens
-		last = r.streamOnce(ctx, &ticket, request, &whole, emit)
+	r.Budgets.Request(ticket.Route.Service)
+	run := &streamRun{runner: r, ticket: ticket, request: request, emit: emit}
+	earlier := NotSent
+	for attempt := 1; ; attempt++ {
+		before := run.produced.OutputTokens
+		last := run.once(ctx)
 		if last == nil {
-			return whole, nil
+			return run.produced.whole(), nil
 		}
-		if ctx.Err() != nil || last.Upstream == "" || errors.Is(last.Err, errCaller) {
-			break
+		worse(earlier, last)
+		earlier = last.Outcome
+		if attempt == MaxAttempts || !run.mayResume(ctx, last, before) {
+			return run.produced.whole(), last
 		}
-		ticket.Route.Exclude = append(ticket.Route.Exclude, last.Upstream)
+		r.exclude(&run.ticket.Route, last.Upstream)
 	}
-	if whole.OutputTokens > 0 {
-		last.Outcome = Unknown
-	}
-	return whole, last
 }
 
-var errCaller = errors.New("caller stopped reading")
+// streamRun is one completion over its attempts.
+type streamRun struct {
+	runner   *Runner
+	ticket   queue.Ticket
+	request  upstream.CompletionRequest
+	emit     func(upstream.Chunk) error
+	produced progress
+}
 
-func (r *Runner) streamOnce(ctx context.Context, ticket *queue.Ticket, request upstream.CompletionRequest, whole *Completion, emit func(upstream.Chunk) error) *Error {
-	grant, failed := r.acquire(ctx, *ticket)
+// mayResume decides whether to go on elsewhere. An attempt that produced tokens
+// does not spend budget: what follows is the rest of the work, not a repeat.
+func (s *streamRun) mayResume(ctx context.Context, last *Error, before int) bool {
+	moved := s.produced.OutputTokens > before
+	if moved && ctx.Err() == nil && !errors.Is(last.Err, errCaller) {
+		return true
+	}
+	return s.runner.mayRetry(ctx, s.ticket.Route.Service, last, true)
+}
+
+func (s *streamRun) once(ctx context.Context) *Error {
+	grant, failed := s.runner.acquire(ctx, s.ticket)
 	if failed != nil {
 		return failed
 	}
-	before := whole.OutputTokens
-	defer func() { grant.Release(int64(whole.OutputTokens - before)) }()
+	before := s.produced.OutputTokens
+	defer func() { grant.Release(int64(s.produced.OutputTokens - before)) }()
 	ctx, span := startAttempt(ctx, grant.Upstream)
 	defer span.End()
-	err := r.Client.Complete(ctx, grant.Upstream.Address, request, func(chunk upstream.Chunk) error {
-		whole.add(chunk)
-		if err := emit(chunk); err != nil {
-			return errors.Join(errCaller, err)
-		}
-		return nil
-	})
-	return finishAttempt(span, grant.Upstream, err)
-}
-
-func (r *Runner) acquire(ctx context.Context, ticket queue.Ticket) (*queue.Grant, *Error) {
-	ctx, span := tracer.Start(ctx, "queue", trace.WithAttributes(attribute.String("service", ticket.Route.Service)))
-	defer span.End()
-	waiting := r.Queue(ticket.Route.Service)
-	if waiting == nil {
-		return nil, &Error{Outcome: NotSent, Err: queue.ErrNoService}
-	}
-	grant, err := waiting.Acquire(ctx, ticket)
-	if err != nil {
-		return nil, &Error{Outcome: NotSent, Err: err}
-	}
-	return grant, nil
-}
-
-func startAttempt(ctx context.Context, u upstream.Upstream) (context.Context, trace.Span) {
-	return tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("upstream", u.Name), attribute.String("domain", u.Domain)))
+	s.request.Resume, s.request.ResumedTokens = s.produced.text.String(), before
+	err := s.runner.Client.Complete(ctx, grant.Upstream.Address, s.request, s.take)
+	return s.runner.finishAttempt(span, grant.Upstream, err)
 }
 
-func finishAttempt(span trace.Span, u upstream.Upstream, err error) *Error {
-	outcome := Classify(err)
-	span.SetAttributes(attribute.String("outcome", outcome.String()))
-	if err == nil {
-		return nil
+func (s *streamRun) take(chunk upstream.Chunk) error {
+	s.produced.add(&chunk)
+	if err := s.emit(chunk); err != nil {
+		return errors.Join(errCaller, err)
 	}
-	return &Error{Outcome: outcome, Upstream: u.Name, Err: err}
+	return nil
 }
--- a/cmd/pomelocrossd/main.go
+++ b/cmd/pomelocrossd/main.go
@@ -43,8 +43,16 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		i.Abort()
+	}()
 	return i.Run(ctx)
 }
 
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -84,6 +84,9 @@
 	Slots int `yaml:"slots" json:"slots" validate:"min=1,max=4096"`
 	// FencesOrders says that its upstreams refuse old fencing numbers.
 	FencesOrders bool `yaml:"fencesOrders" json:"fencesOrders"`
+	// RefusalMeansNotRun says that its upstreams answer 429 and 503 only before
+	// any work. Engines do by protocol.
+	RefusalMeansNotRun bool `yaml:"refusalMeansNotRun" json:"refusalMeansNotRun,omitempty"`
 	// WhenIsolated says what a domain cut off from the platform does with the
 	// service: serve on the last accepted configuration, or refuse.
 	WhenIsolated string `yaml:"whenIsolated" json:"whenIsolated" validate:"oneof=serve refuse"`
--- a/instance/completion.go
+++ b/instance/completion.go
@@ -7,11 +7,9 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/httpjson"
-	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -19,8 +17,6 @@
 	maxCompletionBytes = 1 << 20
 	defaultMaxTokens   = 256
 	maxTokensLimit     = 131072
-	// busyPause is when callers are told to come back after a refusal.
-	busyPause = time.Second
 )
 
 // completionBody is what callers may say of a completion. Fields that are not
@@ -77,28 +73,6 @@
 	answer.finish(whole)
 }
 
-// failure returns what a caller is told of a request that failed.
-func failure(ctx context.Context, err error) *refusal {
-	f := &refusal{status: http.StatusBadGateway, code: "outcome_unknown", message: "an upstream failed after the request was sent"}
-	var failed *attempt.Error
-	if errors.As(err, &failed) {
-		f.notRun = failed.Outcome.NotRun()
-	}
-	switch {
-	case errors.Is(cause(ctx), errWithdrawn):
-		f.status, f.code, f.message = http.StatusUnauthorized, "key_refused", errWithdrawn.Error()
-	case errors.Is(err, context.DeadlineExceeded):
-		f.status, f.code, f.message, f.retryAfter = http.StatusGatewayTimeout, "deadline", "the deadline passed", busyPause
-	case errors.Is(err, queue.ErrFull):
-		f.status, f.code, f.message, f.retryAfter = http.StatusTooManyRequests, "queue_full", err.Error(), busyPause
-	case errors.Is(err, queue.ErrNoService):
-		f.status, f.code, f.message, f.retryAfter = http.StatusServiceUnavailable, "no_upstream", err.Error(), busyPause
-	case f.notRun:
-		f.status, f.code, f.message, f.retryAfter = http.StatusServiceUnavailable, "refused", "no upstream took the request", busyPause
-	}
-	return f
-}
-
 // completionWriter writes an answer in the usual format of completions, as one
 // body or as server-sent events.
 type completionWriter struct {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/platform"
@@ -54,7 +55,13 @@
 	homesMu sync.Mutex // guards homes
 	homes   map[string]*rollout.Home
 
-	draining atomic.Bool
+	coordinator *idempotency.Coordinator
+	traffic     *trafficCounters
+	inFlight    *inFlight
+	draining    atomic.Bool   // readiness fails; requests are still taken
+	refusing    atomic.Bool   // requests are refused
+	aborted     chan struct{} // closed by Abort
+	abort       sync.Once
 }
 
 // New builds an instance; nothing runs before Run.
@@ -67,6 +74,10 @@
 	if err != nil {
 		return nil, err
 	}
+	traffic, err := newTrafficCounters(t.Meter)
+	if err != nil {
+		return nil, err
+	}
 	store := platform.NewClient(s.Platform, counters)
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
@@ -78,8 +89,13 @@
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
+		traffic:      traffic, inFlight: newInFlight(), aborted: make(chan struct{}),
+	}
+	i.coordinator = idempotency.New(i.dialer, clock, keySettle*s.MembersInterval, idempotency.DefaultLimits())
+	i.runner = &attempt.Runner{
+		Client: i.client, Queue: i.queues.of, Budgets: attempt.NewBudgets(clock),
+		Alternative: i.hasAlternative, Observe: i.traffic.attempt,
 	}
-	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
 	return i, i.registerPeerServices()
 }
 
@@ -96,20 +112,20 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.observeMembers} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
 		zap.String("admin", i.settings.AdminListen), zap.String("peer", i.settings.PeerListen))
 	<-ctx.Done()
-	i.drain(servers)
+	err = i.drain(servers)
 	stopControl()
 	background.Wait()
 	i.release()
 	i.peers.Close()
 	i.dialer.Close()
 	i.log.Info("stopped")
-	return nil
+	return err
 }
 
 type servers struct{ traffic, admin *http.Server }
@@ -129,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &servers{traffic: newServer(i.trafficHandler()), admin: newServer(i.adminHandler())}
+	s := &servers{traffic: newServer(i.counted(i.trafficHandler())), admin: newServer(i.adminHandler())}
 	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
 	go s.traffic.Serve(traffic)
 	go s.admin.Serve(admin)
@@ -158,20 +174,6 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
 }
 
-// drain refuses new requests and waits for running ones.
-func (i *Instance) drain(s *servers) {
-	i.log.Info("draining")
-	i.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
-	defer cancel()
-	if err := s.traffic.Shutdown(ctx); err != nil {
-		i.log.Warn("requests were cut off", zap.Error(err))
-		s.traffic.Close()
-	}
-	i.closeHomes()
-	s.admin.Close()
-}
-
 // release gives up roles, so that successors need not wait out their terms.
 func (i *Instance) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/usage"
@@ -135,6 +136,9 @@
 	if err := i.peers.Register("Usage", &UsageService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register(idempotency.Service, i.coordinator.Holder()); err != nil {
+		return err
+	}
 	return i.peers.Register("Rollout", &RolloutService{i})
 }
 
--- a/instance/plain.go
+++ b/instance/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -17,9 +18,11 @@
 		(&refusal{status: http.StatusRequestEntityTooLarge, code: "bad_request", message: "the body could not be read or is larger than 8 MiB", notRun: true}).write(w)
 		return
 	}
-	answer, err := i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), upstream.PlainRequest{
+	plain := upstream.PlainRequest{
 		Method: r.Method, Path: r.URL.Path, Query: withoutKeys(r), Header: upstream.AllowedHeaders(r.Header), Body: body,
-	}, admitted.route.Idempotent)
+		RefusalMeansNotRun: admitted.service.RefusalMeansNotRun,
+	}
+	answer, err := i.runPlain(ctx, r, admitted, plain)
 	if err != nil {
 		failed := failure(ctx, err)
 		i.counters.request(admitted.route.Name, admitted.key.Team, failed.code)
@@ -35,6 +38,17 @@
 	_, _ = w.Write(answer.Body)
 }
 
+func (i *Instance) runPlain(ctx context.Context, r *http.Request, admitted *request, plain upstream.PlainRequest) (upstream.PlainAnswer, error) {
+	key := keyOf(r, admitted)
+	if key == "" {
+		return i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), plain, admitted.route.Idempotent)
+	}
+	if len(key) > idempotency.MaxKeyBytes {
+		return upstream.PlainAnswer{}, errKeyTooLong
+	}
+	return i.runKeyed(ctx, admitted, key, plain)
+}
+
 // credentialParameters are query parameters that callers may put keys into.
 var credentialParameters = []string{"key", "api_key", "apikey", "access_token", "token"}
 
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -15,7 +15,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/internal/httpjson"
 	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/route"
 )
@@ -76,7 +75,12 @@
 		refuseKey().write(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r, admitted.route))
+	timeout, err := timeoutOf(r, admitted.route)
+	if err != nil {
+		badRequest(err).write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if admitted.service.Kind == contract.KindEngine {
 		i.serveCompletion(ctx, w, r, admitted)
@@ -88,11 +92,8 @@
 // admit finds the route and the team of a request.
 func (i *Instance) admit(r *http.Request) (*request, *refusal) {
 	view := i.view.Load()
-	if i.draining.Load() {
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: "draining", notRun: true, retryAfter: time.Second}
-	}
-	if view.Contract == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, code: "no_configuration", notRun: true, retryAfter: time.Second}
+	if refused := i.refuseAll(view); refused != nil {
+		return nil, refused
 	}
 	matched, ok := view.Contract.Match(r.Method, r.URL.Path)
 	if !ok {
@@ -117,21 +118,30 @@
 	return strings.TrimSpace(token)
 }
 
-func timeoutOf(r *http.Request, matched contract.Route) time.Duration {
-	seconds, err := strconv.ParseFloat(r.Header.Get(TimeoutHeader), 64)
-	asked := time.Duration(seconds * float64(time.Second))
-	if err != nil || asked <= 0 || asked > matched.Timeout.Std() {
-		return matched.Timeout.Std()
+// timeoutOf returns the caller's own time limit, or that of the route when it
+// names none or a longer one.
+func timeoutOf(r *http.Request, matched contract.Route) (time.Duration, error) {
+	limit := matched.Timeout.Std()
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return limit, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0) {
+		return 0, errors.New(TimeoutHeader + " must be a number of seconds above 0")
 	}
-	return asked
+	if seconds >= limit.Seconds() {
+		return limit, nil
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
 }
 
 // withTeam authenticates requests of the rollout interface.
 func (i *Instance) withTeam(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		view := i.view.Load()
-		if i.draining.Load() || view.Contract == nil {
-			(&refusal{status: http.StatusServiceUnavailable, code: "draining", notRun: true, retryAfter: time.Second}).write(w)
+		if refused := i.refuseAll(view); refused != nil {
+			refused.write(w)
 			return
 		}
 		key, ok := view.Contract.Authenticate(presentedKey(r))
@@ -148,28 +158,3 @@
 		next(w, r.WithContext(ctx), key.Team)
 	}
 }
-
-// refusal is an answer with an error status.
-type refusal struct {
-	status     int
-	code       string
-	message    string
-	notRun     bool
-	retryAfter time.Duration
-}
-
-func refuseKey() *refusal {
-	return &refusal{status: http.StatusUnauthorized, code: "key_refused", message: "the key is missing, unknown or withdrawn", notRun: true}
-}
-
-func (f *refusal) write(w http.ResponseWriter) {
-	httpjson.WriteError(w, f.status, httpjson.Error{Code: f.code, Message: f.message, NotRun: f.notRun}, f.retryAfter)
-}
-
-// cause returns why ctx ended, which tells a withdrawn key from a caller that left.
-func cause(ctx context.Context) error {
-	if err := context.Cause(ctx); errors.Is(err, errWithdrawn) {
-		return err
-	}
-	return ctx.Err()
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,10 +30,12 @@
 type Faults struct {
 	// CutAfter ends each answer after this many tokens of it; 0 never does.
 	CutAfter int `json:"cutAfter"`
-	// Foreign sends a chunk with another request's identifier first.
-	Foreign bool `json:"foreign"`
 	// Refuse answers new requests with status 503.
 	Refuse bool `json:"refuse"`
+	// Damage spoils each answer.
+	Damage Damage `json:"damage"`
+	// DamageAt is the position of the token that Damage strikes.
+	DamageAt int `json:"damageAt"`
 	// FailLoads makes weight loads end without effect.
 	FailLoads bool `json:"failLoads"`
 	// Slow multiplies the time between tokens; 0 and 1 change nothing.
@@ -48,8 +50,10 @@
 	ResumedTokens int         `json:"resumedTokens"`
 	Tokens        int         `json:"tokens"` // generated here
 	Whole         bool        `json:"whole"`
-	Query         string      `json:"query,omitempty"`
-	WeightVersion int64       `json:"weightVersion"` // when it began
+	// Cancelled says that the other side went before the answer was whole.
+	Cancelled     bool   `json:"cancelled"`
+	Query         string `json:"query,omitempty"`
+	WeightVersion int64  `json:"weightVersion"` // when it began
 }
 
 // Record is what the engine was told, in order.
@@ -120,66 +124,6 @@
 	return b.String()
 }
 
-func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	var request upstream.CompletionRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	received, ok := s.begin(r, request)
-	if !ok {
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "refused", http.StatusServiceUnavailable)
-		return
-	}
-	defer s.end()
-	w.Header().Set("Content-Type", "text/event-stream")
-	prompt := promptOf(request)
-	for n := request.ResumedTokens; n < request.MaxTokens; n++ {
-		select {
-		case <-time.After(s.tokenTime()):
-		case <-r.Context().Done():
-			return
-		}
-		faults := s.faultsNow()
-		if faults.CutAfter > 0 && n-request.ResumedTokens >= faults.CutAfter {
-			panic(http.ErrAbortHandler)
-		}
-		chunk := upstream.Chunk{ID: request.ID, Text: Token(prompt, request.Seed, n), Tokens: 1, WeightVersion: s.count(received)}
-		if faults.Foreign {
-			chunk.ID = "foreign"
-		}
-		if n == request.MaxTokens-1 {
-			chunk.FinishReason, chunk.PromptTokens = "length", len(strings.Fields(prompt))
-		}
-		if writeChunk(w, chunk) != nil {
-			return
-		}
-	}
-	s.mu.Lock()
-	received.Whole = true
-	s.mu.Unlock()
-}
-
-func promptOf(request upstream.CompletionRequest) string {
-	prompt := request.Prompt
-	for _, m := range request.Messages {
-		prompt += m.Role + ": " + m.Content + "\n"
-	}
-	return prompt
-}
-
-func writeChunk(w http.ResponseWriter, chunk upstream.Chunk) error {
-	data, err := json.Marshal(chunk)
-	if err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-		return err
-	}
-	return http.NewResponseController(w).Flush()
-}
-
 func (s *Server) begin(r *http.Request, request upstream.CompletionRequest) (*Received, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,7 @@
 	Platform        string        `env:"POMELOCROSS_PLATFORM" flag:"platform" usage:"IP:port of the platform" validate:"ip_port"`
 	Secret          string        `env:"POMELOCROSS_SECRET" flag:"secret" usage:"secret shared by all instances of the deployment; at least 16 bytes" validate:"min=16" secret:"true"`
 	DrainTimeout    time.Duration `env:"POMELOCROSS_DRAIN_TIMEOUT" envDefault:"10m" flag:"drain-timeout" usage:"longest time a planned stop waits for running requests" validate:"min=1s"`
+	DrainGrace      time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"5s" flag:"drain-grace" usage:"time that a planned stop still takes new requests after readiness fails" validate:"min=0"`
 	UsageWindow     time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"1m" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
 	UsageGrace      time.Duration `env:"POMELOCROSS_USAGE_GRACE" envDefault:"10s" flag:"usage-grace" usage:"time after a window's end before its figures are frozen" validate:"min=0"`
 	LeaseTerm       time.Duration `env:"POMELOCROSS_LEASE_TERM" envDefault:"10s" flag:"lease-term" usage:"how long a control role is held without renewal" validate:"min=1s"`
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -5,19 +5,14 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/samber/oops"
-	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
-
 // CompletionRequest is all that an engine is told of a request.
 type CompletionRequest struct {
 	// ID is ours; every event of the answer must carry it.
@@ -44,8 +39,10 @@
 
 // Chunk is one event of an engine's answer.
 type Chunk struct {
-	ID   string `json:"id"`
-	Text string `json:"text"`
+	ID string `json:"id"`
+	// Position is the number of tokens of the whole answer before Text.
+	Position int    `json:"position"`
+	Text     string `json:"text"`
 	// Tokens is how many tokens Text holds.
 	Tokens int `json:"tokens"`
 	// WeightVersion is the version that produced Text, as the engine says.
@@ -59,6 +56,9 @@
 var (
 	ErrForeignChunk = errors.New("engine sent a chunk of another request")
 	ErrCutShort     = errors.New("engine's answer ended before its end marker")
+	ErrSequence     = errors.New("engine's answer has a chunk missing or doubled")
+	ErrTooLong      = errors.New("engine sent more tokens than were asked for")
+	ErrDamaged      = errors.New("engine sent what is not a chunk")
 )
 
 // RefusedError is an upstream's statement that it ran nothing.
@@ -85,75 +85,11 @@
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &Client{http: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Complete runs a completion and hands each chunk to emit in order. It returns
-// nil only for a whole answer. An error from emit ends the request upstream.
-func (c *Client) Complete(ctx context.Context, address string, request CompletionRequest, emit func(Chunk) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the stream upstream however this returns
-	r, err := sling.New().Post("http://" + address + "/v1/generate").BodyJSON(request).Request()
-	if err != nil {
-		return oops.In("upstream").With("step", "build").Wrap(err)
-	}
-	answer, err := c.send(ctx, r)
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return refusal(answer)
-	}
-	return readChunks(answer, request.ID, emit)
-}
-
-func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
-	answer, err := c.http.Do(r.WithContext(ctx))
-	if err != nil {
-		return nil, oops.In("upstream").With("step", "send", "peer", r.URL.Host).Wrap(err)
-	}
-	return answer, nil
-}
-
-func refusal(answer *http.Response) error {
-	seconds, _ := time.ParseDuration(answer.Header.Get("Retry-After") + "s")
-	if answer.StatusCode == http.StatusTooManyRequests || answer.StatusCode == http.StatusServiceUnavailable {
-		return &RefusedError{Status: answer.StatusCode, RetryAfter: seconds}
-	}
-	return oops.In("upstream").With("status", answer.StatusCode).Errorf("engine failed with status %d", answer.StatusCode)
-}
-
-func readChunks(answer *http.Response, id string, emit func(Chunk) error) error {
-	for event, err := range sse.Read(answer.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
-		if err != nil {
-			return oops.In("upstream").With("step", "read").Wrap(errors.Join(ErrCutShort, err))
-		}
-		var chunk Chunk
-		if err := json.NewDecoder(strings.NewReader(event.Data)).Decode(&chunk); err != nil {
-			return oops.In("upstream").With("step", "decode").Wrap(err)
-		}
-		if chunk.ID != id {
-			return oops.In("upstream").With("step", "match").Wrap(ErrForeignChunk)
-		}
-		if err := emit(chunk); err != nil {
-			return err
-		}
-		if chunk.FinishReason != "" {
-			return nil
-		}
-	}
-	return oops.In("upstream").With("step", "read").Wrap(ErrCutShort)
-}
-
 // ReportedLoad asks an upstream for its load.
 func (c *Client) ReportedLoad(ctx context.Context, address string) (Load, error) {
 	var load Load
@@ -184,3 +120,15 @@
 	}
 	return json.NewDecoder(answer.Body).Decode(out)
 }
+
+// send sends r and returns its answer. An error is a *SendError.
+func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	var w wire
+	answer, err := c.http.Do(r.WithContext(w.watch(ctx)))
+	if err != nil {
+		wrapped := oops.In("upstream").With("step", "send", "peer", r.URL.Host).Wrap(err)
+		return nil, &SendError{NotSent: w.notSent(), Err: wrapped}
+	}
+	return answer, nil
+}
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -1,8 +1,8 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -26,6 +26,9 @@
 	Query  string // without credentials
 	Header http.Header
 	Body   []byte
+	// RefusalMeansNotRun says that the service is declared to answer 429 and
+	// 503 only before any work. Otherwise these are answers like any other.
+	RefusalMeansNotRun bool
 }
 
 // PlainAnswer is a whole answer of a plain service.
@@ -55,20 +58,27 @@
 	if request.Query != "" {
 		url += "?" + request.Query
 	}
-	r, err := http.NewRequest(request.Method, url, bytes.NewReader(request.Body))
+	r, err := http.NewRequest(request.Method, url, nil)
 	if err != nil {
-		return PlainAnswer{}, oops.In("upstream").With("step", "build").Wrap(err)
+		return PlainAnswer{}, &SendError{NotSent: true, Err: oops.In("upstream").With("step", "build").Wrap(err)}
 	}
-	r.GetBody = nil // net/http must not send a body twice
 	r.Header = request.Header.Clone()
+	sendOnce(r, request.Body)
 	answer, err := c.send(ctx, r)
 	if err != nil {
 		return PlainAnswer{}, err
 	}
 	defer answer.Body.Close()
+	if request.RefusalMeansNotRun && refuses(answer.StatusCode) {
+		return PlainAnswer{}, &RefusedError{Status: answer.StatusCode, RetryAfter: retryAfter(answer.Header)}
+	}
+	return readPlain(answer, address)
+}
+
+func readPlain(answer *http.Response, address string) (PlainAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxPlainBytes+1))
 	if err != nil {
-		return PlainAnswer{}, oops.In("upstream").With("step", "read", "peer", address).Wrap(err)
+		return PlainAnswer{}, oops.In("upstream").With("step", "read", "peer", address).Wrap(errors.Join(ErrCutShort, err))
 	}
 	if len(body) > MaxPlainBytes {
 		return PlainAnswer{}, oops.In("upstream").With("step", "read", "peer", address).Errorf("answer is larger than 8 MiB")
