--- a/idempotency/coordinator.go
+++ b/idempotency/coordinator.go
@@ -72,12 +72,12 @@
 // an earlier one. After an error other than ErrRun, run was not called.
 func (c *Coordinator) Do(ctx context.Context, key Key, fingerprint Fingerprint, run Run) (Answer, error) {
 	if c.holder.young() {
-		return Answer{}, ErrUnavailable
+		return Answer{}, ErrUndecided
 	}
 	for range maxClaims {
 		record := Record{Fingerprint: fingerprint, Run: RunID{c.holder.incarnation, c.number.Add(1)}, Runner: c.me()}
 		if !c.holder.begin(record) {
-			return Answer{}, ErrUnavailable
+			return Answer{}, ErrUndecided
 		}
 		claim := c.claim(ctx, key, record)
 		if claim.err == nil && claim.found == nil {
@@ -92,7 +92,7 @@
 			return answer, err
 		}
 	}
-	return Answer{}, ErrUnavailable
+	return Answer{}, ErrUndecided
 }
 
 // execute runs the request and tells the holders what became of it.
@@ -134,33 +134,22 @@
 	err     error
 }
 
-// claim records a run at the key's present holders, which must all answer, and
+// claim records a run at the key's present holders, which must all do so, and
 // at its earlier ones, of each set of which one must answer: no earlier run can
 // then have been recorded by all the holders that it needed. The order of names
 // lets two claims of one key meet at the first holder that both ask.
 func (c *Coordinator) claim(ctx context.Context, key Key, record Record) claimed {
 	current, earlier := c.holder.holdersFor(key)
-	if len(current) == 0 {
-		return claimed{err: ErrUnavailable}
-	}
-	work := &claiming{coordinator: c, key: key, record: record, answered: map[string]bool{}}
+	work := &claiming{coordinator: c, key: key, record: record, earlier: earlier, answered: map[string]bool{}, recorded: map[string]bool{}}
 	work.add(current)
 	for _, set := range earlier {
 		work.add(set)
 	}
-	result := work.run(ctx, earlier)
-	if result.err != nil || result.found != nil {
-		return result
-	}
-	if !work.allAnswered(current) {
-		result.err = ErrUnavailable
-	}
-	for _, set := range work.earlier {
-		if !slices.ContainsFunc(set, work.hasAnswered) {
-			result.err = ErrUnknown
-		}
+	found := work.run(ctx)
+	if found != nil {
+		return claimed{members: work.asked, found: found}
 	}
-	return result
+	return claimed{members: work.asked, err: work.decide(current)}
 }
 
 // claiming is one claim under way.
@@ -171,13 +160,25 @@
 	pending     []platform.Member // by name
 	asked       []platform.Member
 	earlier     [][]platform.Member
-	answered    map[string]bool
+	answered    map[string]bool // did not know the key
+	recorded    map[string]bool // knows it now
 }
 
-func (w *claiming) hasAnswered(m platform.Member) bool { return w.answered[m.Name] }
-
-func (w *claiming) allAnswered(set []platform.Member) bool {
-	return !slices.ContainsFunc(set, func(m platform.Member) bool { return !w.answered[m.Name] })
+// decide tells whether the run may begin after no holder knew the key.
+func (w *claiming) decide(current []platform.Member) error {
+	answered := func(m platform.Member) bool { return w.answered[m.Name] }
+	if !slices.ContainsFunc(current, answered) {
+		return ErrUndecided
+	}
+	for _, set := range w.earlier {
+		if !slices.ContainsFunc(set, answered) {
+			return ErrUnknown
+		}
+	}
+	if slices.ContainsFunc(current, func(m platform.Member) bool { return !w.recorded[m.Name] }) {
+		return ErrUnavailable
+	}
+	return nil
 }
 
 // add puts members on the list unless they have been asked.
@@ -191,40 +192,36 @@
 	slices.SortFunc(w.pending, byName)
 }
 
-func (w *claiming) run(ctx context.Context, earlier [][]platform.Member) claimed {
-	w.earlier = earlier
+// run asks all holders in order until one knows the key.
+func (w *claiming) run(ctx context.Context) *Record {
 	for len(w.pending) > 0 {
 		member := w.pending[0]
 		w.pending = w.pending[1:]
 		w.asked = append(w.asked, member)
-		found, err := w.ask(ctx, member)
-		if found != nil || err != nil {
-			return claimed{members: w.asked, found: found, err: err}
+		if found := w.ask(ctx, member); found != nil {
+			return found
 		}
 	}
-	return claimed{members: w.asked}
+	return nil
 }
 
-func (w *claiming) ask(ctx context.Context, member platform.Member) (*Record, error) {
+func (w *claiming) ask(ctx context.Context, member platform.Member) *Record {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply ClaimReply
 	if err := w.coordinator.call(ctx, member, "Claim", ClaimCall{w.key, w.record}, &reply); err != nil {
-		return nil, nil // counts as not answered
+		return nil // counts as not answered
 	}
-	switch reply.Verdict {
-	case Found:
-		return &reply.Record, nil
-	case Full:
-		return nil, ErrUnavailable
-	case Claimed:
-		w.answered[member.Name] = true
-		w.earlier = append(w.earlier, reply.Earlier...)
-		for _, set := range reply.Earlier {
-			w.add(set)
-		}
+	if reply.Verdict == Found {
+		return &reply.Record
+	}
+	w.recorded[member.Name] = reply.Verdict == Claimed
+	w.answered[member.Name] = reply.Verdict == Claimed || reply.Verdict == Full
+	w.earlier = append(w.earlier, reply.Earlier...)
+	for _, set := range reply.Earlier {
+		w.add(set)
 	}
-	return nil, nil
+	return nil
 }
 
 // join answers a retry from the record of the first. It asks to try again when
--- a/idempotency/holder.go
+++ b/idempotency/holder.go
@@ -105,7 +105,7 @@
 	case has, ok:
 		reply.Verdict, reply.Earlier = Claimed, h.history.earlier(call.Key)
 	default:
-		reply.Verdict = Full
+		reply.Verdict, reply.Earlier = Full, h.history.earlier(call.Key)
 	}
 	return nil
 }
--- a/idempotency/types.go
+++ b/idempotency/types.go
@@ -84,7 +84,8 @@
 	ErrMismatch    = errors.New("the Idempotency-Key was used for another request")
 	ErrUnknown     = errors.New("what became of the request with this Idempotency-Key is not known")
 	ErrNotKept     = errors.New("the request was run, but its answer was too large to keep")
-	ErrUnavailable = errors.New("the holders of the Idempotency-Key could not record it; the request was not run")
+	ErrUnavailable = errors.New("not all holders of the Idempotency-Key could record it; no request with it was run")
+	ErrUndecided   = errors.New("no holder of the Idempotency-Key answers; whether an earlier request with it was run is not known now")
 	ErrRun         = errors.New("the request was tried and failed")
 )
 
--- a/instance/completion.go
+++ b/instance/completion.go
@@ -53,8 +53,11 @@
 	if err == nil {
 		err = body.check()
 	}
+	if err == nil && completionHoldsKey(admitted.view.Contract, &body) {
+		err = errKeyInContent
+	}
 	if err != nil {
-		(&refusal{status: http.StatusBadRequest, code: "bad_request", message: err.Error(), notRun: true}).write(w)
+		badRequest(err).write(w)
 		return
 	}
 	answer := &completionWriter{w: w, id: admitted.id, chat: len(body.Messages) > 0, stream: body.Stream, model: admitted.service.Model}
@@ -191,5 +194,5 @@
 		f.write(c.w)
 		return
 	}
-	_ = c.event("error", httpjson.Error{Code: f.code, Message: f.message, NotRun: f.notRun})
+	_ = c.event("error", f.body())
 }
--- a/instance/plain.go
+++ b/instance/plain.go
@@ -22,6 +22,10 @@
 		Method: r.Method, Path: r.URL.Path, Query: withoutKeys(r), Header: upstream.AllowedHeaders(r.Header), Body: body,
 		RefusalMeansNotRun: admitted.service.RefusalMeansNotRun,
 	}
+	if plainHoldsKey(admitted.view.Contract, plain) {
+		badRequest(errKeyInContent).write(w)
+		return
+	}
 	answer, err := i.runPlain(ctx, r, admitted, plain)
 	if err != nil {
 		failed := failure(ctx, err)
--- a/instance/refusal.go
+++ b/instance/refusal.go
@@ -33,7 +33,13 @@
 }
 
 func (f *refusal) write(w http.ResponseWriter) {
-	httpjson.WriteError(w, f.status, httpjson.Error{Code: f.code, Message: f.message, NotRun: f.notRun}, f.retryAfter)
+	httpjson.WriteError(w, f.status, f.body(), f.retryAfter)
+}
+
+// body returns what the caller reads. Messages may quote the caller's own text,
+// in which a key may stand.
+func (f *refusal) body() httpjson.Error {
+	return httpjson.Error{Code: f.code, Message: keyPattern.ReplaceAllLiteralString(f.message, "[key]"), NotRun: f.notRun}
 }
 
 func refuseKey() *refusal {
@@ -104,6 +110,8 @@
 		f.status, f.code, f.notRun = http.StatusUnprocessableEntity, "key_reused", true
 	case errors.Is(err, idempotency.ErrUnavailable):
 		f.status, f.code, f.notRun, f.retryAfter = http.StatusServiceUnavailable, "key_unavailable", true, busyPause
+	case errors.Is(err, idempotency.ErrUndecided):
+		f.status, f.code, f.retryAfter = http.StatusServiceUnavailable, "key_undecided", busyPause
 	case errors.Is(err, idempotency.ErrNotKept):
 		f.status, f.code = http.StatusConflict, "answer_not_kept"
 	case errors.Is(err, idempotency.ErrUnknown):
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -11,7 +11,6 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/pomelocross/pomelocross/contract"
@@ -60,8 +59,7 @@
 
 // serveRouted serves the declared routes.
 func (i *Instance) serveRouted(w http.ResponseWriter, r *http.Request) {
-	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := tracer.Start(callerTrace(r), "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	admitted, refusal := i.admit(r)
 	if refusal != nil {
