Stream tokens with one decoder and one event a stream

Cause: each token cost 16 allocations and two passes of JSON, and Completion.Text was joined anew for each token, quadratic in the answer. Ruled out: tmaxmax/go-sse with encoding/json (665 µs, 1305 allocations for 100 events in one run, against 295 µs and 202 with lines and one json.Decoder); tidwall/gjson, which is not in the module cache. Latency at 150 requests a second, -cpu 1: plain p50 457 µs against 251 direct, p99 838 against 578. With -cpu 4 on a machine at load 9: p50 681 against 318, p99 1239 against 570. Conclusion: kept; about 65,000 tokens a second for the instance's own part.

--- a/instance/completion.go
+++ b/instance/completion.go
@@ -1,12 +1,12 @@
 package instance
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/httpjson"
@@ -84,7 +84,12 @@
 	model  string
 	chat   bool
 	stream bool
-	begun  bool
+
+	begun   bool // all below is set then
+	flusher *http.ResponseController
+	encoder *json.Encoder
+	buffer  bytes.Buffer
+	event   *completionEvent
 }
 
 type completionAnswer struct {
@@ -116,24 +121,54 @@
 		return nil
 	}
 	if !c.begun {
-		c.begun = true
-		c.w.Header().Set("Content-Type", "text/event-stream")
-		c.w.Header().Set("Cache-Control", "no-store")
+		c.begin()
 	}
-	choice := completionChoice{}
-	if c.chat {
-		choice.Delta = &upstream.Message{Role: "assistant", Content: chunk.Text}
+	c.event.set(chunk)
+	return c.writeEvent("", &c.event.answer)
+}
+
+func (c *completionWriter) begin() {
+	c.begun = true
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.Header().Set("Cache-Control", "no-store")
+	c.flusher = http.NewResponseController(c.w)
+	c.encoder = json.NewEncoder(&c.buffer)
+	c.event = newCompletionEvent(c.id, c.model, c.object(), c.chat)
+}
+
+// completionEvent is one event of a stream. Its parts are written over for each
+// chunk, so that a token costs no allocation.
+type completionEvent struct {
+	answer  completionAnswer
+	choices [1]completionChoice
+	ranges  [1]attempt.Range
+	delta   upstream.Message
+	text    string
+	finish  string
+}
+
+func newCompletionEvent(id, model, object string, chat bool) *completionEvent {
+	e := &completionEvent{answer: completionAnswer{ID: id, Object: object, Model: model}, delta: upstream.Message{Role: "assistant"}}
+	e.answer.Choices = e.choices[:]
+	if chat {
+		e.choices[0].Delta = &e.delta
 	} else {
-		choice.Text = &chunk.Text
+		e.choices[0].Text = &e.text
 	}
+	return e
+}
+
+func (e *completionEvent) set(chunk upstream.Chunk) {
+	e.text, e.delta.Content, e.finish = chunk.Text, chunk.Text, chunk.FinishReason
+	e.choices[0].FinishReason = nil
 	if chunk.FinishReason != "" {
-		choice.FinishReason = &chunk.FinishReason
+		e.choices[0].FinishReason = &e.finish
 	}
-	answer := completionAnswer{ID: c.id, Object: c.object(), Model: c.model, Choices: []completionChoice{choice}}
+	e.ranges[0] = attempt.Range{WeightVersion: chunk.WeightVersion, Tokens: chunk.Tokens}
+	e.answer.WeightVersions = nil
 	if chunk.Tokens > 0 {
-		answer.WeightVersions = []attempt.Range{{WeightVersion: chunk.WeightVersion, Tokens: chunk.Tokens}}
+		e.answer.WeightVersions = e.ranges[:]
 	}
-	return c.event("", answer)
 }
 
 func (c *completionWriter) object() string {
@@ -146,33 +181,35 @@
 	return "text_completion"
 }
 
-// event writes one server-sent event. JSON holds no line breaks, so one data
-// line is enough.
-func (c *completionWriter) event(name string, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	var b strings.Builder
+// writeEvent writes one server-sent event. JSON holds no line breaks, so one
+// data line is enough; the encoder ends it.
+func (c *completionWriter) writeEvent(name string, v any) error {
+	c.buffer.Reset()
 	if name != "" {
-		b.WriteString("event: " + name + "\n")
+		c.buffer.WriteString("event: " + name + "\n")
+	}
+	c.buffer.WriteString("data: ")
+	if err := c.encoder.Encode(v); err != nil {
+		return err
 	}
-	b.WriteString("data: ")
-	b.Write(data)
-	b.WriteString("\n\n")
-	return c.write(b.String())
+	c.buffer.WriteByte('\n')
+	return c.flush()
 }
 
-func (c *completionWriter) write(text string) error {
-	if _, err := c.w.Write([]byte(text)); err != nil {
+// flush sends the buffer on at once. It waits while the caller does not read,
+// and with it the reading of the engine's stream.
+func (c *completionWriter) flush() error {
+	if _, err := c.w.Write(c.buffer.Bytes()); err != nil {
 		return err
 	}
-	return http.NewResponseController(c.w).Flush()
+	return c.flusher.Flush()
 }
 
 func (c *completionWriter) finish(whole attempt.Completion) {
 	if c.stream {
-		_ = c.write("data: [DONE]\n\n") // without it the caller knows that the answer is not whole
+		c.buffer.Reset()
+		c.buffer.WriteString("data: [DONE]\n\n")
+		_ = c.flush() // without it the caller knows that the answer is not whole
 		return
 	}
 	choice := completionChoice{FinishReason: &whole.FinishReason}
@@ -194,5 +231,5 @@
 		f.write(c.w)
 		return
 	}
-	_ = c.event("error", f.body())
+	_ = c.writeEvent("error", f.body())
 }
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -78,7 +78,7 @@
 	end  int // tokens asked for
 }
 
-func (s *sequence) check(c *Chunk) error {
+func (s *sequence) check(c Chunk) error {
 	switch {
 	case c.ID != s.id:
 		return ErrForeignChunk
@@ -94,16 +94,17 @@
 func readChunks(body io.Reader, request CompletionRequest, emit func(Chunk) error) error {
 	events := newEvents(body)
 	order := sequence{id: request.ID, next: request.ResumedTokens, end: request.MaxTokens}
-	var chunk Chunk
+	decoder := newChunkDecoder(request.ID)
 	for {
 		data, err := events.next()
 		if err != nil {
 			return oops.In("upstream").With("step", "read").Wrap(errors.Join(ErrCutShort, err))
 		}
-		if err := decodeChunk(data, &chunk); err != nil {
+		chunk, err := decoder.decode(data)
+		if err != nil {
 			return oops.In("upstream").With("step", "decode").Wrap(errors.Join(ErrDamaged, err))
 		}
-		if err := order.check(&chunk); err != nil {
+		if err := order.check(chunk); err != nil {
 			return oops.In("upstream").With("step", "match").Wrap(err)
 		}
 		if err := emit(chunk); err != nil {
@@ -140,8 +141,3 @@
 	}
 	return nil, io.ErrUnexpectedEOF
 }
-
-func decodeChunk(data []byte, chunk *Chunk) error {
-	*chunk = Chunk{}
-	return json.Unmarshal(data, chunk)
-}
