--- a/instance/counters.go
+++ b/instance/counters.go
@@ -13,6 +13,7 @@
 	platformCalls metric.Int64Counter
 	requests      metric.Int64Counter
 	orders        metric.Int64Counter
+	uncopied      metric.Int64Counter
 }
 
 func newCounters(meter metric.Meter) (*counters, error) {
@@ -27,6 +28,9 @@
 	if c.orders, err = meter.Int64Counter("pomelocross_orders", metric.WithDescription("orders to upstreams")); err != nil {
 		return nil, oops.In("instance").Wrap(err)
 	}
+	if c.uncopied, err = meter.Int64Counter("pomelocross_usage_uncopied", metric.WithDescription("answers finished before a peer held their count")); err != nil {
+		return nil, oops.In("instance").Wrap(err)
+	}
 	return c, nil
 }
 
@@ -39,6 +43,7 @@
 	c.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("team", team), attribute.String("code", code)))
 }
 
+// order counts an order or its intent by how it ended.
 func (c *counters) order(kind string, err error) {
-	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.Bool("failed", err != nil)))
+	c.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcomeOf(err))))
 }
--- a/instance/keyed.go
+++ b/instance/keyed.go
@@ -47,13 +47,12 @@
 }
 
 // runKeyed runs a plain request under its idempotency key.
-func (i *Instance) runKeyed(ctx context.Context, admitted *request, value string, plain upstream.PlainRequest) (upstream.PlainAnswer, error) {
+func (i *Instance) runKeyed(ctx context.Context, admitted *request, value string, plain upstream.PlainRequest) (answer upstream.PlainAnswer, ran bool, err error) {
 	key := idempotency.Key{Team: admitted.key.Team, Value: value}
 	fingerprint := idempotency.FingerprintOf(admitted.service.Name, plain.Method, plain.Path, plain.Query, plain.Header.Get("Content-Type"), string(plain.Body))
-	result := "joined"
 	var failed error
-	answer, err := i.coordinator.Do(ctx, key, fingerprint, func(ctx context.Context) (idempotency.Answer, idempotency.State) {
-		result = "run"
+	kept, err := i.coordinator.Do(ctx, key, fingerprint, func(ctx context.Context) (idempotency.Answer, idempotency.State) {
+		ran = true
 		ctx, cancel := detach(ctx)
 		defer cancel()
 		var answer upstream.PlainAnswer
@@ -63,11 +62,19 @@
 	if errors.Is(err, idempotency.ErrRun) {
 		err = failed
 	}
-	if err != nil {
-		result = "failed"
+	i.traffic.key(keyResult(ran, err))
+	return upstream.PlainAnswer(kept), ran, err
+}
+
+// keyResult is the counter's label for a request with a key.
+func keyResult(ran bool, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case ran:
+		return "run"
 	}
-	i.traffic.key(result)
-	return upstream.PlainAnswer(answer), err
+	return "joined"
 }
 
 // detach lets a run go on when its caller leaves, so that a retry finds its
--- a/instance/plain.go
+++ b/instance/plain.go
@@ -26,14 +26,17 @@
 		badRequest(errKeyInContent).write(w)
 		return
 	}
-	answer, err := i.runPlain(ctx, r, admitted, plain)
+	answer, ran, err := i.runPlain(ctx, r, admitted, plain)
 	if err != nil {
 		failed := failure(ctx, err)
 		i.counters.request(admitted.route.Name, admitted.key.Team, failed.code)
 		failed.write(w)
 		return
 	}
-	i.meter.Add(admitted.key.Team, admitted.service.Name, admitted.received, 0, 0)
+	if ran {
+		i.usage.meter.Add(admitted.key.Team, admitted.service.Name, i.clock.Now(), 0, 0)
+		i.usage.commit(ctx)
+	}
 	i.counters.request(admitted.route.Name, admitted.key.Team, "ok")
 	for name, values := range answer.Header {
 		w.Header()[name] = values
@@ -42,13 +45,16 @@
 	_, _ = w.Write(answer.Body)
 }
 
-func (i *Instance) runPlain(ctx context.Context, r *http.Request, admitted *request, plain upstream.PlainRequest) (upstream.PlainAnswer, error) {
+// runPlain returns the answer to a plain request, and whether it ran for it: an
+// answer kept from an earlier try is not billed again.
+func (i *Instance) runPlain(ctx context.Context, r *http.Request, admitted *request, plain upstream.PlainRequest) (answer upstream.PlainAnswer, ran bool, err error) {
 	key := keyOf(r, admitted)
 	if key == "" {
-		return i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), plain, admitted.route.Idempotent)
+		answer, err = i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), plain, admitted.route.Idempotent)
+		return answer, true, err
 	}
 	if len(key) > idempotency.MaxKeyBytes {
-		return upstream.PlainAnswer{}, errKeyTooLong
+		return upstream.PlainAnswer{}, false, errKeyTooLong
 	}
 	return i.runKeyed(ctx, admitted, key, plain)
 }
