Keep no more engines away than the weight store carries

Cause: loads that wait for each other at the store look like slow loads, so that more engines were sent away, which helped nothing. Ruled out: a fixed smaller share, which is late where the store is fast.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -8,8 +8,11 @@
 	"github.com/pomelocross/pomelocross/contract"
 )
 
-// BenchmarkSwapShare plays one naming of weights in a domain of 53 engines for
-// each way to bound the engines away at once.
+// learnedVersions is how many versions are named; the figures are of the last.
+const learnedVersions = 10
+
+// BenchmarkSwapShare names weights in a domain of 53 engines for each way to
+// bound the engines away at once.
 func BenchmarkSwapShare(b *testing.B) {
 	ways := []struct {
 		name   string
@@ -24,9 +27,10 @@
 				b.Run(fmt.Sprintf("%s/load=%v/store=%d", way.name, load, store), func(b *testing.B) {
 					var r result
 					for range b.N {
-						s := NewSwapper(way.limits)
-						s.loadTime = load // as learned from earlier versions
-						r = newDomainSim(53, load, store).play(s, time.Minute)
+						s, d := NewSwapper(way.limits), newDomainSim(53, load, store)
+						for range learnedVersions {
+							r = d.play(s, time.Minute)
+						}
 					}
 					b.ReportMetric(r.last.Seconds(), "s-to-last")
 					b.ReportMetric(float64(r.mostAway), "most-away")
--- a/fleet/suite_test.go
+++ b/fleet/suite_test.go
@@ -38,11 +38,12 @@
 	storeFit int                      // loads that the store carries at full speed
 	fails    func(name string, try int) bool
 	tries    map[string]int
+	version  int64 // named last
 }
 
 func newDomainSim(n int, loadTime time.Duration, storeFit int) *domainSim {
 	return &domainSim{
-		all: engines(n, 1), left: map[string]time.Duration{}, loadTime: loadTime, storeFit: storeFit,
+		all: engines(n, 1), left: map[string]time.Duration{}, loadTime: loadTime, storeFit: storeFit, version: 1,
 		fails: func(string, int) bool { return false }, tries: map[string]int{},
 	}
 }
@@ -57,12 +58,13 @@
 	orders   int
 }
 
-// play names version 2 and lets the swapper see reports that lag a tick.
+// play names the next version and lets the swapper see reports that lag a tick.
 func (d *domainSim) play(s *Swapper, limit time.Duration) result {
-	start := time.Unix(0, 0)
+	start := time.Unix(d.version*int64(limit/time.Second), 0)
+	d.version++
 	r := result{last: limit}
 	for t := time.Duration(0); t < limit; t += simTick {
-		for _, swap := range s.Next(d.all, "m", 2, start.Add(t)) {
+		for _, swap := range s.Next(d.all, "m", d.version, start.Add(t)) {
 			r.orders++
 			d.tries[swap.Upstream]++
 			d.left[swap.Upstream] = d.loadTime
@@ -72,6 +74,7 @@
 		d.advance()
 		if d.current() == len(d.all) {
 			r.last = t + simTick
+			s.Next(d.all, "m", d.version, start.Add(r.last))
 			return r
 		}
 	}
@@ -87,7 +90,7 @@
 			continue
 		}
 		left -= time.Duration(float64(simTick) * speed)
-		e.Load.Loading = 2
+		e.Load.Loading = d.version
 		d.left[e.Name] = left
 		if left > 0 {
 			continue
@@ -95,7 +98,7 @@
 		delete(d.left, e.Name)
 		e.Load.Loading = 0
 		if !d.fails(e.Name, d.tries[e.Name]) {
-			e.Load.WeightVersion = 2
+			e.Load.WeightVersion = d.version
 		}
 	}
 }
@@ -103,7 +106,7 @@
 func (d *domainSim) current() int {
 	count := 0
 	for _, e := range d.all {
-		if e.Load.WeightVersion == 2 {
+		if e.Load.WeightVersion == d.version {
 			count++
 		}
 	}
--- a/fleet/swap.go
+++ b/fleet/swap.go
@@ -52,6 +52,7 @@
 	wanted   int64
 	named    time.Time // when wanted was first seen
 	loadTime time.Duration
+	store    storeEstimate
 	engines  map[string]*swapState
 }
 
@@ -59,6 +60,7 @@
 type swapState struct {
 	ordered time.Time // zero when no order is open
 	began   time.Time // when it was first seen loading
+	among   int       // engines away when it was ordered
 	again   time.Time // no order before
 	failed  int       // orders in a row without effect
 }
@@ -90,14 +92,15 @@
 	slices.SortFunc(behind, func(a, b upstream.Upstream) int {
 		return cmp.Or(s.engines[a.Name].failed-s.engines[b.Name].failed, a.Load.Running-b.Load.Running, cmp.Compare(a.Name, b.Name))
 	})
-	return s.order(behind[:min(len(behind), max(0, room))], model, now)
+	chosen := behind[:min(len(behind), max(0, room))]
+	return s.order(chosen, away+len(chosen), model, now)
 }
 
 // name takes in a new wanted version: every engine may be ordered at once.
 func (s *Swapper) name(wanted int64, now time.Time) {
 	s.wanted, s.named = wanted, now
 	for _, e := range s.engines {
-		*e = swapState{began: e.began}
+		*e = swapState{began: e.began, among: e.among}
 	}
 }
 
@@ -160,6 +163,7 @@
 // settleFailed counts an order that had no effect, whatever the engine answered.
 func (s *Swapper) settleFailed(state *swapState, now time.Time) {
 	if state.ordered.IsZero() {
+		state.began = time.Time{} // of an earlier version's load
 		return
 	}
 	pause := s.limits.Retry << min(state.failed, 16)
@@ -175,13 +179,15 @@
 	}
 	seen := float64(now.Sub(state.began))
 	s.loadTime = time.Duration((1-loadTimeWeight)*float64(s.loadTime) + loadTimeWeight*seen)
+	s.store.learn(now.Sub(state.began), state.among)
 }
 
 // concurrency returns how many of n engines may load at once when left of them
 // have yet to finish: as many as finish in the time that is left, at least one,
-// and never more than the limit.
+// and never more than the limit or than the weight store carries.
 func (s *Swapper) concurrency(n, left int, now time.Time) int {
 	most := max(1, int(float64(n)*s.limits.MaxShare))
+	most = s.store.limit(most)
 	remaining := s.limits.Within - reportLag - now.Sub(s.named)
 	rounds := math.Floor(float64(remaining) / float64(s.loadTime+reportLag/2))
 	if rounds < 1 {
@@ -190,10 +196,10 @@
 	return min(most, int(math.Ceil(float64(left)/rounds)))
 }
 
-func (s *Swapper) order(engines []upstream.Upstream, model string, now time.Time) []Swap {
+func (s *Swapper) order(engines []upstream.Upstream, away int, model string, now time.Time) []Swap {
 	swaps := make([]Swap, 0, len(engines))
 	for _, e := range engines {
-		s.engines[e.Name].ordered = now
+		s.engines[e.Name].ordered, s.engines[e.Name].among = now, away
 		swaps = append(swaps, Swap{Upstream: e.Name, Address: e.Address, Model: model, WeightVersion: s.wanted})
 	}
 	return swaps
--- a/fleet/swap_test.go
+++ b/fleet/swap_test.go
@@ -60,6 +60,35 @@
 		Expect(s.Next(d.all, "m", 3, start.Add(time.Minute))).NotTo(BeEmpty())
 	})
 
+	It("order an engine at once for a version named while it loads an earlier one", func() {
+		s, all := NewSwapper(limits), engines(1, 1)
+		Expect(s.Next(all, "m", 2, start)).To(HaveLen(1))
+		all[0].Load.Loading = 2
+		Expect(s.Next(all, "m", 2, start.Add(simTick))).To(BeEmpty())
+		Expect(s.Next(all, "m", 3, start.Add(2*simTick))).To(BeEmpty())
+		all[0].Load.Loading, all[0].Load.WeightVersion = 0, 2
+		Expect(s.Next(all, "m", 3, start.Add(3*simTick))).To(HaveLen(1))
+		Expect(s.Next(all, "m", 3, start.Add(4*simTick))).To(BeEmpty())
+		Expect(s.engines[all[0].Name].failed).To(BeZero())
+	})
+
+	It("learn what the weight store carries and keep no more away than that", func() {
+		const carried = 10
+		s, d := NewSwapper(limits), newDomainSim(domainEngines, 3*time.Second, carried)
+		first := d.play(s, time.Minute)
+		var last result
+		for range learnedVersions {
+			last = d.play(s, time.Minute)
+		}
+		Expect(last.mostAway).To(BeNumerically("<=", 2*carried), "%+v", last)
+		Expect(last.last).To(BeNumerically("<=", first.last+first.last/4), "%+v after %+v", last, first)
+		d.storeFit = domainEngines
+		for range learnedVersions {
+			last = d.play(s, time.Minute)
+		}
+		Expect(last.last).To(BeNumerically("<=", limits.Within), "%+v", last)
+	})
+
 	It("bring a version to the others in time while some engines fail", func() {
 		d := newDomainSim(domainEngines, time.Second, domainEngines)
 		d.fails = func(name string, try int) bool { return try == 1 && name < "lm-006" }
