--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
+	"github.com/pomelocross/pomelocross/internal/standin/weights"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -22,7 +23,9 @@
 	Name          string
 	WeightVersion int64
 	TokenTime     time.Duration // between two tokens of one answer
-	LoadTime      time.Duration // to load a weight version
+	LoadTime      time.Duration // to load a weight version, after it was fetched
+	// Weights is where versions are fetched from; nil fetches at once.
+	Weights *weights.Store
 	// Fences makes the engine refuse orders with an old epoch.
 	Fences bool
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -1,11 +1,14 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
+	"github.com/pomelocross/pomelocross/internal/standin/journal"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -46,11 +49,38 @@
 	s.record.OrderTimes = append(s.record.OrderTimes, time.Now())
 	if s.loading == 0 && !s.faults.ClaimLoads {
 		s.loading = order.WeightVersion
-		time.AfterFunc(s.options.LoadTime, s.finishLoad)
+		go s.fetch()
 	}
 	return true
 }
 
+// fetch loads from the weight store, and then for the engine's own time.
+func (s *Server) fetch() {
+	_ = s.options.Weights.Fetch(context.Background()) // ends with the background only
+	time.Sleep(s.options.LoadTime)
+	s.finishLoad()
+}
+
+// Journal returns the orders that the engine received.
+func (s *Server) Journal() []journal.Order {
+	record := s.Record()
+	orders := make([]journal.Order, len(record.Orders))
+	for n, o := range record.Orders {
+		orders[n] = journal.Order{
+			At: record.OrderTimes[n], Holder: o.Holder, Epoch: o.Epoch,
+			What: fmt.Sprint(s.options.Name, " loads ", o.Model, " ", o.WeightVersion),
+		}
+	}
+	return orders
+}
+
+// Version returns the weight version that the engine runs.
+func (s *Server) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *Server) finishLoad() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/e2e/orders_lease_test.go
+++ b/test/e2e/orders_lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
+	"github.com/pomelocross/pomelocross/internal/standin/journal"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/platform"
@@ -21,58 +21,22 @@
 
 const roleA = "upstreams-mty-a"
 
-// receivedOrder is an order as a stand-in recorded it.
-type receivedOrder struct {
-	at     time.Time
-	holder string
-	epoch  int64
-	what   string
-}
-
-// String implements fmt.Stringer for failure messages.
-func (o receivedOrder) String() string { return fmt.Sprint(o.holder, "/", o.epoch, " ", o.what) }
-
 // journal returns all orders that any stand-in received for a domain, by time.
-func (d *deployment) journal(domain string) []receivedOrder {
-	var all []receivedOrder
+func (d *deployment) journal(domain string) []journal.Order {
+	parts := [][]journal.Order{d.platform.Journal(domain)}
 	for _, m := range d.members {
 		if e := d.engines[m.Name]; e != nil && m.Domain == domain {
-			record := e.Record()
-			for n, o := range record.Orders {
-				all = append(all, receivedOrder{record.OrderTimes[n], o.Holder, o.Epoch, fmt.Sprint(m.Name, " loads ", o.WeightVersion)})
-			}
-		}
-	}
-	record := d.platform.Record()
-	for n, o := range record.Scale {
-		if o.Domain == domain {
-			all = append(all, receivedOrder{record.ScaleTimes[n], o.Holder, o.Epoch, fmt.Sprint(o.Service, " ", o.Cost, " ", o.Count)})
-		}
-	}
-	slices.SortFunc(all, func(a, b receivedOrder) int { return a.at.Compare(b.at) })
-	return all
-}
-
-// overtaken returns the orders received for a domain after one of a later
-// epoch or from a second holder of their epoch.
-func (d *deployment) overtaken(domain string) []receivedOrder {
-	var wrong []receivedOrder
-	holders := map[int64]string{}
-	highest := int64(0)
-	for _, o := range d.journal(domain) {
-		first, known := holders[o.epoch]
-		if o.epoch < highest || (known && first != o.holder) {
-			wrong = append(wrong, o)
+			parts = append(parts, e.Journal())
 		}
-		highest, holders[o.epoch] = max(highest, o.epoch), o.holder
 	}
-	return wrong
+	return journal.Merge(parts...)
 }
 
 // expectOneOrderer checks that no two holders' orders overlap.
 func (d *deployment) expectOneOrderer(domain string) {
 	GinkgoHelper()
-	Expect(d.overtaken(domain)).To(BeEmpty(), "in %v", d.journal(domain))
+	all := d.journal(domain)
+	Expect(journal.Overtaken(all)).To(BeEmpty(), "in %v", all)
 }
 
 // expectOneIncarnation checks that each epoch's intents are of one process.
@@ -196,7 +160,7 @@
 		d.nameWeights("restock", version)
 		Eventually(func() bool { return d.orderedBy(second.name, version) }).Should(BeTrue(), "%v", d.journal("mty-a"))
 		first.thaw()
-		Eventually(func() bool { return first.gaveUp() || len(d.overtaken("mty-a")) > 0 }).Should(BeTrue())
+		Eventually(func() bool { return first.gaveUp() || len(journal.Overtaken(d.journal("mty-a"))) > 0 }).Should(BeTrue())
 		Eventually(func() bool { return first.holds(roleA) }).Should(BeFalse())
 		d.expectOneOrderer("mty-a")
 	}
@@ -228,7 +192,7 @@
 		}
 		d.expectOneOrderer("mty-a")
 		for _, o := range d.journal("mty-a") {
-			Expect(o.epoch).To(Equal(int64(1)), "%v", o)
+			Expect(o.Epoch).To(Equal(int64(1)), "%v", o)
 		}
 	})
 
