--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -75,3 +75,22 @@
 		})
 	}
 }
+
+// BenchmarkScaleDay plays a day whose demand swings, with and without delays.
+func BenchmarkScaleDay(b *testing.B) {
+	atOnce := DefaultScaleLimits()
+	atOnce.UpAfter, atOnce.DownAfter = 0, 0
+	for name, limits := range map[string]ScaleLimits{"hysteresis": DefaultScaleLimits(), "atOnce": atOnce} {
+		b.Run(name, func(b *testing.B) {
+			var s *scaleSim
+			for range b.N {
+				s = newScaleSim(contract.CostLimit{MaxDear: 12, MaxCheap: 8, MinReady: 1})
+				s.scaler = NewScaler(limits)
+				s.play(24*time.Hour, swinging())
+			}
+			b.ReportMetric(float64(len(s.orders)), "changes")
+			b.ReportMetric(s.short.Seconds(), "s-short")
+			b.ReportMetric(s.upstreamHours, "upstream-h")
+		})
+	}
+}
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -23,6 +23,8 @@
 	noCheap bool // the platform brings no cheap ones
 	orders  []Counts
 	short   time.Duration // time with less live than the demand needs
+	// upstreamHours is what ran.
+	upstreamHours float64
 }
 
 func newScaleSim(limit contract.CostLimit) *scaleSim {
@@ -63,12 +65,22 @@
 		if want.Total() > (s.live.Dear+s.live.Cheap)*want.Slots {
 			s.short += step
 		}
+		s.upstreamHours += float64(s.live.Dear+s.live.Cheap) * step.Hours()
 		s.now = s.now.Add(step)
 	}
 }
 
 func (s *scaleSim) last() Counts { return s.orders[len(s.orders)-1] }
 
+// swinging returns a demand that follows the day and varies by a third.
+func swinging() func(time.Duration) Demand {
+	random := rand.New(rand.NewPCG(1, 1))
+	return func(t time.Duration) Demand {
+		day := 80 - 60*math.Cos(2*math.Pi*t.Hours()/24)
+		return Demand{Running: int(day * (0.7 + 0.6*random.Float64())), Slots: 16}
+	}
+}
+
 func constant(running, desk int) func(time.Duration) Demand {
 	return func(time.Duration) Demand { return Demand{Running: running, Desk: desk, Slots: 16} }
 }
@@ -92,11 +104,7 @@
 
 	It("does not thrash under a demand that swings", func() {
 		s := newScaleSim(limit)
-		random := rand.New(rand.NewPCG(1, 1))
-		s.play(24*time.Hour, func(t time.Duration) Demand {
-			day := 80 - 60*math.Cos(2*math.Pi*t.Hours()/24)
-			return Demand{Running: int(day * (0.7 + 0.6*random.Float64())), Slots: 16}
-		})
+		s.play(24*time.Hour, swinging())
 		Expect(len(s.orders)).To(BeNumerically("<=", 6*24), "changes in a day")
 		Expect(s.short).To(BeNumerically("<", 24*time.Hour/100))
 	})
--- a/fleet/swap.go
+++ b/fleet/swap.go
@@ -49,6 +49,7 @@
 // one domain. What an engine says it runs is believed over what was ordered.
 type Swapper struct {
 	limits   SwapLimits
+	model    string
 	wanted   int64
 	named    time.Time // when wanted was first seen
 	loadTime time.Duration
@@ -73,8 +74,8 @@
 // Next returns the engines to order at now so that all run wanted in time with
 // as few away at once as that takes. The idlest engines come first.
 func (s *Swapper) Next(all []upstream.Upstream, model string, wanted int64, now time.Time) []Swap {
-	if wanted > s.wanted {
-		s.name(wanted, now)
+	if wanted > s.wanted || model != s.model {
+		s.name(model, wanted, now)
 	}
 	engines := staying(all)
 	s.forget(all)
@@ -93,12 +94,13 @@
 		return cmp.Or(s.engines[a.Name].failed-s.engines[b.Name].failed, a.Load.Running-b.Load.Running, cmp.Compare(a.Name, b.Name))
 	})
 	chosen := behind[:min(len(behind), max(0, room))]
-	return s.order(chosen, away+len(chosen), model, now)
+	return s.order(chosen, away+len(chosen), now)
 }
 
-// name takes in a new wanted version: every engine may be ordered at once.
-func (s *Swapper) name(wanted int64, now time.Time) {
-	s.wanted, s.named = wanted, now
+// name takes in a new wanted version or model: every engine may be ordered at
+// once.
+func (s *Swapper) name(model string, wanted int64, now time.Time) {
+	s.model, s.wanted, s.named = model, wanted, now
 	for _, e := range s.engines {
 		*e = swapState{began: e.began, among: e.among}
 	}
@@ -135,6 +137,9 @@
 		s.engines[e.Name] = state
 	}
 	running := e.Load.WeightVersion >= s.wanted || e.Load.WeightVersion == 0
+	if e.Load.Model != "" && e.Load.Model != s.model {
+		running = false
+	}
 	switch {
 	case e.Load.Loading > 0:
 		if state.began.IsZero() {
@@ -196,11 +201,11 @@
 	return min(most, int(math.Ceil(float64(left)/rounds)))
 }
 
-func (s *Swapper) order(engines []upstream.Upstream, away int, model string, now time.Time) []Swap {
+func (s *Swapper) order(engines []upstream.Upstream, away int, now time.Time) []Swap {
 	swaps := make([]Swap, 0, len(engines))
 	for _, e := range engines {
 		s.engines[e.Name].ordered, s.engines[e.Name].among = now, away
-		swaps = append(swaps, Swap{Upstream: e.Name, Address: e.Address, Model: model, WeightVersion: s.wanted})
+		swaps = append(swaps, Swap{Upstream: e.Name, Address: e.Address, Model: s.model, WeightVersion: s.wanted})
 	}
 	return swaps
 }
--- a/fleet/swap_test.go
+++ b/fleet/swap_test.go
@@ -95,6 +95,12 @@
 		Expect(d.play(NewSwapper(limits), time.Minute).last).To(BeNumerically("<=", limits.Within))
 	})
 
+	It("order engines that serve another model, whatever their version", func() {
+		all := engines(2, 7)
+		all[0].Load.Model, all[1].Load.Model = "other", "m"
+		Expect(NewSwapper(limits).Next(all, "m", 7, start)).To(Equal([]Swap{{Upstream: "lm-000", Model: "m", WeightVersion: 7}}))
+	})
+
 	It("forget engines that are gone", func() {
 		s := NewSwapper(limits)
 		s.Next(engines(8, 1), "m", 2, start)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -21,6 +21,7 @@
 // Options describe an engine.
 type Options struct {
 	Name          string
+	Model         string // served at the start; empty is not told
 	WeightVersion int64
 	TokenTime     time.Duration // between two tokens of one answer
 	LoadTime      time.Duration // to load a weight version, after it was fetched
@@ -76,8 +77,10 @@
 	Holds hold.Set
 
 	mu      sync.Mutex // guards all below
+	model   string
 	version int64
 	loading int64
+	next    string // model being loaded
 	epoch   int64
 	running int
 	tokens  int64
@@ -87,7 +90,7 @@
 
 // New returns an engine.
 func New(o Options) *Server {
-	s := &Server{options: o, mux: http.NewServeMux(), version: o.WeightVersion}
+	s := &Server{options: o, mux: http.NewServeMux(), model: o.Model, version: o.WeightVersion}
 	s.mux.HandleFunc("POST /v1/generate", s.generate)
 	s.mux.HandleFunc("GET /v1/load", s.load)
 	s.mux.HandleFunc("POST /v1/orders", s.order)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -16,7 +16,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	writeJSON(w, upstream.Load{
-		Running: s.running, Tokens: s.tokens, WeightVersion: s.version,
+		Running: s.running, Tokens: s.tokens, Model: s.model, WeightVersion: s.version,
 		Loading: s.loading, FreeKV: 1, Leaving: s.faults.Leaving,
 	})
 }
@@ -48,7 +48,7 @@
 	s.record.Orders = append(s.record.Orders, order)
 	s.record.OrderTimes = append(s.record.OrderTimes, time.Now())
 	if s.loading == 0 && !s.faults.ClaimLoads {
-		s.loading = order.WeightVersion
+		s.loading, s.next = order.WeightVersion, order.Model
 		go s.fetch()
 	}
 	return true
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.faults.FailLoads {
-		s.version = s.loading
+		s.model, s.version = s.next, s.loading
 	}
 	s.loading = 0
 }
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -200,9 +200,27 @@
 	<-one.exited
 }
 
-// freeze stops the process without ending it; thaw lets it go on.
-func (one *daemon) freeze() { Expect(one.command.Process.Signal(syscall.SIGSTOP)).To(Succeed()) }
-func (one *daemon) thaw()   { Expect(one.command.Process.Signal(syscall.SIGCONT)).To(Succeed()) }
+// freeze stops the process without ending it and returns once every thread
+// stands still; thaw lets it go on.
+func (one *daemon) freeze() {
+	Expect(one.command.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+	Eventually(one.stopped, time.Second, time.Millisecond).Should(BeTrue())
+}
+
+func (one *daemon) thaw() { Expect(one.command.Process.Signal(syscall.SIGCONT)).To(Succeed()) }
+
+// stopped reports whether the kernel shows every thread as stopped.
+func (one *daemon) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", one.command.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil || !strings.Contains(string(stat), ") T ") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
 
 // terminate asks for a planned stop.
 func (one *daemon) terminate() { Expect(one.command.Process.Signal(syscall.SIGTERM)).To(Succeed()) }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,8 @@
 	Running int   `json:"running"` // requests it works on
 	Waiting int   `json:"waiting"` // requests it has admitted but not begun
 	Tokens  int64 `json:"tokens"`  // generated since its start
+	// Model is what the engine says it serves; empty when it does not say.
+	Model string `json:"model,omitempty"`
 	// WeightVersion is what the engine says it runs; 0 for plain services.
 	WeightVersion int64 `json:"weightVersion"`
 	// Loading is the version being loaded; 0 when none is.
