Move the models of domains and instances out of the tests

Cause: tests held the models that benchmarks and experiments play as well. Ruled out: one large harness; each model is a file of its own. Change: package internal/experiment; specs of fleet use the public interface only; a spec of forgetting engines and one of a version named during a load are as strict by behaviour as they were by inspection.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -1,4 +1,4 @@
-package fleet
+package fleet_test
 
 import (
 	"fmt"
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/fleet"
+	"github.com/pomelocross/pomelocross/internal/experiment"
 )
 
 // learnedVersions is how many versions are named; the figures are of the last.
@@ -16,33 +18,33 @@
 func BenchmarkSwapShare(b *testing.B) {
 	ways := []struct {
 		name   string
-		limits SwapLimits
+		limits fleet.SwapLimits
 	}{
 		{"all", fixedShare(1)}, {"half", fixedShare(0.5)}, {"third", fixedShare(0.34)}, {"tenth", fixedShare(0.1)},
-		{"inTime", DefaultSwapLimits()},
+		{"inTime", fleet.DefaultSwapLimits()},
 	}
 	for _, way := range ways {
 		for _, load := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
 			for _, store := range []int{53, 10} {
 				b.Run(fmt.Sprintf("%s/load=%v/store=%d", way.name, load, store), func(b *testing.B) {
-					var r result
+					var r experiment.Result
 					for range b.N {
-						s, d := NewSwapper(way.limits), newDomainSim(53, load, store)
+						s, d := fleet.NewSwapper(way.limits), experiment.NewDomain(53, load, store)
 						for range learnedVersions {
-							r = d.play(s, time.Minute)
+							r = d.Play(s, time.Minute)
 						}
 					}
-					b.ReportMetric(r.last.Seconds(), "s-to-last")
-					b.ReportMetric(float64(r.mostAway), "most-away")
-					b.ReportMetric(r.awaySum.Seconds(), "engine-s-away")
+					b.ReportMetric(r.Last.Seconds(), "s-to-last")
+					b.ReportMetric(float64(r.MostAway), "most-away")
+					b.ReportMetric(r.AwaySum.Seconds(), "engine-s-away")
 				})
 			}
 		}
 	}
 }
 
-func fixedShare(share float64) SwapLimits {
-	limits := DefaultSwapLimits()
+func fixedShare(share float64) fleet.SwapLimits {
+	limits := fleet.DefaultSwapLimits()
 	limits.Within, limits.MaxShare = 0, share
 	return limits
 }
@@ -51,10 +53,10 @@
 func BenchmarkSwapDecision(b *testing.B) {
 	for _, n := range []int{53, 640} {
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
-			all, s, now := engines(n, 1), NewSwapper(DefaultSwapLimits()), time.Unix(0, 0)
+			all, s, now := experiment.Engines(n, 1), fleet.NewSwapper(fleet.DefaultSwapLimits()), time.Unix(0, 0)
 			b.ReportAllocs()
 			for b.Loop() {
-				now = now.Add(simTick)
+				now = now.Add(250 * time.Millisecond)
 				s.Next(all, "m", 2, now)
 			}
 		})
@@ -65,12 +67,12 @@
 func BenchmarkScaleDecision(b *testing.B) {
 	for _, n := range []int{53, 640} {
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
-			all, s, now := engines(n, 1), NewScaler(DefaultScaleLimits()), time.Unix(0, 0)
+			all, s, now := experiment.Engines(n, 1), fleet.NewScaler(fleet.DefaultScaleLimits()), time.Unix(0, 0)
 			limit := contract.CostLimit{MaxDear: n, MaxCheap: n, MinReady: 1}
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Second)
-				s.Next(limit, Demand{Waiting: int(now.Unix()) % 100, Running: 5 * n, Slots: 16}, all, now)
+				s.Next(limit, fleet.Demand{Waiting: int(now.Unix()) % 100, Running: 5 * n, Slots: 16}, all, now)
 			}
 		})
 	}
@@ -78,19 +80,18 @@
 
 // BenchmarkScaleDay plays a day whose demand swings, with and without delays.
 func BenchmarkScaleDay(b *testing.B) {
-	atOnce := DefaultScaleLimits()
+	atOnce := fleet.DefaultScaleLimits()
 	atOnce.UpAfter, atOnce.DownAfter = 0, 0
-	for name, limits := range map[string]ScaleLimits{"hysteresis": DefaultScaleLimits(), "atOnce": atOnce} {
+	for name, limits := range map[string]fleet.ScaleLimits{"hysteresis": fleet.DefaultScaleLimits(), "atOnce": atOnce} {
 		b.Run(name, func(b *testing.B) {
-			var s *scaleSim
+			var s *experiment.Scaling
 			for range b.N {
-				s = newScaleSim(contract.CostLimit{MaxDear: 12, MaxCheap: 8, MinReady: 1})
-				s.scaler = NewScaler(limits)
-				s.play(24*time.Hour, swinging())
+				s = experiment.NewScaling(contract.CostLimit{MaxDear: 12, MaxCheap: 8, MinReady: 1}, limits)
+				s.Play(24*time.Hour, experiment.Swinging())
 			}
-			b.ReportMetric(float64(len(s.orders)), "changes")
-			b.ReportMetric(s.short.Seconds(), "s-short")
-			b.ReportMetric(s.upstreamHours, "upstream-h")
+			b.ReportMetric(float64(len(s.Orders)), "changes")
+			b.ReportMetric(s.Short.Seconds(), "s-short")
+			b.ReportMetric(s.UpstreamHours, "upstream-h")
 		})
 	}
 }
--- a/fleet/swap_test.go
+++ b/fleet/swap_test.go
@@ -1,4 +1,4 @@
-package fleet
+package fleet_test
 
 import (
 	"time"
@@ -6,20 +6,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/pomelocross/pomelocross/fleet"
+	"github.com/pomelocross/pomelocross/internal/experiment"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
 var _ = Describe("Swaps", func() {
 	const domainEngines = 53
-	limits := DefaultSwapLimits()
+	limits := fleet.DefaultSwapLimits()
 	start := time.Unix(0, 0)
+	const (
+		tick      = 250 * time.Millisecond
+		reportLag = time.Second // within which an order must show in a report
+	)
 
 	DescribeTable("bring a version to a domain's engines within the limit, with few away",
 		func(loadTime time.Duration, storeFit int, within bool, most int) {
-			r := newDomainSim(domainEngines, loadTime, storeFit).play(NewSwapper(limits), time.Minute)
-			Expect(r.last <= limits.Within).To(Equal(within), "%+v", r)
-			Expect(r.mostAway).To(BeNumerically("<=", most), "%+v", r)
-			Expect(r.orders).To(Equal(domainEngines))
+			r := experiment.NewDomain(domainEngines, loadTime, storeFit).Play(fleet.NewSwapper(limits), time.Minute)
+			Expect(r.Last <= limits.Within).To(Equal(within), "%+v", r)
+			Expect(r.MostAway).To(BeNumerically("<=", most), "%+v", r)
+			Expect(r.Orders).To(Equal(domainEngines))
 		},
 		Entry("loads of 0.5 s", 500*time.Millisecond, domainEngines, true, domainEngines/2),
 		Entry("loads of 1 s", time.Second, domainEngines, true, domainEngines/2),
@@ -28,19 +34,19 @@
 	)
 
 	It("order the idlest engines first and leave out leaving and loading ones", func() {
-		all := engines(6, 1)
+		all := experiment.Engines(6, 1)
 		all[0].Leaving = true
 		all[1].Load.Loading = 2
 		all[2].Load.Running, all[3].Load.Running, all[4].Load.Running, all[5].Load.Running = 9, 1, 4, 0
 		var names []string
-		for _, swap := range NewSwapper(fixedShare(0.6)).Next(all, "m", 2, start) {
+		for _, swap := range fleet.NewSwapper(fixedShare(0.6)).Next(all, "m", 2, start) {
 			names = append(names, swap.Upstream)
 		}
 		Expect(names).To(Equal([]string{"lm-005", "lm-003"}))
 	})
 
 	It("believe what engines report over what was ordered or claimed", func() {
-		s, all := NewSwapper(limits), engines(1, 1)
+		s, all := fleet.NewSwapper(limits), experiment.Engines(1, 1)
 		Expect(s.Next(all, "m", 2, start)).To(HaveLen(1))
 		Expect(s.Next(all, "m", 2, start.Add(reportLag/2))).To(BeEmpty())
 		Expect(s.Next(all, "m", 2, start.Add(reportLag))).To(BeEmpty()) // counted as failed
@@ -50,61 +56,65 @@
 	})
 
 	It("pause longer after each failed load and begin anew with a new version", func() {
-		d := newDomainSim(4, 500*time.Millisecond, 4)
-		d.fails = func(name string, _ int) bool { return name == "lm-000" }
-		s := NewSwapper(limits)
-		r := d.play(s, time.Minute)
-		Expect(d.current()).To(Equal(3))
-		Expect(r.orders).To(BeNumerically("<=", 3+7), "one a second at first, then ever fewer")
-		Expect(r.orders).To(BeNumerically(">", 3+3))
-		Expect(s.Next(d.all, "m", 3, start.Add(time.Minute))).NotTo(BeEmpty())
+		d := experiment.NewDomain(4, 500*time.Millisecond, 4)
+		d.Fails = func(name string, _ int) bool { return name == "lm-000" }
+		s := fleet.NewSwapper(limits)
+		r := d.Play(s, time.Minute)
+		Expect(d.Current()).To(Equal(3))
+		Expect(r.Orders).To(BeNumerically("<=", 3+7), "one a second at first, then ever fewer")
+		Expect(r.Orders).To(BeNumerically(">", 3+3))
+		Expect(s.Next(d.All, "m", 3, start.Add(time.Minute))).NotTo(BeEmpty())
 	})
 
 	It("order an engine at once for a version named while it loads an earlier one", func() {
-		s, all := NewSwapper(limits), engines(1, 1)
+		s, all := fleet.NewSwapper(limits), experiment.Engines(1, 1)
 		Expect(s.Next(all, "m", 2, start)).To(HaveLen(1))
 		all[0].Load.Loading = 2
-		Expect(s.Next(all, "m", 2, start.Add(simTick))).To(BeEmpty())
-		Expect(s.Next(all, "m", 3, start.Add(2*simTick))).To(BeEmpty())
+		Expect(s.Next(all, "m", 2, start.Add(tick))).To(BeEmpty())
+		Expect(s.Next(all, "m", 3, start.Add(2*tick))).To(BeEmpty())
 		all[0].Load.Loading, all[0].Load.WeightVersion = 0, 2
-		Expect(s.Next(all, "m", 3, start.Add(3*simTick))).To(HaveLen(1))
-		Expect(s.Next(all, "m", 3, start.Add(4*simTick))).To(BeEmpty())
-		Expect(s.engines[all[0].Name].failed).To(BeZero())
+		Expect(s.Next(all, "m", 3, start.Add(3*tick))).To(HaveLen(1))
+		// The earlier load is not taken for a failed order, which would be given
+		// again a retry pause after the next decision.
+		for n := time.Duration(4); n*tick < 3*tick+reportLag+limits.Retry; n++ {
+			Expect(s.Next(all, "m", 3, start.Add(n*tick))).To(BeEmpty())
+		}
 	})
 
 	It("learn what the weight store carries and keep no more away than that", func() {
 		const carried = 10
-		s, d := NewSwapper(limits), newDomainSim(domainEngines, 3*time.Second, carried)
-		first := d.play(s, time.Minute)
-		var last result
+		s, d := fleet.NewSwapper(limits), experiment.NewDomain(domainEngines, 3*time.Second, carried)
+		first := d.Play(s, time.Minute)
+		var last experiment.Result
 		for range learnedVersions {
-			last = d.play(s, time.Minute)
+			last = d.Play(s, time.Minute)
 		}
-		Expect(last.mostAway).To(BeNumerically("<=", 2*carried), "%+v", last)
-		Expect(last.last).To(BeNumerically("<=", first.last+first.last/4), "%+v after %+v", last, first)
-		d.storeFit = domainEngines
+		Expect(last.MostAway).To(BeNumerically("<=", 2*carried), "%+v", last)
+		Expect(last.Last).To(BeNumerically("<=", first.Last+first.Last/4), "%+v after %+v", last, first)
+		d.StoreFit = domainEngines
 		for range learnedVersions {
-			last = d.play(s, time.Minute)
+			last = d.Play(s, time.Minute)
 		}
-		Expect(last.last).To(BeNumerically("<=", limits.Within), "%+v", last)
+		Expect(last.Last).To(BeNumerically("<=", limits.Within), "%+v", last)
 	})
 
 	It("bring a version to the others in time while some engines fail", func() {
-		d := newDomainSim(domainEngines, time.Second, domainEngines)
-		d.fails = func(name string, try int) bool { return try == 1 && name < "lm-006" }
-		Expect(d.play(NewSwapper(limits), time.Minute).last).To(BeNumerically("<=", limits.Within))
+		d := experiment.NewDomain(domainEngines, time.Second, domainEngines)
+		d.Fails = func(name string, try int) bool { return try == 1 && name < "lm-006" }
+		Expect(d.Play(fleet.NewSwapper(limits), time.Minute).Last).To(BeNumerically("<=", limits.Within))
 	})
 
 	It("order engines that serve another model, whatever their version", func() {
-		all := engines(2, 7)
+		all := experiment.Engines(2, 7)
 		all[0].Load.Model, all[1].Load.Model = "other", "m"
-		Expect(NewSwapper(limits).Next(all, "m", 7, start)).To(Equal([]Swap{{Upstream: "lm-000", Model: "m", WeightVersion: 7}}))
+		Expect(fleet.NewSwapper(limits).Next(all, "m", 7, start)).To(Equal([]fleet.Swap{{Upstream: "lm-000", Model: "m", WeightVersion: 7}}))
 	})
 
 	It("forget engines that are gone", func() {
-		s := NewSwapper(limits)
-		s.Next(engines(8, 1), "m", 2, start)
-		s.Next([]upstream.Upstream{}, "m", 2, start)
-		Expect(s.engines).To(BeEmpty())
+		s, all := fleet.NewSwapper(limits), experiment.Engines(1, 1)
+		Expect(s.Next(all, "m", 2, start)).To(HaveLen(1))
+		Expect(s.Next(all, "m", 2, start.Add(reportLag))).To(BeEmpty())
+		Expect(s.Next([]upstream.Upstream{}, "m", 2, start.Add(reportLag))).To(BeEmpty())
+		Expect(s.Next(all, "m", 2, start.Add(reportLag))).To(HaveLen(1), "no pause for the new one")
 	})
 })
--- a/test/e2e/orders_leaving_test.go
+++ b/test/e2e/orders_leaving_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -98,4 +99,32 @@
 			sayLeaving()
 		}),
 	)
+
+	// ordered returns the last count ordered of the engines of a cost class.
+	ordered := func(cost platform.CostClass) int {
+		count := -1
+		for _, o := range d.platform.Record().Scale {
+			if o.Service == "lm-pool" && o.Domain == "mty-a" && o.Cost == cost {
+				count = o.Count
+			}
+		}
+		return count
+	}
+
+	It("that is cheap is replaced by dear ones under the cost limit, with a whole domain's cheap ones taken at once", func() {
+		for n := range d.members {
+			if slices.Contains(leaving, d.members[n].Name) {
+				d.members[n].Cost = platform.CostCheap
+			}
+		}
+		d.platform.SetMembers(slices.Clone(d.members))
+		const streams = 40 // 16 slots an engine, four fifths of them used: 4 engines
+		for range streams {
+			go func() { _ = a.complete(demoKey("fabricas"), "long", 100000, true) }()
+		}
+		Eventually(func() []int { return []int{ordered(platform.CostDear), ordered(platform.CostCheap)} }).Should(Equal([]int{2, 2}))
+		sayLeaving()
+		Eventually(func() []int { return []int{ordered(platform.CostDear), ordered(platform.CostCheap)} }, 2*leavingBound).Should(Equal([]int{3, 0}))
+		d.expectOneOrderer("mty-a")
+	})
 })
