--- a/instance/control.go
+++ b/instance/control.go
@@ -11,15 +11,12 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/platform"
-	"github.com/pomelocross/pomelocross/upstream"
 )
 
 const (
 	watchWait = 30 * time.Second
-	// pollTimeout bounds one reading of loads.
-	pollTimeout = 2 * time.Second
-	minPause    = 200 * time.Millisecond
-	maxPause    = 5 * time.Second
+	minPause  = 200 * time.Millisecond
+	maxPause  = 5 * time.Second
 )
 
 // control owns the view. It applies events in order and publishes the result.
@@ -120,47 +117,6 @@
 	}
 }
 
-// pollLoads asks the upstreams of the instance's own domain for their load.
-func (i *Instance) pollLoads(ctx context.Context) {
-	for ctx.Err() == nil {
-		if loads := i.readLoads(ctx); len(loads) > 0 {
-			i.send(ctx, loaded{loads})
-		}
-		sleep(ctx, i.settings.LoadInterval)
-	}
-}
-
-func (i *Instance) readLoads(ctx context.Context) map[string]upstream.Load {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	type reading struct {
-		name string
-		load upstream.Load
-		err  error
-	}
-	view := i.view.Load()
-	readings := make(chan reading)
-	asked := 0
-	for _, m := range view.Domain.Upstreams() {
-		if m.Domain != i.settings.Domain {
-			continue
-		}
-		asked++
-		go func() {
-			load, err := i.client.ReportedLoad(ctx, m.Address)
-			readings <- reading{m.Name, load, err}
-		}()
-	}
-	loads := map[string]upstream.Load{}
-	for range asked {
-		r := <-readings
-		if r.err == nil {
-			loads[r.name] = r.load
-		}
-	}
-	return loads
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
