probe: share readings of upstream load inside a failure domain

Cause: every instance asked every upstream of its domain each 0.5 s. At 27 instances and 53 engines a domain that is 106 questions a second an instance, some 37 KB/s against a bound of 10 KB/s, and 54 answers a second an engine. Ruled out: asking less often (weights must be seen within the 9 s a swap may take, leaving within seconds); one asker a domain (over the bound itself, blind while its role moves). Change: two instances ask each upstream and tell the others, every 2 s and at once when weights or leaving change. Conclusion: questions an instance asks no longer grow with the domain's instances.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -39,6 +40,7 @@
 	client   *upstream.Client
 	runner   *attempt.Runner
 	usage    *usageKeeper
+	loads    *probe.Board
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
@@ -101,6 +103,7 @@
 	}
 	i.commander = newCommander(i)
 	i.usage = newUsageKeeper(i)
+	i.loads = probe.NewBoard()
 	return i, i.registerPeerServices()
 }
 
--- a/instance/loads.go
+++ b/instance/loads.go
@@ -6,19 +6,24 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
+// tellingAtOnce bounds the batches of readings that are on their way to peers.
+const tellingAtOnce = 64
+
 // loadTimeout is how long an upstream may take to report its load.
 const loadTimeout = 2 * time.Second
 
-// loadPoller reads the loads of the upstreams of the instance's domain. One
+// loadPoller reads the loads of this instance's part of the domain's upstreams. One
 // that does not answer holds up nobody else's reading. One goroutine owns it.
 type loadPoller struct {
 	instance *Instance
 	asked    map[string]bool // without an answer yet
 	known    map[string]upstream.Load
 	readings chan loadReading
+	telling  chan struct{} // bounds batches on their way to peers
 }
 
 // loadReading is one upstream's answer.
@@ -28,11 +33,12 @@
 	err  error
 }
 
-// pollLoads asks the upstreams of the instance's own domain for their load.
+// pollLoads asks the instance's part of the domain's upstreams for their load
+// and tells its peers.
 func (i *Instance) pollLoads(ctx context.Context) {
 	p := &loadPoller{
 		instance: i, asked: map[string]bool{}, known: map[string]upstream.Load{},
-		readings: make(chan loadReading),
+		readings: make(chan loadReading), telling: make(chan struct{}, tellingAtOnce),
 	}
 	for ctx.Err() == nil {
 		p.ask(ctx)
@@ -40,13 +46,10 @@
 	}
 }
 
-// ask asks every upstream that owes no answer and forgets those not listed.
+// ask asks every assigned upstream that owes no answer and forgets others.
 func (p *loadPoller) ask(ctx context.Context) {
 	listed := map[string]bool{}
-	for _, m := range p.instance.view.Load().Domain.Upstreams() {
-		if m.Domain != p.instance.settings.Domain {
-			continue
-		}
+	for _, m := range p.assigned() {
 		listed[m.Name] = true
 		if !p.asked[m.Name] {
 			p.asked[m.Name] = true
@@ -56,6 +59,18 @@
 	maps.DeleteFunc(p.known, func(name string, _ upstream.Load) bool { return !listed[name] })
 }
 
+// assigned returns the upstreams of the domain that this instance asks.
+func (p *loadPoller) assigned() []platform.Member {
+	view, own := p.instance.view.Load().Domain, p.instance.settings
+	var upstreams []platform.Member
+	for _, m := range view.Upstreams() {
+		if m.Domain == own.Domain {
+			upstreams = append(upstreams, m)
+		}
+	}
+	return probe.Assigned(own.Name, view.Peers(own.Domain), upstreams)
+}
+
 func (p *loadPoller) read(ctx context.Context, m platform.Member) {
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -103,9 +118,52 @@
 	p.known[r.name] = r.load
 }
 
-// publish sends what is known to the control goroutine.
+// publish puts what is known on the board, sends the board to the control
+// goroutine and tells peers what they must know.
 func (p *loadPoller) publish(ctx context.Context) {
-	if len(p.known) > 0 {
-		p.instance.send(ctx, loaded{maps.Clone(p.known)})
+	now := p.instance.clock.Now()
+	readings := p.instance.loads.Own(maps.Clone(p.known), now)
+	if loads := p.instance.loads.Loads(now); len(loads) > 0 {
+		p.instance.send(ctx, loaded{loads})
+	}
+	if len(readings) > 0 {
+		p.tell(ctx, probe.Batch{Readings: readings})
 	}
 }
+
+// tell sends a batch to the domain's other instances. A peer that is not
+// reached learns the readings with the next repetition.
+func (p *loadPoller) tell(ctx context.Context, batch probe.Batch) {
+	for _, peer := range p.instance.view.Load().Domain.Peers(p.instance.settings.Domain) {
+		if peer.Name == p.instance.settings.Name {
+			continue
+		}
+		select {
+		case p.telling <- struct{}{}:
+		default:
+			return
+		}
+		go func() {
+			defer func() { <-p.telling }()
+			limited, cancel := context.WithTimeout(ctx, loadTimeout)
+			defer cancel()
+			_ = p.instance.dialer.Call(limited, peer.Peer, "Probe.Take", batch, &probe.Taken{})
+		}()
+	}
+}
+
+// ProbeService takes peers' readings of upstreams.
+type ProbeService struct{ instance *Instance }
+
+// Take puts a peer's readings on the board. They reach the control goroutine
+// with the instance's own next ones, and at once when weights or leaving change.
+func (s *ProbeService) Take(batch probe.Batch, _ *probe.Taken) error {
+	now := s.instance.clock.Now()
+	if !s.instance.loads.Take(batch, now) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	s.instance.send(ctx, loaded{s.instance.loads.Loads(now)})
+	return nil
+}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -112,6 +112,9 @@
 	if err := i.peers.Register("Leaving", &LeavingService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register("Probe", &ProbeService{i}); err != nil {
+		return err
+	}
 	if err := i.peers.Register("Usage", &UsageService{i.usage}); err != nil {
 		return err
 	}
--- a/internal/fenced/fenced_test.go
+++ b/internal/fenced/fenced_test.go
@@ -19,11 +19,13 @@
 	orders atomic.Int32
 	// reading is called before the body is read.
 	reading func()
-	status  int
+	// answering is called after the body was read, before the answer.
+	answering func()
+	status    int
 }
 
 func newReceiver(t testing.TB) *receiver {
-	r := &receiver{reading: func() {}, status: http.StatusOK}
+	r := &receiver{reading: func() {}, answering: func() {}, status: http.StatusOK}
 	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		r.reading()
 		var order struct{ Epoch int }
@@ -32,6 +34,7 @@
 			return
 		}
 		r.orders.Add(1)
+		r.answering()
 		w.WriteHeader(r.status)
 	}))
 	t.Cleanup(r.Close)
@@ -123,3 +126,17 @@
 	b.ReportMetric(float64(total)/float64(b.N), "ns-window")
 	b.ReportMetric(float64(most), "ns-greatest")
 }
+
+// TestUnknownOutcome cuts the connection after the whole order was read: the
+// sender must neither report an answer nor claim that nothing was sent.
+func TestUnknownOutcome(t *testing.T) {
+	r := newReceiver(t)
+	r.answering = func() { panic(http.ErrAbortHandler) }
+	_, err := NewSender(time.Second).Send(context.Background(), order(r.URL), func() error { return nil })
+	if err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("error is %v after the order was read", err)
+	}
+	if r.orders.Load() != 1 {
+		t.Errorf("receiver took %d orders, want 1", r.orders.Load())
+	}
+}
