--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 lint:
 	@test -z "$$(gofmt -l .)" || (gofmt -l .; echo "run gofmt"; exit 1)
 	$(GO) vet ./...
+	$(GO) vet -tags capacity ./test/e2e
 	$(GO) tool staticcheck ./...
 
 # race runs the suites of the concurrent packages under the race detector.
--- a/test/e2e/capacity_test.go
+++ b/test/e2e/capacity_test.go
@@ -49,20 +49,20 @@
 	}
 	time.Sleep(settleTime)
 
-	before, calls := readAll(daemons), d.calls()
+	before, calls := readCosts(daemons), d.calls()
 	time.Sleep(restTime)
-	rest := readAll(daemons).minus(before).per(restTime.Seconds())
+	rest := readCosts(daemons).minus(before).per(restTime.Seconds())
 	reads, writes := d.calls().minus(calls).per(restTime.Seconds())
 
 	last := d.timeChanges(daemons)
 
-	before = readAll(daemons)
+	before = readCosts(daemons)
 	began := time.Now()
 	for range changes {
 		d.change()
 		time.Sleep(200 * time.Millisecond)
 	}
-	busy := readAll(daemons).minus(before)
+	busy := readCosts(daemons).minus(before)
 	idle := rest.per(1 / time.Since(began).Seconds())
 	change := busy.minus(idle).per(changes)
 
@@ -142,7 +142,7 @@
 
 type costs []cost
 
-func readAll(daemons []*daemon) costs {
+func readCosts(daemons []*daemon) costs {
 	all := make(costs, len(daemons))
 	for n, one := range daemons {
 		all[n] = readCost(one.command.Process.Pid)
