Give no scaling order counted from an unread list or a predecessor's gap

Cause: a new holder took the live upstreams for what was ordered and gave that out at once: before its first reading of the list it would have ordered the minimum, and it would have taken back what had not arrived yet. Ruled out: keeping the ordered counts in the platform, a write an order more. Change: no scaling before the list was read; the first repeat of unchanged counts comes after the time that arrivals take. Conclusion: a change of holders changes no counts by itself.

--- a/fleet/scale.go
+++ b/fleet/scale.go
@@ -59,7 +59,7 @@
 	limits ScaleLimits
 
 	ordered  Counts
-	sent     time.Time // of the last order; zero before the first
+	sent     time.Time // of the last order; zero before the first decision
 	above    time.Time // since when more is needed; zero when not
 	below    time.Time // since when less is needed; zero when not
 	peak     Counts    // greatest need since below
@@ -71,10 +71,13 @@
 // NewScaler returns a Scaler that has ordered nothing.
 func NewScaler(limits ScaleLimits) *Scaler { return &Scaler{limits: limits} }
 
-// Next returns the counts to order at now, or ok false when none is due.
+// Next returns the counts to order at now, or ok false when none is due. The
+// first call takes the live counts for ordered. A predecessor may have ordered
+// more that has not arrived yet, so that the same counts are not given out as
+// an order before that has had its time.
 func (s *Scaler) Next(limit contract.CostLimit, demand Demand, live []upstream.Upstream, now time.Time) (counts Counts, ok bool) {
 	if s.sent.IsZero() {
-		s.ordered = countsOf(staying(live))
+		s.ordered, s.sent = countsOf(staying(live)), now.Add(s.limits.Arrival-s.limits.Repeat)
 	}
 	reclaimed := s.watchCheap(live, now)
 	need := s.need(limit, demand, now)
--- a/instance/scaling.go
+++ b/instance/scaling.go
@@ -19,8 +19,10 @@
 const queueTimeout = 200 * time.Millisecond
 
 // scales returns the scaling orders that are due under the domain's cost limits.
+// There are none before the instance list was read, since they would be counted
+// from nothing.
 func (c *commander) scales(ctx context.Context, view *View, grant lease.Grant, now time.Time) []order {
-	if now.Sub(c.scaled) < scaleInterval {
+	if !view.listed || now.Sub(c.scaled) < scaleInterval {
 		return nil
 	}
 	c.scaled = now
--- a/instance/view.go
+++ b/instance/view.go
@@ -18,6 +18,8 @@
 	// Weights are the wanted weight versions by model.
 	Weights map[string]int64
 	loads   map[string]upstream.Load
+	// listed is true once the instance list has been read.
+	listed bool
 	// noticed are the upstreams that other domains say are leaving.
 	noticed notices
 }
@@ -62,6 +64,7 @@
 type listed struct{ members []platform.Member }
 
 func (e listed) apply(v *View) {
+	v.listed = true
 	v.Domain = domain.NewView(v.Domain.Self(), e.members)
 	v.Upstream = v.table()
 }
