--- a/instance/peers.go
+++ b/instance/peers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/rollout"
 )
@@ -114,5 +115,8 @@
 	if err := i.peers.Register("Usage", &UsageService{i.usage}); err != nil {
 		return err
 	}
+	if err := i.peers.Register(idempotency.Service, i.coordinator.Holder()); err != nil {
+		return err
+	}
 	return i.peers.Register("Rollout", &RolloutService{i})
 }
--- a/instance/plain.go
+++ b/instance/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -17,17 +18,25 @@
 		(&refusal{status: http.StatusRequestEntityTooLarge, code: "bad_request", message: "the body could not be read or is larger than 8 MiB", notRun: true}).write(w)
 		return
 	}
-	answer, err := i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), upstream.PlainRequest{
+	plain := upstream.PlainRequest{
 		Method: r.Method, Path: r.URL.Path, Query: withoutKeys(r), Header: upstream.AllowedHeaders(r.Header), Body: body,
-	}, admitted.route.Idempotent)
+		RefusalMeansNotRun: admitted.service.RefusalMeansNotRun,
+	}
+	if plainHoldsKey(admitted.view.Contract, plain) {
+		badRequest(errKeyInContent).write(w)
+		return
+	}
+	answer, ran, err := i.runPlain(ctx, r, admitted, plain)
 	if err != nil {
 		failed := failure(ctx, err)
 		i.counters.request(admitted.route.Name, admitted.key.Team, failed.code)
 		failed.write(w)
 		return
 	}
-	i.usage.meter.Add(admitted.key.Team, admitted.service.Name, i.clock.Now(), 0, 0)
-	i.usage.commit(ctx)
+	if ran {
+		i.usage.meter.Add(admitted.key.Team, admitted.service.Name, i.clock.Now(), 0, 0)
+		i.usage.commit(ctx)
+	}
 	i.counters.request(admitted.route.Name, admitted.key.Team, "ok")
 	for name, values := range answer.Header {
 		w.Header()[name] = values
@@ -36,6 +45,20 @@
 	_, _ = w.Write(answer.Body)
 }
 
+// runPlain returns the answer to a plain request, and whether it ran for it: an
+// answer kept from an earlier try is not billed again.
+func (i *Instance) runPlain(ctx context.Context, r *http.Request, admitted *request, plain upstream.PlainRequest) (answer upstream.PlainAnswer, ran bool, err error) {
+	key := keyOf(r, admitted)
+	if key == "" {
+		answer, err = i.runner.Plain(ctx, admitted.ticket(i.settings.Domain, plainCost), plain, admitted.route.Idempotent)
+		return answer, true, err
+	}
+	if len(key) > idempotency.MaxKeyBytes {
+		return upstream.PlainAnswer{}, false, errKeyTooLong
+	}
+	return i.runKeyed(ctx, admitted, key, plain)
+}
+
 // credentialParameters are query parameters that callers may put keys into.
 var credentialParameters = []string{"key", "api_key", "apikey", "access_token", "token"}
 
