notice: spread accepted objects between instances

Cause: every instance watched the platform by itself, so a domain cut off from it heard nothing, and an instance that started in an outage knew nothing.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 # race runs the suites of the concurrent packages under the race detector.
 race:
-	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./usage/...
+	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./notice/... ./usage/...
 
 clean:
 	rm -rf bin
--- a/domain/view.go
+++ b/domain/view.go
@@ -1,10 +1,12 @@
 // Package domain knows the members of the deployment: the entry instances and
-// upstreams of each failure domain, as the platform's lagging list tells.
+// upstreams of each failure domain, as the platform's lagging list, calls and
+// peers tell.
 package domain
 
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,9 +15,11 @@
 
 // View is the membership at one moment. It is immutable.
 type View struct {
-	self    platform.Member
-	entries []platform.Member // by name, self included
-	members []platform.Member
+	self     platform.Member
+	entries  []platform.Member // by name, self included
+	members  []platform.Member
+	liveness map[string]Liveness  // of entries other than self
+	heard    map[string]time.Time // when entries other than self were last heard
 }
 
 // NewView sorts members into a view as self sees it. Self is added when the
@@ -40,12 +44,43 @@
 // Self returns the instance whose view this is.
 func (v *View) Self() platform.Member { return v.self }
 
-// Entries returns all entry instances that are not leaving, by name.
+// Members returns the last reading of the instance list.
+func (v *View) Members() []platform.Member { return v.members }
+
+// Liveness returns what is believed of the entry instance with a name. Self and
+// instances of which nothing is known count as alive.
+func (v *View) Liveness(name string) Liveness {
+	if state, ok := v.liveness[name]; ok {
+		return state
+	}
+	return Alive
+}
+
+// Live returns the entry instances of a domain that are alive and not leaving.
+func (v *View) Live(domain string) []platform.Member {
+	return v.filter(func(m platform.Member) bool { return m.Domain == domain && v.Liveness(m.Name) == Alive })
+}
+
+// Domains returns the failure domains that have entry instances, sorted.
+func (v *View) Domains() []string {
+	var names []string
+	for _, m := range v.entries {
+		names = append(names, m.Domain)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// All returns every known entry instance by name, leaving and dead ones
+// included.
+func (v *View) All() []platform.Member { return slices.Clone(v.entries) }
+
+// Entries returns all entry instances that are not leaving or dead, by name.
 func (v *View) Entries() []platform.Member {
 	return v.filter(func(platform.Member) bool { return true })
 }
 
-// Peers returns the entry instances of a domain that are not leaving.
+// Peers returns the entry instances of a domain that are not leaving or dead.
 func (v *View) Peers(domain string) []platform.Member {
 	return v.filter(func(m platform.Member) bool { return m.Domain == domain })
 }
@@ -88,7 +123,7 @@
 func (v *View) filter(keep func(platform.Member) bool) []platform.Member {
 	var found []platform.Member
 	for _, m := range v.entries {
-		if !m.Leaving && keep(m) {
+		if !m.Leaving && v.Liveness(m.Name) != Dead && keep(m) {
 			found = append(found, m)
 		}
 	}
