instance: configuration and weights by notices, isolation, disk

Cause: a domain cut off from the platform kept withdrawn keys, and a restart in an outage had nothing in force. Ruled out: putting the disk in force at once, which can revert a restarted instance for as long as its peers take to answer.

--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samber/oops"
 )
@@ -133,3 +134,18 @@
 	}
 	return found
 }
+
+// Values of Service.WhenIsolated.
+const (
+	IsolatedServe  = "serve"
+	IsolatedRefuse = "refuse"
+)
+
+// ServesIsolated reports whether the service takes work in a domain that has not
+// heard the platform for the given time.
+func (v Service) ServesIsolated(age time.Duration) bool {
+	if v.WhenIsolated != IsolatedServe {
+		return false
+	}
+	return v.IsolatedFor == 0 || age <= v.IsolatedFor.Std()
+}
--- a/instance/admin.go
+++ b/instance/admin.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/internal/httpjson"
 )
 
@@ -14,10 +16,15 @@
 	Region   string            `json:"region"`
 	Revision contract.Revision `json:"revision"` // 0 when no configuration is in force
 	Draining bool              `json:"draining"`
-	Roles    []string          `json:"roles"`
-	Weights  map[string]int64  `json:"weights"`
-	Queues   map[string]int    `json:"queues"` // waiting requests by service
-	Runs     []string          `json:"runs"`   // runs that have their home here
+	// WordAge is the age of the platform's last word; empty when never heard.
+	WordAge   string           `json:"wordAge,omitempty"`
+	Isolated  bool             `json:"isolated"`
+	Refused   []string         `json:"refused,omitempty"`   // services refused for isolation
+	Suspected []string         `json:"suspected,omitempty"` // instances that this one misses
+	Roles     []string         `json:"roles"`
+	Weights   map[string]int64 `json:"weights"`
+	Queues    map[string]int   `json:"queues"` // waiting requests by service
+	Runs      []string         `json:"runs"`   // runs that have their home here
 }
 
 func (i *Instance) status() Status {
@@ -32,11 +39,23 @@
 	if _, held := i.billingRole.Grant(0); held {
 		s.Roles = append(s.Roles, "billing")
 	}
+	if age := i.notices.HeardAge(); age >= 0 {
+		s.WordAge = age.Truncate(time.Millisecond).String()
+	}
+	for _, m := range view.Domain.All() {
+		if view.Domain.Liveness(m.Name) != domain.Alive {
+			s.Suspected = append(s.Suspected, m.Name)
+		}
+	}
 	if view.Contract == nil {
 		return s
 	}
 	s.Revision = view.Contract.Revision
+	_, s.Isolated = i.isolation(view)
 	for _, service := range view.Contract.Bundle.Services {
+		if i.refusesIsolated(view, service) {
+			s.Refused = append(s.Refused, service.Name)
+		}
 		if q := i.queues.of(service.Name); q != nil {
 			s.Queues[service.Name] = q.Depth()
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
+	"github.com/pomelocross/pomelocross/notice"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
@@ -42,6 +43,9 @@
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
+	notices  *notice.Endpoint
+	disk     *notice.Disk // nil without --data-dir
+	diskMu   sync.Mutex   // held while the disk is written, so that a newer state is not overwritten
 	metrics  http.Handler
 
 	view   atomic.Pointer[View]
@@ -80,6 +84,14 @@
 		homes:        map[string]*rollout.Home{},
 	}
 	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
+	if s.DataDir != "" {
+		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
+			return nil, err
+		}
+	}
+	if err := i.observe(t.Meter); err != nil {
+		return nil, err
+	}
 	return i, i.registerPeerServices()
 }
 
@@ -96,7 +108,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
@@ -131,6 +143,7 @@
 	}
 	s := &servers{traffic: newServer(i.trafficHandler()), admin: newServer(i.adminHandler())}
 	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
+	i.notices = i.newNotices()
 	go s.traffic.Serve(traffic)
 	go s.admin.Serve(admin)
 	go i.peers.Serve(peers)
@@ -162,6 +175,7 @@
 func (i *Instance) drain(s *servers) {
 	i.log.Info("draining")
 	i.draining.Store(true)
+	i.notices.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
 	defer cancel()
 	if err := s.traffic.Shutdown(ctx); err != nil {
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pomelocross/pomelocross/platform"
@@ -80,58 +79,13 @@
 	return err
 }
 
-// MemberService tells peers about the instance.
-type MemberService struct{ instance *Instance }
-
-// StatusRequest has no fields yet.
-type StatusRequest struct{}
-
-// Status returns the instance's status.
-func (s *MemberService) Status(_ StatusRequest, reply *Status) error {
-	*reply = s.instance.status()
-	return nil
-}
-
-// MemberStatus is a listed instance with its answer.
-type MemberStatus struct {
-	Instance string  `json:"instance"`
-	Domain   string  `json:"domain"`
-	Error    string  `json:"error,omitempty"` // why it did not answer
-	Status   *Status `json:"status,omitempty"`
-}
-
-// allStatus asks every listed instance at once.
-func (i *Instance) allStatus(ctx context.Context) []MemberStatus {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	entries := i.view.Load().Domain.Entries()
-	all := make([]MemberStatus, len(entries))
-	var asking sync.WaitGroup
-	for n, entry := range entries {
-		asking.Go(func() { all[n] = i.askStatus(ctx, entry) })
-	}
-	asking.Wait()
-	return all
-}
-
-func (i *Instance) askStatus(ctx context.Context, entry platform.Member) MemberStatus {
-	answer := MemberStatus{Instance: entry.Name, Domain: entry.Domain}
-	status := i.status()
-	if entry.Name != i.settings.Name {
-		status = Status{}
-		if err := i.dialer.Call(ctx, entry.Peer, "Member.Status", StatusRequest{}, &status); err != nil {
-			answer.Error = err.Error()
-			return answer
-		}
-	}
-	answer.Status = &status
-	return answer
-}
-
 func (i *Instance) registerPeerServices() error {
 	if err := i.peers.Register("Member", &MemberService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register("Notice", &NoticeService{i}); err != nil {
+		return err
+	}
 	if err := i.peers.Register("Usage", &UsageService{i}); err != nil {
 		return err
 	}
--- a/instance/sessions.go
+++ b/instance/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/pomelocross/pomelocross/contract"
@@ -11,13 +12,19 @@
 // errWithdrawn ends requests whose key is no longer declared.
 var errWithdrawn = errors.New("key was withdrawn")
 
+// errIsolated ends requests of services that refuse while isolated.
+var errIsolated = errors.New("the instance does not hear the platform")
+
 // sessions indexes running requests by key, so that withdrawing a key ends them.
 type sessions struct {
 	mu   sync.Mutex // guards keys
 	keys map[contract.Key]map[*session]struct{}
 }
 
-type session struct{ cancel context.CancelCauseFunc }
+type session struct {
+	cancel   context.CancelCauseFunc
+	services []string // that the request runs on, as far as known
+}
 
 func newSessions() *sessions {
 	return &sessions{keys: map[contract.Key]map[*session]struct{}{}}
@@ -25,10 +32,11 @@
 
 // begin returns a context that ends with errWithdrawn when key is withdrawn. The
 // caller must check the key against the newest snapshot after begin, since it
-// may have been withdrawn just before.
-func (s *sessions) begin(ctx context.Context, key contract.Key) (context.Context, func()) {
+// may have been withdrawn just before. It ends with errIsolated when one of the
+// services refuses work in isolation.
+func (s *sessions) begin(ctx context.Context, key contract.Key, services ...string) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	one := &session{cancel: cancel}
+	one := &session{cancel: cancel, services: services}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.keys[key] == nil {
@@ -61,3 +69,16 @@
 		}
 	}
 }
+
+// cancelServices ends the requests of services for which refused is true.
+func (s *sessions) cancelServices(refused func(service string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, running := range s.keys {
+		for one := range running {
+			if slices.ContainsFunc(one.services, refused) {
+				one.cancel(errIsolated)
+			}
+		}
+	}
+}
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -70,7 +70,7 @@
 		return
 	}
 	span.SetAttributes(attribute.String("route", admitted.route.Name), attribute.String("team", admitted.key.Team))
-	ctx, end := i.sessions.begin(ctx, admitted.key)
+	ctx, end := i.sessions.begin(ctx, admitted.key, admitted.service.Name)
 	defer end()
 	if admitted.key.ID != "" && !i.view.Load().Contract.HasKey(admitted.key) {
 		refuseKey().write(w)
@@ -105,6 +105,9 @@
 		return nil, refuseKey()
 	}
 	admitted.key = key
+	if i.refusesIsolated(view, service) {
+		return nil, refuseIsolated()
+	}
 	return admitted, nil
 }
 
--- a/instance/view.go
+++ b/instance/view.go
@@ -5,7 +5,6 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -56,11 +55,11 @@
 	v.Weights[model] = version
 }
 
-// listed is a reading of the instance list.
-type listed struct{ members []platform.Member }
+// membership is a new view of the entry instances and upstreams.
+type membership struct{ view *domain.View }
 
-func (e listed) apply(v *View) {
-	v.Domain = domain.NewView(v.Domain.Self(), e.members)
+func (e membership) apply(v *View) {
+	v.Domain = e.view
 	v.Upstream = upstream.NewTable(v.Domain.Upstreams(), v.loads)
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -17,6 +17,7 @@
 type Server struct {
 	rpc      *rpc.Server
 	identity *Identity
+	bytes    counter
 
 	mu    sync.Mutex // guards conns, which Close ends
 	conns map[net.Conn]struct{}
@@ -37,7 +38,7 @@
 		if err != nil {
 			return
 		}
-		go s.serve(tls.Server(conn, s.identity.config()))
+		go s.serve(tls.Server(counted{conn, &s.bytes}, s.identity.config()))
 	}
 }
 
@@ -73,90 +74,112 @@
 	}
 }
 
+// Traffic returns what the connections of callers have carried.
+func (s *Server) Traffic() Traffic { return s.bytes.traffic() }
+
 // Dialer keeps one connection to each peer.
 type Dialer struct {
 	identity *Identity
+	bytes    counter
 
 	mu    sync.Mutex // guards peers; never held while dialling
-	peers map[string]*rpc.Client
+	peers map[string]*peer
 }
 
 // NewDialer returns a Dialer that proves identity.
 func NewDialer(identity *Identity) *Dialer {
-	return &Dialer{identity: identity, peers: map[string]*rpc.Client{}}
+	return &Dialer{identity: identity, peers: map[string]*peer{}}
 }
 
+// Traffic returns what the connections to peers have carried.
+func (d *Dialer) Traffic() Traffic { return d.bytes.traffic() }
+
 // Call calls method at address and waits for the answer or the end of ctx. An
 // error answered by the peer is an rpc.ServerError; after any other error the
-// call may or may not have run.
+// call may or may not have run. A connection on which nothing was answered
+// during a call that ran into its end is not used again.
 func (d *Dialer) Call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := d.client(ctx, address)
+	p, err := d.peer(ctx, address)
 	if err != nil {
 		return oops.In("link").With("step", "dial", "peer", address).Wrap(err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	started := time.Now()
+	p.begin()
+	call := p.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		return d.finish(address, method, client, call.Error)
+		return d.finish(address, method, p, call.Error)
 	case <-ctx.Done():
+		if p.silentSince(started) {
+			d.drop(address, p)
+		}
+		p.end(false)
 		return oops.In("link").With("step", method, "peer", address).Wrap(ctx.Err())
 	}
 }
 
-func (d *Dialer) finish(address, method string, client *rpc.Client, err error) error {
+func (d *Dialer) finish(address, method string, p *peer, err error) error {
+	_, refused := err.(rpc.ServerError)
+	p.end(err == nil || refused)
 	if err == nil {
 		return nil
 	}
-	if _, answered := err.(rpc.ServerError); !answered {
-		d.drop(address, client)
+	if !refused {
+		d.drop(address, p)
 	}
 	return oops.In("link").With("step", method, "peer", address).Wrap(err)
 }
 
-func (d *Dialer) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (d *Dialer) peer(ctx context.Context, address string) (*peer, error) {
 	d.mu.Lock()
-	client := d.peers[address]
+	p := d.peers[address]
 	d.mu.Unlock()
-	if client != nil {
-		return client, nil
+	if p != nil {
+		return p, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: d.identity.config()}
+	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return d.keep(address, rpc.NewClient(conn)), nil
+	secured := tls.Client(counted{conn, &d.bytes}, d.identity.config())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return d.keep(address, &peer{client: rpc.NewClient(secured), answered: time.Now()}), nil
 }
 
-// keep stores client unless another goroutine was first, whose client it returns.
-func (d *Dialer) keep(address string, client *rpc.Client) *rpc.Client {
+// keep stores p unless another goroutine was first, whose connection it returns.
+func (d *Dialer) keep(address string, p *peer) *peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if first := d.peers[address]; first != nil {
-		client.Close()
+		p.client.Close()
 		return first
 	}
-	d.peers[address] = client
-	return client
+	d.peers[address] = p
+	return p
 }
 
-func (d *Dialer) drop(address string, client *rpc.Client) {
+// drop uses p for no further call.
+func (d *Dialer) drop(address string, p *peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.peers[address] == client {
+	if d.peers[address] == p {
 		delete(d.peers, address)
 	}
-	client.Close()
+	p.retire()
 }
 
 // Close ends all connections.
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for address, client := range d.peers {
-		client.Close()
+	for address, p := range d.peers {
+		p.client.Close()
 		delete(d.peers, address)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,9 @@
 	LeaseTerm       time.Duration `env:"POMELOCROSS_LEASE_TERM" envDefault:"10s" flag:"lease-term" usage:"how long a control role is held without renewal" validate:"min=1s"`
 	MembersInterval time.Duration `env:"POMELOCROSS_MEMBERS_INTERVAL" envDefault:"2s" flag:"members-interval" usage:"time between readings of the instance list" validate:"min=100ms"`
 	LoadInterval    time.Duration `env:"POMELOCROSS_LOAD_INTERVAL" envDefault:"500ms" flag:"load-interval" usage:"time between readings of upstream load" validate:"min=50ms"`
+	DataDir         string        `env:"POMELOCROSS_DATA_DIR" flag:"data-dir" usage:"folder that keeps the last accepted configuration over restarts; empty for none"`
+	Peers           []string      `env:"POMELOCROSS_PEERS" flag:"peers" usage:"peer IP:port of other instances, asked while the platform does not give the instance list; comma-separated" validate:"dive,ip_port"`
+	IsolationGrace  time.Duration `env:"POMELOCROSS_ISOLATION_GRACE" envDefault:"10s" flag:"isolation-grace" usage:"age of the platform's last word, heard directly or through peers, from which the instance counts as isolated" validate:"min=5s"`
 	TraceFile       string        `env:"POMELOCROSS_TRACE_FILE" flag:"trace-file" usage:"file that spans are appended to; empty for none"`
 	LogLevel        string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
 
@@ -95,6 +98,8 @@
 			parser.Bool(target, "", f.flag(), description)
 		case *time.Duration:
 			parser.Duration(target, "", f.flag(), description)
+		case *[]string:
+			parser.StringSlice(target, "", f.flag(), description)
 		}
 	}
 }
