--- a/domain/tracker.go
+++ b/domain/tracker.go
@@ -50,9 +50,9 @@
 type Tracker struct {
 	self    platform.Member
 	limits  Limits
-	members []platform.Member // last reading of the list
-	started time.Time
+	members []platform.Member  // last reading of the list
 	known   map[string]*record // entry instances other than self
+	changed bool               // a view taken now differs from the last
 }
 
 type record struct {
@@ -66,14 +66,15 @@
 }
 
 // NewTracker returns a tracker of self's deployment that knows no one yet.
-func NewTracker(self platform.Member, limits Limits, now time.Time) *Tracker {
-	return &Tracker{self: self, limits: limits, started: now, known: map[string]*record{}}
+func NewTracker(self platform.Member, limits Limits) *Tracker {
+	return &Tracker{self: self, limits: limits, known: map[string]*record{}}
 }
 
 // Listed takes a reading of the instance list. An instance that left the list is
 // forgotten unless it was heard lately, since the list lags both ways.
 func (t *Tracker) Listed(members []platform.Member, now time.Time) {
 	t.members = members
+	t.changed = true
 	for _, r := range t.known {
 		r.listed = false
 	}
@@ -83,7 +84,6 @@
 		}
 		t.record(m, now).listed = true
 	}
-	t.forget(now)
 }
 
 // record returns the record of m. A new address under an old name is a
@@ -93,6 +93,7 @@
 	if r == nil || r.member.Peer != m.Peer {
 		r = &record{heard: now}
 		t.known[m.Name] = r
+		t.changed = true
 	}
 	r.member = m
 	return r
@@ -102,6 +103,7 @@
 	for name, r := range t.known {
 		if !r.listed && now.Sub(r.heard) > t.limits.Forget {
 			delete(t.known, name)
+			t.changed = true
 		}
 	}
 }
@@ -116,11 +118,16 @@
 	if r == nil {
 		r = t.record(m, sent)
 	}
-	r.leaving = m.Leaving
+	t.leave(r, m.Leaving)
 	r.failures, r.accused = 0, false
 	r.hear(sent)
 }
 
+func (t *Tracker) leave(r *record, leaving bool) {
+	t.changed = t.changed || r.leaving != leaving
+	r.leaving = leaving
+}
+
 func (r *record) hear(at time.Time) {
 	if at.After(r.heard) {
 		r.heard = at
@@ -138,7 +145,7 @@
 			continue
 		}
 		if s.Leaving {
-			r.leaving = true
+			t.leave(r, true)
 		}
 		if at := sent.Add(-s.Age); at.After(r.heard) {
 			r.failures, r.accused = 0, false
@@ -165,9 +172,12 @@
 	}
 }
 
-// Refresh applies the time that has passed. It reports whether any state changed.
+// Refresh applies the time that has passed. It reports whether a view taken now
+// differs from one taken at the last Refresh.
 func (t *Tracker) Refresh(now time.Time) bool {
-	changed := false
+	t.forget(now)
+	changed := t.changed
+	t.changed = false
 	for _, r := range t.known {
 		before := t.liveness(r, now)
 		switch {
@@ -264,7 +274,10 @@
 }
 
 // Leave marks self as leaving.
-func (t *Tracker) Leave() { t.self.Leaving = true }
+func (t *Tracker) Leave() {
+	t.self.Leaving = true
+	t.changed = true
+}
 
 // Self returns this instance as it tells peers of itself.
 func (t *Tracker) Self() platform.Member { return t.listedSelf() }
--- a/instance/members.go
+++ b/instance/members.go
@@ -50,6 +50,7 @@
 	Instance string          `json:"instance"`
 	Domain   string          `json:"domain"`
 	Liveness domain.Liveness `json:"liveness"`
+	Peer     string          `json:"peer"` // address that was asked
 	Leaving  bool            `json:"leaving,omitempty"`
 	Error    string          `json:"error,omitempty"` // why it did not answer
 	// Through names the instance that passed the question on, if one did.
@@ -72,7 +73,7 @@
 }
 
 func (i *Instance) askStatus(ctx context.Context, entry platform.Member) MemberStatus {
-	answer := MemberStatus{Instance: entry.Name, Domain: entry.Domain, Leaving: entry.Leaving, Liveness: i.view.Load().Domain.Liveness(entry.Name)}
+	answer := MemberStatus{Instance: entry.Name, Domain: entry.Domain, Peer: entry.Peer, Leaving: entry.Leaving, Liveness: i.view.Load().Domain.Liveness(entry.Name)}
 	if entry.Name == i.settings.Name {
 		own := i.status()
 		answer.Status = &own
--- a/notice/endpoint.go
+++ b/notice/endpoint.go
@@ -90,7 +90,7 @@
 // NewEndpoint returns an endpoint that knows nothing yet.
 func NewEndpoint(o Options) *Endpoint {
 	now := o.Clock.Now()
-	tracker := domain.NewTracker(o.Self, o.Limits, now)
+	tracker := domain.NewTracker(o.Self, o.Limits)
 	return &Endpoint{
 		Options: o, run: context.Background(), book: NewBook(), tracker: tracker, view: tracker.View(now),
 		given: map[string]issued{}, received: map[string]uint64{}, pushing: map[string]bool{},
@@ -213,7 +213,7 @@
 	e.listed = true
 	e.tracker.Listed(members, e.Clock.Now())
 	e.mu.Unlock()
-	e.refresh(true)
+	e.refresh()
 }
 
 // Leave tells peers from now on that the instance is leaving.
@@ -221,16 +221,15 @@
 	e.mu.Lock()
 	e.tracker.Leave()
 	e.mu.Unlock()
-	e.refresh(true)
+	e.refresh()
 	e.spread(true)
 }
 
 // refresh publishes a new view when membership changed.
-func (e *Endpoint) refresh(force bool) {
+func (e *Endpoint) refresh() {
 	now := e.Clock.Now()
 	e.mu.Lock()
-	changed := e.tracker.Refresh(now) || force
-	if !changed {
+	if !e.tracker.Refresh(now) {
 		e.mu.Unlock()
 		return
 	}
--- a/notice/loops.go
+++ b/notice/loops.go
@@ -22,7 +22,7 @@
 func (e *Endpoint) exchangeRounds(ctx context.Context) {
 	for turn := rand.IntN(1 << 10); ctx.Err() == nil; turn++ {
 		e.round(ctx, turn)
-		e.refresh(false)
+		e.refresh()
 		e.sleep(ctx, e.Timing.Round/2+rand.N(e.Timing.Round))
 	}
 }
