--- a/contract/check.go
+++ b/contract/check.go
@@ -39,7 +39,11 @@
 	for i, r := range b.Routes {
 		c.refers(services, fmt.Sprintf("routes[%d].service", i), r.Service)
 	}
+	declared(c, "costLimits", b.CostLimits, func(l CostLimit) string { return l.Service + "/" + l.Domain })
 	for i, l := range b.CostLimits {
+		if l.MinReady > l.MaxDear+l.MaxCheap {
+			c.faults = append(c.faults, Fault{Field: fmt.Sprintf("costLimits[%d].minReady", i), What: "is more than maxDear and maxCheap allow"})
+		}
 		c.refers(services, fmt.Sprintf("costLimits[%d].service", i), l.Service)
 		c.refers(domains, fmt.Sprintf("costLimits[%d].domain", i), l.Domain)
 	}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -59,7 +59,7 @@
 
 // Key grants its bearer a team's rights. Only a salted hash is declared.
 type Key struct {
-	ID   string `yaml:"id" json:"id" validate:"required,alphanum,max=32"`
+	ID   string `yaml:"id" json:"id" validate:"required,keyid"`
 	Team string `yaml:"team" json:"team" validate:"required"`
 	// Hash is "salt:sha256", both in hexadecimal, as made by HashSecret.
 	Hash string `yaml:"hash" json:"hash" validate:"required,keyhash"`
@@ -88,7 +88,7 @@
 	// service: serve on the last accepted configuration, or refuse.
 	WhenIsolated string `yaml:"whenIsolated" json:"whenIsolated" validate:"oneof=serve refuse"`
 	// IsolatedFor bounds how long WhenIsolated serve lasts; 0 is unbounded.
-	IsolatedFor Duration `yaml:"isolatedFor" json:"isolatedFor"`
+	IsolatedFor Duration `yaml:"isolatedFor" json:"isolatedFor" validate:"min=0"`
 }
 
 // Route maps requests to a service.
@@ -104,7 +104,7 @@
 	// Idempotent requests may be sent again after an unknown outcome.
 	Idempotent bool `yaml:"idempotent" json:"idempotent"`
 	// Timeout bounds a request that names no deadline of its own.
-	Timeout Duration `yaml:"timeout" json:"timeout" validate:"required"`
+	Timeout Duration `yaml:"timeout" json:"timeout" validate:"required,min=1"`
 }
 
 // CostLimit bounds what upstreams of one service may cost in a region or domain.
--- a/contract/key.go
+++ b/contract/key.go
@@ -17,6 +17,14 @@
 	secretBytes = 24
 )
 
+// MaxKeyID bounds the length of a key's identifier.
+const MaxKeyID = 32
+
+var keyIDPattern = regexp.MustCompile(`^[a-zA-Z0-9]{1,32}$`)
+
+// ValidKeyID reports whether a key may have the identifier.
+func ValidKeyID(id string) bool { return keyIDPattern.MatchString(id) }
+
 var keyHashPattern = regexp.MustCompile(`^[0-9a-f]{32}:[0-9a-f]{64}$`)
 
 // SplitKey parses "pmx_ID_SECRET" as callers present it.
@@ -26,7 +34,7 @@
 		return "", "", false
 	}
 	id, secret, found = strings.Cut(rest, "_")
-	return id, secret, found && id != "" && secret != ""
+	return id, secret, found && ValidKeyID(id) && secret != ""
 }
 
 // NewKey makes a random key for id. It returns the text given to the caller and
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -189,6 +189,7 @@
 	must(v.RegisterValidation("name", func(fl validator.FieldLevel) bool {
 		return namePattern.MatchString(fl.Field().String())
 	}))
+	must(v.RegisterValidation("keyid", func(fl validator.FieldLevel) bool { return ValidKeyID(fl.Field().String()) }))
 	must(v.RegisterValidation("keyhash", func(fl validator.FieldLevel) bool {
 		return keyHashPattern.MatchString(fl.Field().String())
 	}))
@@ -223,11 +224,16 @@
 		return "is required"
 	case "name":
 		return "must be lower-case letters, digits and dashes, at most 63"
+	case "keyid":
+		return "must be 1 to 32 letters and digits"
 	case "keyhash":
 		return "must be salt:sha256 as printed by 'pomelocross key'"
 	case "oneof":
 		return "must be one of: " + field.Param()
 	case "min":
+		if _, ok := field.Value().(Duration); ok {
+			return "must not be negative"
+		}
 		return "must be at least " + field.Param()
 	case "max":
 		return "must be at most " + field.Param()
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -20,6 +20,8 @@
 	Digest   string   `json:"digest"` // SHA-256 of the bundle's JSON, hexadecimal
 	By       string   `json:"by"`     // operator who applied it
 	Bundle   Bundle   `json:"bundle"`
+	// Recent are the last history entries, this revision's included.
+	Recent []HistoryEntry `json:"recent,omitempty"`
 }
 
 // Digest returns the SHA-256 of the bundle's JSON in hexadecimal.
@@ -115,6 +117,9 @@
 // HasKey reports whether the key, with this team and hash, is still declared.
 func (s *Snapshot) HasKey(k Key) bool { return s.keys[k.ID] == k }
 
+// Key returns the declared key with an identifier.
+func (s *Snapshot) Key(id string) (Key, bool) { k, ok := s.keys[id]; return k, ok }
+
 // Team returns the declared team.
 func (s *Snapshot) Team(name string) (Team, bool) { t, ok := s.teams[name]; return t, ok }
 
--- a/instance/admin.go
+++ b/instance/admin.go
@@ -82,5 +82,6 @@
 	mux.HandleFunc("GET /status/all", func(w http.ResponseWriter, r *http.Request) {
 		httpjson.Write(w, http.StatusOK, i.allStatus(r.Context()))
 	})
+	mux.HandleFunc("GET /explain", i.serveExplanation)
 	return mux
 }
--- /dev/null
+++ b/instance/explain.go
@@ -0,0 +1,99 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/internal/httpjson"
+)
+
+// Verdicts of an explanation.
+const (
+	VerdictServed  = "would be served"
+	VerdictRefused = "would be refused"
+)
+
+// Explanation says what an instance would do with a request now, and why.
+type Explanation struct {
+	Instance string            `json:"instance"`
+	Revision contract.Revision `json:"revision"`
+	Verdict  string            `json:"verdict"`
+	Reasons  []string          `json:"reasons"`
+}
+
+func (e *Explanation) note(format string, args ...any) {
+	e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...))
+}
+
+func (e *Explanation) refuse(format string, args ...any) {
+	e.Verdict = VerdictRefused
+	e.note(format, args...)
+}
+
+// explain judges a request by the identifier of its key. It knows no secret, so
+// it cannot tell whether a caller presents the right one.
+func (i *Instance) explain(keyID, method, path string) Explanation {
+	view := i.view.Load()
+	e := Explanation{Instance: i.settings.Name, Verdict: VerdictServed, Reasons: []string{}}
+	if i.draining.Load() {
+		e.refuse("the instance is draining")
+	}
+	if view.Contract == nil {
+		e.refuse("no configuration is in force")
+		return e
+	}
+	e.Revision = view.Contract.Revision
+	matched, ok := view.Contract.Match(method, path)
+	if !ok {
+		e.refuse("no route takes %s %s", method, path)
+		return e
+	}
+	e.note("route %s leads to service %s, class %s", matched.Name, matched.Service, matched.Class)
+	i.explainKey(&e, view, matched, keyID)
+	i.explainService(&e, view, matched.Service)
+	return e
+}
+
+func (i *Instance) explainKey(e *Explanation, view *View, matched contract.Route, keyID string) {
+	key, ok := view.Contract.Key(keyID)
+	switch {
+	case ok:
+		e.note("key %s belongs to team %s", key.ID, key.Team)
+	case matched.Open:
+		e.note("the route is open and needs no key")
+	case keyID == "":
+		e.refuse("the route needs a key")
+	default:
+		e.refuse("key %s is not declared in revision %d", keyID, e.Revision)
+	}
+}
+
+func (i *Instance) explainService(e *Explanation, view *View, name string) {
+	service, _ := view.Contract.Service(name)
+	if age, isolated := i.isolation(view); isolated {
+		e.note("the instance is isolated: the platform was last heard %s ago", age)
+		if !service.ServesIsolated(age) {
+			e.refuse("service %s takes no work in isolation for so long (whenIsolated: %s, isolatedFor: %s)", name, service.WhenIsolated, service.IsolatedFor.Std())
+		}
+	}
+	staying := 0
+	for _, u := range view.Upstream.Of(name) {
+		if !u.Leaving {
+			staying++
+		}
+	}
+	if staying == 0 {
+		e.refuse("service %s has no upstream that stays", name)
+		return
+	}
+	e.note("upstreams of service %s that stay: %d", name, staying)
+	if q := i.queues.of(name); q != nil {
+		e.note("requests that wait here: %d", q.Depth())
+	}
+}
+
+func (i *Instance) serveExplanation(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	httpjson.Write(w, http.StatusOK, i.explain(q.Get("key"), q.Get("method"), q.Get("path")))
+}
--- a/notice/endpoint.go
+++ b/notice/endpoint.go
@@ -62,7 +62,8 @@
 	Limits domain.Limits
 	// Seeds are peer addresses to ask while no instance list is known.
 	Seeds []string
-	// AlwaysWatch makes every instance watch, whatever its place.
+	// AlwaysWatch makes the instance watch whatever its place, and tell no one but
+	// in rounds.
 	AlwaysWatch bool
 }
 
--- a/notice/loops.go
+++ b/notice/loops.go
@@ -57,6 +57,9 @@
 // spread sends news to those that this instance is to tell. A push that is
 // under way is told to look again when it is done.
 func (e *Endpoint) spread(outside bool) {
+	if e.AlwaysWatch {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, peer := range audience(e.view, outside) {
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -38,8 +38,8 @@
 	lose      int                // answers to lose, after the call took effect
 	down      map[string]bool    // domains that do not reach the platform
 
-	bytes, calls, reads atomic.Int64
-	objects             store
+	bytes, platformBytes, calls, reads, waiting atomic.Int64
+	objects                                     store
 }
 
 type member struct {
@@ -47,6 +47,7 @@
 	mu       sync.Mutex // guards news
 	news     []Item
 	revision atomic.Int64
+	stop     context.CancelFunc
 }
 
 func (m *member) Check(item Item) error {
@@ -99,6 +100,7 @@
 	item := a.net.objects.item
 	list := platform.List{Version: platform.Version(item.Revision)}
 	if list.Version > after {
+		a.net.platformBytes.Add(int64(len(item.Value)))
 		list.Objects = []platform.Object{{Kind: item.Kind, Name: item.Name, Version: list.Version, Value: item.Value}}
 	}
 	return list, a.net.objects.changed, nil
@@ -116,6 +118,8 @@
 	if err != nil || len(list.Objects) > 0 {
 		return list, err
 	}
+	a.net.waiting.Add(1)
+	defer a.net.waiting.Add(-1)
 	select {
 	case <-changed:
 	case <-time.After(wait):
@@ -186,7 +190,8 @@
 }
 
 func (n *network) start(ctx context.Context, self platform.Member, timing Timing, always bool) *member {
-	m := &member{}
+	ctx, stop := context.WithCancel(ctx)
+	m := &member{stop: stop}
 	m.Endpoint = NewEndpoint(Options{
 		Self: self, Caller: way{n, self.Domain}, Store: access{net: n, domain: self.Domain}, Kinds: []string{"config"},
 		Decode: decode, Sink: m, Clock: clockwork.NewRealClock(), Timing: timing, Limits: domain.DefaultLimits(), AlwaysWatch: always,
--- a/operator/command.go
+++ b/operator/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -18,19 +19,29 @@
 // options are the flags of all commands.
 type options struct {
 	platform, admin, deployment, output, by string
-	file, keyID                             string
+	file, keyID, team, method, path         string
 	wait                                    bool
 	timeout                                 time.Duration
 }
 
-// Run parses args and carries out one command.
+const defaultTimeout = 30 * time.Second
+
+const description = `Checks, applies and shows what a deployment declares.
+
+  Exit codes: 0 done; 1 could not be carried out; 2 the command line or the
+  files have faults; 3 another operator was first, nothing was applied;
+  4 accepted, but not in force everywhere in time.
+  'pomelocross completion bash' prints a completion script, also for zsh and fish.`
+
+// Run parses args and carries out one command. With -o json an error is also
+// printed as JSON.
 func Run(ctx context.Context, version string, args []string, out io.Writer) error {
 	o := &options{
 		platform: os.Getenv("POMELOCROSS_PLATFORM"), admin: os.Getenv("POMELOCROSS_ADMIN"),
-		deployment: os.Getenv("POMELOCROSS_DEPLOYMENT"), output: "text", by: userName(), timeout: 30 * time.Second,
+		deployment: os.Getenv("POMELOCROSS_DEPLOYMENT"), output: "text", by: userName(), timeout: defaultTimeout,
 	}
 	parser := flaggy.NewParser("pomelocross")
-	parser.Description = "Checks, applies and shows what a deployment declares."
+	parser.Description = description
 	parser.Version = version
 	parser.String(&o.platform, "", "platform", "IP:port of the platform (POMELOCROSS_PLATFORM)")
 	parser.String(&o.admin, "", "admin", "admin IP:port of any instance (POMELOCROSS_ADMIN)")
@@ -41,18 +52,42 @@
 	if err := parser.ParseArgs(args); err != nil {
 		return &Error{Code: ExitInvalid, Err: err}
 	}
+	if o.output != "text" && o.output != "json" {
+		return &Error{Code: ExitInvalid, Err: fmt.Errorf("--output must be text or json")}
+	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
 	operator := &Operator{Store: platform.NewClient(o.platform, nil), Admin: o.admin, Out: out, JSON: o.output == "json"}
 	for _, c := range commands {
 		if c.sub.Used {
-			return c.run(ctx, operator)
+			err := c.run(ctx, operator)
+			operator.printError(err)
+			return err
 		}
 	}
 	parser.ShowHelp()
 	return &Error{Code: ExitInvalid, Err: fmt.Errorf("a command is required")}
 }
 
+// Failure is an error as -o json prints it.
+type Failure struct {
+	Error    string           `json:"error"`
+	ExitCode int              `json:"exitCode"`
+	Faults   []contract.Fault `json:"faults,omitempty"`
+}
+
+func (o *Operator) printError(err error) {
+	if err == nil || !o.JSON || ExitCode(err) == ExitLagging {
+		return // what lags is in the output of apply
+	}
+	f := Failure{Error: err.Error(), ExitCode: ExitCode(err)}
+	var faults *contract.FaultsError
+	if errors.As(err, &faults) {
+		f.Faults = faults.Faults
+	}
+	_ = o.PrintJSON(f) // the error itself reaches the caller
+}
+
 func userName() string {
 	u, err := user.Current()
 	if err != nil {
@@ -85,19 +120,42 @@
 	apply.Bool(&o.wait, "", "wait", "wait until every instance has it in force")
 	apply.String(&o.by, "", "by", "name recorded with the revision")
 	with("get", "show the accepted configuration", o.get)
-	with("status", "show every instance", o.status)
+	with("history", "show who applied what, and when", o.history)
+	with("status", "show every instance and where the newest revision is in force", o.status)
+	use := with("usage", "show the frozen usage figures", o.usage)
+	use.String(&o.team, "", "team", "team to show; all without it")
+	explain := with("explain", "show what an instance would do with a request now, and why", o.explain)
+	explain.String(&o.keyID, "", "key-id", "identifier of the caller's key, without its secret")
+	explain.String(&o.method, "", "method", "method of the request")
+	explain.String(&o.path, "", "path", "path of the request")
 	key := with("key", "make a new key: prints the key and the hash to declare", o.key)
 	key.String(&o.keyID, "", "id", "identifier of the key")
 	return list
 }
 
+// Validity is what validate prints.
+type Validity struct {
+	Valid    bool `json:"valid"`
+	Teams    int  `json:"teams"`
+	Keys     int  `json:"keys"`
+	Services int  `json:"services"`
+	Routes   int  `json:"routes"`
+}
+
 func (o *options) validate(_ context.Context, operator *Operator) error {
 	bundle, err := Load([]string{o.file})
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(operator.Out, "valid: %d teams, %d keys, %d services, %d routes\n", len(bundle.Teams), len(bundle.Keys), len(bundle.Services), len(bundle.Routes))
-	return nil
+	if err := checkSize(contract.Accepted{Bundle: *bundle}); err != nil {
+		return err
+	}
+	v := Validity{true, len(bundle.Teams), len(bundle.Keys), len(bundle.Services), len(bundle.Routes)}
+	if operator.JSON {
+		return operator.PrintJSON(v)
+	}
+	_, err = fmt.Fprintf(operator.Out, "valid: %d teams, %d keys, %d services, %d routes\n", v.Teams, v.Keys, v.Services, v.Routes)
+	return err
 }
 
 func (o *options) diff(ctx context.Context, operator *Operator) error {
@@ -119,6 +177,13 @@
 	return nil
 }
 
+// Applied is what apply prints.
+type Applied struct {
+	Revision contract.Revision `json:"revision"`
+	By       string            `json:"by"`
+	Reach    *Reach            `json:"reach,omitempty"` // with --wait
+}
+
 func (o *options) apply(ctx context.Context, operator *Operator) error {
 	bundle, err := Load([]string{o.file})
 	if err != nil {
@@ -128,15 +193,21 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(operator.Out, "revision %d is accepted\n", accepted.Revision)
-	if !o.wait {
-		return nil
+	fmt.Fprintf(operator.progress(), "revision %d is accepted\n", accepted.Revision)
+	applied := Applied{Revision: accepted.Revision, By: accepted.By}
+	var lagging error
+	if o.wait {
+		reached, err := operator.WaitInForce(ctx, accepted.Revision)
+		applied.Reach, lagging = &reached, err
+	}
+	if operator.JSON {
+		return errors.Join(lagging, operator.PrintJSON(applied))
 	}
-	return operator.WaitInForce(ctx, accepted.Revision)
+	return lagging
 }
 
 func (o *options) get(ctx context.Context, operator *Operator) error {
-	accepted, _, err := operator.Accepted(ctx, o.deployment)
+	accepted, err := o.accepted(ctx, operator)
 	if err != nil {
 		return err
 	}
@@ -147,8 +218,24 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(operator.Out, "# revision %d by %s\n%s", accepted.Revision, accepted.By, text)
-	return nil
+	_, err = fmt.Fprintf(operator.Out, "# revision %d by %s\n%s", accepted.Revision, accepted.By, text)
+	return err
+}
+
+func (o *options) accepted(ctx context.Context, operator *Operator) (contract.Accepted, error) {
+	accepted, _, err := operator.Accepted(ctx, o.deployment)
+	if err == nil && accepted.Revision == 0 {
+		err = fmt.Errorf("nothing was ever applied to deployment %q", o.deployment)
+	}
+	return accepted, err
+}
+
+func (o *options) history(ctx context.Context, operator *Operator) error {
+	entries, err := operator.History(ctx, o.deployment)
+	if err != nil {
+		return err
+	}
+	return operator.PrintHistory(entries)
 }
 
 func (o *options) status(ctx context.Context, operator *Operator) error {
@@ -159,11 +246,39 @@
 	return operator.PrintStatus(all)
 }
 
+func (o *options) usage(ctx context.Context, operator *Operator) error {
+	lines, err := operator.Usage(ctx, o.team)
+	if err != nil {
+		return err
+	}
+	return operator.PrintUsage(lines)
+}
+
+func (o *options) explain(ctx context.Context, operator *Operator) error {
+	explanation, err := operator.Explain(ctx, o.keyID, o.method, o.path)
+	if err != nil {
+		return err
+	}
+	return operator.PrintExplanation(explanation)
+}
+
+// NewKey is what key prints.
+type NewKey struct {
+	Key  string `json:"key"`
+	Hash string `json:"hash"`
+}
+
 func (o *options) key(_ context.Context, operator *Operator) error {
+	if !contract.ValidKeyID(o.keyID) {
+		return &Error{Code: ExitInvalid, Err: fmt.Errorf("--id must be 1 to %d letters and digits", contract.MaxKeyID)}
+	}
 	presented, hash, err := contract.NewKey(o.keyID)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(operator.Out, "key:  %s\nhash: %s\n", presented, hash)
-	return nil
+	if operator.JSON {
+		return operator.PrintJSON(NewKey{presented, hash})
+	}
+	_, err = fmt.Fprintf(operator.Out, "key:  %s\nhash: %s\n", presented, hash)
+	return err
 }
--- /dev/null
+++ b/operator/explain.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/samber/oops"
+
+	"github.com/pomelocross/pomelocross/instance"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/usage"
+)
+
+// Explain asks the instance what it would do with a request now. Key is the
+// identifier of a key, never its secret.
+func (o *Operator) Explain(ctx context.Context, key, method, path string) (instance.Explanation, error) {
+	var e instance.Explanation
+	query := url.Values{"key": {key}, "method": {method}, "path": {path}}
+	return e, o.getAdmin(ctx, "/explain?"+query.Encode(), &e)
+}
+
+// PrintExplanation writes an explanation.
+func (o *Operator) PrintExplanation(e instance.Explanation) error {
+	if o.JSON {
+		return o.PrintJSON(e)
+	}
+	fmt.Fprintf(o.Out, "%s: %s\n", e.Instance, e.Verdict)
+	for _, reason := range e.Reasons {
+		fmt.Fprintf(o.Out, "  %s\n", reason)
+	}
+	return nil
+}
+
+// UsageLine is one frozen figure.
+type UsageLine struct {
+	Team     string               `json:"team"`
+	Window   string               `json:"window"`
+	Service  string               `json:"service"`
+	Figure   platform.UsageFigure `json:"figure"`
+	Reported bool                 `json:"reported"`
+}
+
+// Usage returns the frozen figures that the platform holds, for one team or all.
+func (o *Operator) Usage(ctx context.Context, team string) ([]UsageLine, error) {
+	list, err := o.Store.List(ctx, platform.KindUsage)
+	if err != nil {
+		return nil, err
+	}
+	lines := []UsageLine{}
+	for _, object := range list.Objects {
+		var frozen usage.Frozen
+		if err := json.Unmarshal(object.Value, &frozen); err != nil {
+			return nil, oops.In("operator").With("step", "read usage", "peer", object.Name).Wrap(err)
+		}
+		if team != "" && frozen.Report.Team != team {
+			continue
+		}
+		for service, figure := range frozen.Report.Figures {
+			lines = append(lines, UsageLine{frozen.Report.Team, frozen.Report.Window.UTC().Format("2006-01-02T15:04:05Z"), service, figure, frozen.Reported})
+		}
+	}
+	sortUsage(lines)
+	return lines, nil
+}
+
+// PrintUsage writes a line for each figure.
+func (o *Operator) PrintUsage(lines []UsageLine) error {
+	if o.JSON {
+		return o.PrintJSON(lines)
+	}
+	table := tabwriter.NewWriter(o.Out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "WINDOW\tTEAM\tSERVICE\tREQUESTS\tPROMPT TOKENS\tOUTPUT TOKENS\tLATE TOKENS\tREPORTED")
+	for _, l := range lines {
+		f := l.Figure
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", l.Window, l.Team, l.Service, f.Requests, f.PromptTokens, f.OutputTokens, f.LateTokens, l.Reported)
+	}
+	return table.Flush()
+}
+
+func sortUsage(lines []UsageLine) {
+	sortBy(lines, func(l UsageLine) string { return strings.Join([]string{l.Window, l.Team, l.Service}, "\x00") })
+}
--- /dev/null
+++ b/operator/history.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/platform"
+)
+
+const (
+	// kindHistory holds one history a deployment.
+	kindHistory = "history"
+	// maxHistoryBytes bounds the stored history well below an object's limit.
+	maxHistoryBytes = 512 << 10
+	historyTries    = 5
+)
+
+// History returns the accepted revisions of a deployment, oldest first, as far
+// back as they are kept. Entries that an apply could not store are stored now.
+func (o *Operator) History(ctx context.Context, deployment string) ([]contract.HistoryEntry, error) {
+	accepted, _, err := o.Accepted(ctx, deployment)
+	if err != nil {
+		return nil, err
+	}
+	return o.storeHistory(ctx, deployment, accepted.Recent)
+}
+
+// storeHistory merges entries into the stored history. Operators that do so at
+// once repeat their conditional updates.
+func (o *Operator) storeHistory(ctx context.Context, deployment string, recent []contract.HistoryEntry) ([]contract.HistoryEntry, error) {
+	for range historyTries {
+		stored, version, err := o.storedHistory(ctx, deployment)
+		if err != nil {
+			return nil, err
+		}
+		merged, more := mergeHistory(stored, recent)
+		if !more {
+			return merged, nil
+		}
+		_, err = o.Store.Put(ctx, kindHistory, deployment, version, merged)
+		if err == nil {
+			return merged, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return merged, oops.In("operator").With("step", "store history").Wrap(err)
+		}
+	}
+	return nil, oops.In("operator").With("step", "store history").Errorf("other operators changed the history %d times", historyTries)
+}
+
+func (o *Operator) storedHistory(ctx context.Context, deployment string) ([]contract.HistoryEntry, platform.Version, error) {
+	object, err := o.Store.Get(ctx, kindHistory, deployment)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var stored []contract.HistoryEntry
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
+		return nil, 0, oops.In("operator").With("step", "read history").Wrap(err)
+	}
+	return stored, object.Version, nil
+}
+
+// mergeHistory adds recent to stored by revision and reports whether there was
+// anything to add. The oldest entries go when it grows too large.
+func mergeHistory(stored, recent []contract.HistoryEntry) ([]contract.HistoryEntry, bool) {
+	merged := slices.Clone(stored)
+	for _, e := range recent {
+		if !slices.ContainsFunc(stored, func(s contract.HistoryEntry) bool { return s.Revision == e.Revision }) {
+			merged = append(merged, e)
+		}
+	}
+	slices.SortFunc(merged, func(a, b contract.HistoryEntry) int { return cmp.Compare(a.Revision, b.Revision) })
+	added := len(merged) > len(stored)
+	for size(merged) > maxHistoryBytes {
+		merged = merged[len(merged)/4+1:]
+	}
+	return merged, added
+}
+
+func size(v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
+// PrintHistory writes the entries, newest first.
+func (o *Operator) PrintHistory(entries []contract.HistoryEntry) error {
+	slices.Reverse(entries)
+	if o.JSON {
+		return o.PrintJSON(entries)
+	}
+	for _, e := range entries {
+		fmt.Fprintf(o.Out, "revision %d by %s at %s\n", e.Revision, e.By, e.At.Format("2006-01-02 15:04:05Z"))
+		for _, c := range e.Changes {
+			fmt.Fprintf(o.Out, "  %s\n", c)
+		}
+		if e.Omitted > 0 {
+			fmt.Fprintf(o.Out, "  and %d more\n", e.Omitted)
+		}
+	}
+	return nil
+}
+
+// plural returns "1 noun" or "n nouns".
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, strings.TrimSuffix(noun, "s"))
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -17,31 +19,25 @@
 
 // AllStatus returns the status of all instances as the asked one sees them.
 func (o *Operator) AllStatus(ctx context.Context) ([]instance.MemberStatus, error) {
-	r, err := sling.New().Get("http://" + o.Admin + "/status/all").Request()
+	var all []instance.MemberStatus
+	return all, o.getAdmin(ctx, "/status/all", &all)
+}
+
+// getAdmin reads from the admin interface of the asked instance.
+func (o *Operator) getAdmin(ctx context.Context, path string, into any) error {
+	if o.Admin == "" {
+		return &Error{Code: ExitInvalid, Err: errors.New("--admin or POMELOCROSS_ADMIN is required")}
+	}
+	r, err := sling.New().Get("http://" + o.Admin + path).Request()
 	if err != nil {
-		return nil, oops.In("operator").Wrap(err)
+		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(err)
 	}
 	answer, err := http.DefaultClient.Do(r.WithContext(ctx))
 	if err != nil {
-		return nil, oops.In("operator").With("peer", o.Admin).Wrap(err)
+		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(err)
 	}
 	defer answer.Body.Close()
-	var all []instance.MemberStatus
-	if err := json.NewDecoder(answer.Body).Decode(&all); err != nil {
-		return nil, oops.In("operator").With("peer", o.Admin).Wrap(err)
-	}
-	return all, nil
-}
-
-// lagging names instances that do not have revision in force.
-func lagging(all []instance.MemberStatus, revision contract.Revision) []string {
-	var names []string
-	for _, m := range all {
-		if m.Status == nil || m.Status.Revision < revision {
-			names = append(names, m.Instance+" in "+m.Domain)
-		}
-	}
-	return names
+	return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(json.NewDecoder(answer.Body).Decode(into))
 }
 
 // PrintStatus writes a line for each instance.
@@ -50,30 +46,52 @@
 		return o.PrintJSON(all)
 	}
 	table := tabwriter.NewWriter(o.Out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tDOMAIN\tSTATE\tREVISION\tROLES\tWAITING\tRUNS")
+	fmt.Fprintln(table, "INSTANCE\tDOMAIN\tSTATE\tREVISION\tPLATFORM HEARD\tROLES\tWAITING\tRUNS")
+	newest := contract.Revision(0)
 	for _, m := range all {
 		if m.Status == nil {
-			fmt.Fprintf(table, "%s\t%s\tNO ANSWER\t-\t-\t-\t-\n", m.Instance, m.Domain)
+			fmt.Fprintf(table, "%s\t%s\tno answer, %s\t-\t-\t-\t-\t-\n", m.Instance, m.Domain, m.Liveness)
 			continue
 		}
+		newest = max(newest, m.Status.Revision)
 		waiting := 0
 		for _, n := range m.Status.Queues {
 			waiting += n
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%s\n", m.Instance, m.Domain, state(m.Status), m.Status.Revision,
-			orDash(m.Status.Roles), waiting, orDash(m.Status.Runs))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", m.Instance, m.Domain, state(m), m.Status.Revision,
+			heard(m.Status), orDash(m.Status.Roles), waiting, orDash(m.Status.Runs))
+	}
+	if err := table.Flush(); err != nil {
+		return err
 	}
-	return table.Flush()
+	_, err := fmt.Fprintln(o.Out, reach(all, newest))
+	return err
 }
 
-func state(s *instance.Status) string {
+func heard(s *instance.Status) string {
+	if s.WordAge == "" {
+		return "never"
+	}
+	return s.WordAge + " ago"
+}
+
+func state(m instance.MemberStatus) string {
+	s := m.Status
+	text := "serving"
 	switch {
 	case s.Draining:
-		return "draining"
+		text = "draining"
 	case s.Revision == 0:
-		return "no configuration"
+		text = "no configuration"
+	case s.Isolated && len(s.Refused) > 0:
+		text = "isolated, refuses " + strings.Join(s.Refused, ",")
+	case s.Isolated:
+		text = "isolated, serves"
+	}
+	if m.Through != "" {
+		text += ", reached through " + m.Through
 	}
-	return "serving"
+	return text
 }
 
 func orDash(names []string) string {
@@ -89,3 +107,7 @@
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(v)
 }
+
+func sortBy[T any](items []T, key func(T) string) {
+	slices.SortFunc(items, func(a, b T) int { return strings.Compare(key(a), key(b)) })
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,28 +47,50 @@
 const masked = "********"
 
 // Parse reads the environment, then args without the program's name. The error
-// lists every fault, a line each.
+// lists every fault of both, a line each, named by flag.
 func Parse(version string, args []string) (*Settings, error) {
 	s := &Settings{}
-	if err := env.Parse(s); err != nil {
-		return nil, environmentFaults(err)
-	}
+	faults := environmentFaults(env.Parse(s))
 	parser := flaggy.NewParser("pomelocrossd")
 	parser.Description = "Serves rollouts and order-desk requests for one failure domain."
 	parser.Version = version
 	register(parser, s)
 	if err := parser.ParseArgs(args); err != nil {
-		return nil, oops.In("settings").Wrapf(err, "parse flags")
+		faults = append(faults, oops.In("settings").Wrapf(err, "parse flags"))
+	}
+	if len(s.Peers) > 0 {
+		s.Peers = strings.Split(strings.Join(s.Peers, ","), ",")
 	}
-	return s, s.Validate()
+	faults = append(faults, s.Validate())
+	return s, errors.Join(faults...)
 }
 
-func environmentFaults(err error) error {
+// environmentFaults names the flags of variables that could not be read.
+func environmentFaults(err error) []error {
 	var all env.AggregateError
+	if err == nil {
+		return nil
+	}
 	if !errors.As(err, &all) {
-		return oops.In("settings").Wrap(err)
+		return []error{oops.In("settings").Wrap(err)}
 	}
-	return oops.In("settings").Wrap(errors.Join(all.Errors...))
+	faults := make([]error, len(all.Errors))
+	for i, fault := range all.Errors {
+		faults[i] = fault
+		var parse env.ParseError
+		if errors.As(fault, &parse) {
+			faults[i] = fmt.Errorf("--%s: %s cannot be read: %w", flagOf(parse.Name), variableOf(parse.Name), parse.Err)
+		}
+	}
+	return faults
+}
+
+func flagOf(name string) string     { return tagOf(name, "flag") }
+func variableOf(name string) string { return tagOf(name, "env") }
+
+func tagOf(name, tag string) string {
+	f, _ := reflect.TypeFor[Settings]().FieldByName(name)
+	return f.Tag.Get(tag)
 }
 
 // field is one setting with its description.
