--- a/contract/parse.go
+++ b/contract/parse.go
@@ -133,8 +133,15 @@
 	return merged, nil
 }
 
-func decode(file File) (*Bundle, *Fault) {
-	part := &Bundle{}
+// decode reads one file. The YAML library panics on some malformed input, which
+// is a fault of the file like any other.
+func decode(file File) (part *Bundle, fault *Fault) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			part, fault = nil, &Fault{File: file.Name, What: fmt.Sprintf("is malformed: %v", cause)}
+		}
+	}()
+	part = &Bundle{}
 	decoder := yaml.NewDecoder(bytes.NewReader(file.Data), yaml.Strict(), yaml.DisallowUnknownField())
 	if err := decoder.Decode(part); err != nil {
 		return nil, yamlFault(file.Name, err)
--- /dev/null
+++ b/notice/freshness_test.go
@@ -0,0 +1,67 @@
+package notice
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/domain"
+	"github.com/pomelocross/pomelocross/platform"
+)
+
+var _ = Describe("Freshness", func() {
+	start := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+	DescribeTable("trusts what it heard, and an outage that most domains see", func(heard int, down map[string]int, trusted int) {
+		var f Freshness
+		f.Hear(at(heard))
+		for name, seconds := range down {
+			f.Miss(name, at(seconds))
+		}
+		Expect(f.Trusted([]string{"a", "b", "c", "d"})).To(Equal(at(trusted)))
+	},
+		Entry("heard only", 10, nil, 10),
+		Entry("own domain cut off", 10, map[string]int{"a": 60}, 10),
+		Entry("half of the domains cut off together", 10, map[string]int{"a": 60, "b": 60}, 10),
+		Entry("most domains miss it", 10, map[string]int{"a": 60, "b": 58, "c": 55}, 55),
+		Entry("heard after the outage", 70, map[string]int{"a": 60, "b": 58, "c": 55}, 70),
+		Entry("a domain that is not declared", 10, map[string]int{"a": 60, "b": 58, "x": 55}, 10),
+	)
+})
+
+var _ = Describe("The plan", func() {
+	view := func(count, domains int, self int) *domain.View {
+		var members []platform.Member
+		for n := range count {
+			members = append(members, platform.Member{Name: fmt.Sprintf("entry-%03d", n), Role: platform.RoleEntry, Domain: fmt.Sprintf("domain-%02d", n%domains)})
+		}
+		return domain.NewView(members[self], members)
+	}
+
+	DescribeTable("reaches each member of a domain once from its watchers", func(count int) {
+		reached := map[string]int{}
+		for self := range count {
+			for _, m := range audience(view(count, 1, self), false) {
+				reached[m.Name]++
+			}
+		}
+		Expect(reached).To(HaveLen(max(0, count-watcherCount)))
+		for _, times := range reached {
+			Expect(times).To(Equal(1))
+		}
+	}, Entry("1", 1), Entry("2", 2), Entry("3", 3), Entry("28", 28), Entry("100", 100))
+
+	It("asks every other domain in turn when the platform is not heard", func() {
+		v := view(330, 12, 0)
+		asked := map[string]bool{}
+		for turn := range 4 {
+			for _, m := range rounds(v, turn, true) {
+				asked[m.Domain] = true
+			}
+		}
+		Expect(asked).To(HaveLen(12))
+	})
+})
--- a/notice/plan.go
+++ b/notice/plan.go
@@ -67,7 +67,8 @@
 }
 
 // rounds returns whom self exchanges messages with at a turn: a watcher of its
-// domain, another member of it, and for a watcher one other domain. An instance
+// domain, another member of it, one that is missed, and for a watcher one other
+// domain. An instance
 // that does not hear the platform asks more domains.
 func rounds(v *domain.View, turn int, stale bool) []platform.Member {
 	ranked := ranking(v, v.Self().Domain)
@@ -76,6 +77,7 @@
 	if turn%2 == 0 {
 		targets = append(targets, pick(others, turn*7/2)...)
 	}
+	targets = append(targets, pick(missed(v), turn)...)
 	width := 0
 	switch {
 	case stale:
@@ -93,6 +95,14 @@
 	return slices.CompactFunc(targets, func(a, b platform.Member) bool { return a.Name == b.Name })
 }
 
+// missed returns the instances of the own domain that are not alive. One is
+// tried each round: two that miss each other would else never meet again.
+func missed(v *domain.View) []platform.Member {
+	return slices.DeleteFunc(v.All(), func(m platform.Member) bool {
+		return m.Domain != v.Self().Domain || v.Liveness(m.Name) == domain.Alive
+	})
+}
+
 // abroad returns one instance in each of width other domains, which turn by turn
 // are all domains and, in each, its first few instances.
 func abroad(v *domain.View, turn, width int) []platform.Member {
