--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,7 +24,6 @@
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
-	"github.com/pomelocross/pomelocross/usage"
 )
 
 // eventBuffer bounds events that wait for the control goroutine.
@@ -39,7 +38,7 @@
 	platform *platform.Client
 	client   *upstream.Client
 	runner   *attempt.Runner
-	meter    *usage.Meter
+	usage    *usageKeeper
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
@@ -54,6 +53,7 @@
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
+	commander    *commander
 
 	homesMu sync.Mutex // guards homes
 	homes   map[string]*rollout.Home
@@ -71,18 +71,23 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewClient(s.Platform, counters)
+	store := platform.NewClientWith(s.Platform, platform.Options{Counter: counters, Budget: budget(s)})
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
 	i := &Instance{
 		settings: s, log: t.Log, clock: clock, counters: counters, metrics: t.Metrics,
-		platform: store, client: upstream.NewClient(), meter: usage.NewMeter(s.UsageWindow),
+		platform: store, client: upstream.NewClient(),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
 		events:       make(chan event, eventBuffer),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
 	}
+	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
+		role.SetStandby(func() bool { return i.isStandby(role.Role()) })
+	}
+	i.commander = newCommander(i)
+	i.usage = newUsageKeeper(i)
 	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
 	if s.DataDir != "" {
 		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
@@ -108,7 +113,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
@@ -185,14 +190,3 @@
 	i.closeHomes()
 	s.admin.Close()
 }
-
-// release gives up roles, so that successors need not wait out their terms.
-func (i *Instance) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
-		if err := role.Release(ctx); err != nil {
-			i.log.Warn("role was not released", zap.Error(err))
-		}
-	}
-}
--- a/instance/view.go
+++ b/instance/view.go
@@ -17,6 +17,8 @@
 	// Weights are the wanted weight versions by model.
 	Weights map[string]int64
 	loads   map[string]upstream.Load
+	// noticed are the upstreams that other domains say are leaving.
+	noticed notices
 }
 
 // event changes control state.
@@ -60,13 +62,13 @@
 
 func (e membership) apply(v *View) {
 	v.Domain = e.view
-	v.Upstream = upstream.NewTable(v.Domain.Upstreams(), v.loads)
+	v.Upstream = v.table()
 }
 
 // loaded are loads that upstreams have reported, by name.
 type loaded struct{ loads map[string]upstream.Load }
 
 func (e loaded) apply(v *View) {
-	v.loads = e.loads
-	v.Upstream = upstream.NewTable(v.Domain.Upstreams(), v.loads)
+	v.loads = keepLeaving(v.loads, e.loads)
+	v.Upstream = v.table()
 }
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -37,14 +38,13 @@
 
 // UsageLine is one frozen figure.
 type UsageLine struct {
-	Team     string               `json:"team"`
-	Window   string               `json:"window"`
-	Service  string               `json:"service"`
-	Figure   platform.UsageFigure `json:"figure"`
-	Reported bool                 `json:"reported"`
+	Team    string               `json:"team"`
+	Window  string               `json:"window"` // start, UTC
+	Service string               `json:"service"`
+	Figure  platform.UsageFigure `json:"figure"`
 }
 
-// Usage returns the frozen figures that the platform holds, for one team or all.
+// Usage returns the last frozen figures of one team, or of all.
 func (o *Operator) Usage(ctx context.Context, team string) ([]UsageLine, error) {
 	list, err := o.Store.List(ctx, platform.KindUsage)
 	if err != nil {
@@ -52,15 +52,15 @@
 	}
 	lines := []UsageLine{}
 	for _, object := range list.Objects {
-		var frozen usage.Frozen
-		if err := json.Unmarshal(object.Value, &frozen); err != nil {
+		var account usage.Account
+		if err := json.Unmarshal(object.Value, &account); err != nil {
 			return nil, oops.In("operator").With("step", "read usage", "peer", object.Name).Wrap(err)
 		}
-		if team != "" && frozen.Report.Team != team {
+		if team != "" && account.Team != team {
 			continue
 		}
-		for service, figure := range frozen.Report.Figures {
-			lines = append(lines, UsageLine{frozen.Report.Team, frozen.Report.Window.UTC().Format("2006-01-02T15:04:05Z"), service, figure, frozen.Reported})
+		for service, figure := range account.Figures {
+			lines = append(lines, UsageLine{account.Team, account.Window.UTC().Format(time.RFC3339), service, figure})
 		}
 	}
 	sortUsage(lines)
@@ -73,10 +73,10 @@
 		return o.PrintJSON(lines)
 	}
 	table := tabwriter.NewWriter(o.Out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "WINDOW\tTEAM\tSERVICE\tREQUESTS\tPROMPT TOKENS\tOUTPUT TOKENS\tLATE TOKENS\tREPORTED")
+	fmt.Fprintln(table, "WINDOW\tTEAM\tSERVICE\tREQUESTS\tPROMPT TOKENS\tOUTPUT TOKENS\tLATE TOKENS")
 	for _, l := range lines {
 		f := l.Figure
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", l.Window, l.Team, l.Service, f.Requests, f.PromptTokens, f.OutputTokens, f.LateTokens, l.Reported)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", l.Window, l.Team, l.Service, f.Requests, f.PromptTokens, f.OutputTokens, f.LateTokens)
 	}
 	return table.Flush()
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 	DataDir         string        `env:"POMELOCROSS_DATA_DIR" flag:"data-dir" usage:"folder that keeps the last accepted configuration over restarts; empty for none"`
 	Peers           []string      `env:"POMELOCROSS_PEERS" flag:"peers" usage:"peer IP:port of other instances, asked while the platform does not give the instance list; comma-separated" validate:"dive,ip_port"`
 	IsolationGrace  time.Duration `env:"POMELOCROSS_ISOLATION_GRACE" envDefault:"10s" flag:"isolation-grace" usage:"age of the platform's last word, heard directly or through peers, from which the instance counts as isolated" validate:"min=5s"`
+	FleetSize       int           `env:"POMELOCROSS_FLEET_SIZE" envDefault:"7" flag:"fleet-size" usage:"number of instances that share the platform's rates" validate:"min=1"`
+	PlatformReads   int           `env:"POMELOCROSS_PLATFORM_READS" envDefault:"2000" flag:"platform-reads" usage:"reads a second that the platform gives the whole fleet" validate:"min=1"`
+	PlatformWrites  int           `env:"POMELOCROSS_PLATFORM_WRITES" envDefault:"300" flag:"platform-writes" usage:"writes a second that the platform gives the whole fleet" validate:"min=1"`
 	TraceFile       string        `env:"POMELOCROSS_TRACE_FILE" flag:"trace-file" usage:"file that spans are appended to; empty for none"`
 	LogLevel        string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
 
@@ -118,6 +121,8 @@
 			parser.String(target, "", f.flag(), description)
 		case *bool:
 			parser.Bool(target, "", f.flag(), description)
+		case *int:
+			parser.Int(target, "", f.flag(), description)
 		case *time.Duration:
 			parser.Duration(target, "", f.flag(), description)
 		case *[]string:
