--- a/instance/drain.go
+++ b/instance/drain.go
@@ -110,6 +110,7 @@
 // until running ones have ended. Connections are closed last.
 func (i *Instance) drain(s *servers) error {
 	i.draining.Store(true)
+	i.notices.Leave()
 	total, byPath := i.inFlight.running()
 	i.log.Info("draining", zap.Int("running", total), zap.Any("byRoute", byPath), zap.Duration("grace", i.settings.DrainGrace))
 	deadline := i.clock.After(i.settings.DrainTimeout)
--- a/instance/view.go
+++ b/instance/view.go
@@ -5,7 +5,6 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -60,12 +59,17 @@
 	v.Weights[model] = version
 }
 
-// listed is a reading of the instance list.
-type listed struct{ members []platform.Member }
+// listRead says that the instance list was read and the membership that comes
+// of it was sent before.
+type listRead struct{}
 
-func (e listed) apply(v *View) {
-	v.listed = true
-	v.Domain = domain.NewView(v.Domain.Self(), e.members)
+func (listRead) apply(v *View) { v.listed = true }
+
+// membership is a new view of the entry instances and upstreams.
+type membership struct{ view *domain.View }
+
+func (e membership) apply(v *View) {
+	v.Domain = e.view
 	v.Upstream = v.table()
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,9 @@
 	LeaseTerm       time.Duration `env:"POMELOCROSS_LEASE_TERM" envDefault:"10s" flag:"lease-term" usage:"how long a control role is held without renewal" validate:"min=1s"`
 	MembersInterval time.Duration `env:"POMELOCROSS_MEMBERS_INTERVAL" envDefault:"2s" flag:"members-interval" usage:"time between readings of the instance list" validate:"min=100ms"`
 	LoadInterval    time.Duration `env:"POMELOCROSS_LOAD_INTERVAL" envDefault:"500ms" flag:"load-interval" usage:"time between readings of upstream load" validate:"min=50ms"`
+	DataDir         string        `env:"POMELOCROSS_DATA_DIR" flag:"data-dir" usage:"folder that keeps the last accepted configuration over restarts; empty for none"`
+	Peers           []string      `env:"POMELOCROSS_PEERS" flag:"peers" usage:"peer IP:port of other instances, asked while the platform does not give the instance list; comma-separated" validate:"dive,ip_port"`
+	IsolationGrace  time.Duration `env:"POMELOCROSS_ISOLATION_GRACE" envDefault:"10s" flag:"isolation-grace" usage:"age of the platform's last word, heard directly or through peers, from which the instance counts as isolated" validate:"min=5s"`
 	FleetSize       int           `env:"POMELOCROSS_FLEET_SIZE" envDefault:"7" flag:"fleet-size" usage:"number of instances that share the platform's rates" validate:"min=1"`
 	PlatformReads   int           `env:"POMELOCROSS_PLATFORM_READS" envDefault:"2000" flag:"platform-reads" usage:"reads a second that the platform gives the whole fleet" validate:"min=1"`
 	PlatformWrites  int           `env:"POMELOCROSS_PLATFORM_WRITES" envDefault:"300" flag:"platform-writes" usage:"writes a second that the platform gives the whole fleet" validate:"min=1"`
@@ -48,28 +51,50 @@
 const masked = "********"
 
 // Parse reads the environment, then args without the program's name. The error
-// lists every fault, a line each.
+// lists every fault of both, a line each, named by flag.
 func Parse(version string, args []string) (*Settings, error) {
 	s := &Settings{}
-	if err := env.Parse(s); err != nil {
-		return nil, environmentFaults(err)
-	}
+	faults := environmentFaults(env.Parse(s))
 	parser := flaggy.NewParser("pomelocrossd")
 	parser.Description = "Serves rollouts and order-desk requests for one failure domain."
 	parser.Version = version
 	register(parser, s)
 	if err := parser.ParseArgs(args); err != nil {
-		return nil, oops.In("settings").Wrapf(err, "parse flags")
+		faults = append(faults, oops.In("settings").Wrapf(err, "parse flags"))
+	}
+	if len(s.Peers) > 0 {
+		s.Peers = strings.Split(strings.Join(s.Peers, ","), ",")
 	}
-	return s, s.Validate()
+	faults = append(faults, s.Validate())
+	return s, errors.Join(faults...)
 }
 
-func environmentFaults(err error) error {
+// environmentFaults names the flags of variables that could not be read.
+func environmentFaults(err error) []error {
 	var all env.AggregateError
+	if err == nil {
+		return nil
+	}
 	if !errors.As(err, &all) {
-		return oops.In("settings").Wrap(err)
+		return []error{oops.In("settings").Wrap(err)}
 	}
-	return oops.In("settings").Wrap(errors.Join(all.Errors...))
+	faults := make([]error, len(all.Errors))
+	for i, fault := range all.Errors {
+		faults[i] = fault
+		var parse env.ParseError
+		if errors.As(fault, &parse) {
+			faults[i] = fmt.Errorf("--%s: %s cannot be read: %w", flagOf(parse.Name), variableOf(parse.Name), parse.Err)
+		}
+	}
+	return faults
+}
+
+func flagOf(name string) string     { return tagOf(name, "flag") }
+func variableOf(name string) string { return tagOf(name, "env") }
+
+func tagOf(name, tag string) string {
+	f, _ := reflect.TypeFor[Settings]().FieldByName(name)
+	return f.Tag.Get(tag)
 }
 
 // field is one setting with its description.
@@ -101,6 +126,8 @@
 			parser.Int(target, "", f.flag(), description)
 		case *time.Duration:
 			parser.Duration(target, "", f.flag(), description)
+		case *[]string:
+			parser.StringSlice(target, "", f.flag(), description)
 		}
 	}
 }
