--- a/cmd/pomelocrossd/main.go
+++ b/cmd/pomelocrossd/main.go
@@ -43,16 +43,15 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		cancel()
 		<-signals
-		fmt.Fprintln(os.Stderr, "pomelocrossd: second signal: running requests are cut off")
-		os.Exit(1)
+		i.Abort()
 	}()
 	return i.Run(ctx)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,10 +16,12 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/notice"
 	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -39,6 +41,7 @@
 	client   *upstream.Client
 	runner   *attempt.Runner
 	usage    *usageKeeper
+	loads    *probe.Board
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
@@ -58,7 +61,13 @@
 	homesMu sync.Mutex // guards homes
 	homes   map[string]*rollout.Home
 
-	draining atomic.Bool
+	coordinator *idempotency.Coordinator
+	traffic     *trafficCounters
+	inFlight    *inFlight
+	draining    atomic.Bool   // readiness fails; requests are still taken
+	refusing    atomic.Bool   // requests are refused
+	aborted     chan struct{} // closed by Abort
+	abort       sync.Once
 }
 
 // New builds an instance; nothing runs before Run.
@@ -71,6 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
+	traffic, err := newTrafficCounters(t.Meter)
+	if err != nil {
+		return nil, err
+	}
 	store := platform.NewClientWith(s.Platform, platform.Options{Counter: counters, Budget: budget(s)})
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
@@ -82,13 +95,18 @@
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
+		traffic:      traffic, inFlight: newInFlight(), aborted: make(chan struct{}),
+	}
+	i.coordinator = idempotency.New(i.dialer, clock, keySettle*s.MembersInterval, idempotency.DefaultLimits())
+	i.runner = &attempt.Runner{
+		Client: i.client, Queue: i.queues.of, Budgets: attempt.NewBudgets(clock),
+		Alternative: i.hasAlternative, Observe: i.traffic.attempt,
 	}
 	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
 		role.SetStandby(func() bool { return i.isStandby(role.Role()) })
 	}
 	i.commander = newCommander(i)
 	i.usage = newUsageKeeper(i)
-	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
 	if s.DataDir != "" {
 		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
 			return nil, err
@@ -97,6 +115,7 @@
 	if err := i.observe(t.Meter); err != nil {
 		return nil, err
 	}
+	i.loads = probe.NewBoard()
 	return i, i.registerPeerServices()
 }
 
@@ -113,20 +132,20 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.usage.replicator.Run} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.observeMembers, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
 		zap.String("admin", i.settings.AdminListen), zap.String("peer", i.settings.PeerListen))
 	<-ctx.Done()
-	i.drain(servers)
+	err = i.drain(servers)
 	stopControl()
 	background.Wait()
 	i.release()
 	i.peers.Close()
 	i.dialer.Close()
 	i.log.Info("stopped")
-	return nil
+	return err
 }
 
 type servers struct{ traffic, admin *http.Server }
@@ -146,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &servers{traffic: newServer(i.trafficHandler()), admin: newServer(i.adminHandler())}
+	s := &servers{traffic: newServer(i.counted(i.trafficHandler())), admin: newServer(i.adminHandler())}
 	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
 	i.notices = i.newNotices()
 	go s.traffic.Serve(traffic)
@@ -175,18 +194,3 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
 }
-
-// drain refuses new requests and waits for running ones.
-func (i *Instance) drain(s *servers) {
-	i.log.Info("draining")
-	i.draining.Store(true)
-	i.notices.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
-	defer cancel()
-	if err := s.traffic.Shutdown(ctx); err != nil {
-		i.log.Warn("requests were cut off", zap.Error(err))
-		s.traffic.Close()
-	}
-	i.closeHomes()
-	s.admin.Close()
-}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -64,8 +65,14 @@
 	if err := i.peers.Register("Leaving", &LeavingService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register("Probe", &ProbeService{i}); err != nil {
+		return err
+	}
 	if err := i.peers.Register("Usage", &UsageService{i.usage}); err != nil {
 		return err
 	}
+	if err := i.peers.Register(idempotency.Service, i.coordinator.Holder()); err != nil {
+		return err
+	}
 	return i.peers.Register("Rollout", &RolloutService{i})
 }
--- a/test/e2e/members_test.go
+++ b/test/e2e/members_test.go
@@ -17,7 +17,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/operator"
 )
 
@@ -163,22 +162,6 @@
 		Expect(err).To(HaveOccurred())
 		Expect(string(output)).To(MatchRegexp(`pomelocrossd: .*--admin-listen.*address already in use`))
 	})
-
-	It("ends at a second signal and says what it cuts off", func() {
-		d := newDeployment("botiquin")
-		d.addEngine("lm-1", "lm-pool", "mty-a", engine.Options{TokenTime: time.Millisecond})
-		a := d.startDaemon("entry-a", "mty-a")
-		Eventually(func() int { return a.complete(demoKey("fabricas"), "warm", 1, false).status }).Should(Equal(200))
-		go a.complete(demoKey("fabricas"), "long", 100000, true)
-		Eventually(func() int { return len(d.engines["lm-1"].Record().Requests) }).Should(BeNumerically(">", 1))
-		a.terminate()
-		Eventually(a.log.String).Should(ContainSubstring("draining"))
-		Consistently(a.exited, "500ms").ShouldNot(BeClosed())
-		a.terminate()
-		Eventually(a.exited, "2s").Should(BeClosed())
-		Expect(a.exit).To(MatchError("exit status 1"))
-		Expect(a.log.String()).To(ContainSubstring("second signal: running requests are cut off"))
-	})
 })
 
 func addresses(all []*daemon) []string {
