--- a/instance/observe.go
+++ b/instance/observe.go
@@ -20,7 +20,7 @@
 		{"pomelocross_platform_word_age_milliseconds", "age of the platform's last word, heard directly or through peers; -1 when never heard", i.observeAge},
 		{"pomelocross_isolated", "1 while the instance counts as isolated from the platform", i.observeIsolation},
 		{"pomelocross_link_bytes", "bytes carried between instances since the start", i.observeLink},
-		{"pomelocross_instances", "known entry instances by liveness", i.observeMembers},
+		{"pomelocross_instances", "known entry instances by liveness", i.countMembers},
 	}
 	for _, g := range gauges {
 		callback := func(_ context.Context, o metric.Int64Observer) error {
@@ -66,7 +66,7 @@
 	o.Observe(served.Sent+dialled.Sent, metric.WithAttributes(attribute.String("direction", "sent")))
 }
 
-func (i *Instance) observeMembers(o metric.Int64Observer) {
+func (i *Instance) countMembers(o metric.Int64Observer) {
 	view := i.view.Load().Domain
 	counts := map[domain.Liveness]int64{domain.Alive: 0, domain.Suspected: 0, domain.Dead: 0}
 	for _, m := range view.All() {
