Pairs: retry every keyed order, kill the home inside a step; sessions wait for all usage

Change: each order is sent three times; the home is killed when a step is partly handed over; the session waits for all 16 requests.

--- a/test/e2e/pairs_points_test.go
+++ b/test/e2e/pairs_points_test.go
@@ -113,15 +113,12 @@
 	return asked{prompt: prompt, stream: true, tries: []answer{w.all[n%len(w.all)].complete(demoKey("fabricas"), prompt, pairTokens, true)}}
 }
 
-// order is tried with the same Idempotency-Key through up to three instances.
+// order is tried with the same Idempotency-Key through three instances, also
+// after an answer.
 func (w *pairWork) order(body string, n int) asked {
 	a := asked{prompt: body}
 	for try := range 3 {
-		got := placeAt(w.all[(n+try)%len(w.all)], body)
-		a.tries = append(a.tries, got)
-		if got.status == 200 {
-			break
-		}
+		a.tries = append(a.tries, placeAt(w.all[(n+try)%len(w.all)], body))
 	}
 	return a
 }
--- a/test/e2e/pairs_test.go
+++ b/test/e2e/pairs_test.go
@@ -60,16 +60,20 @@
 		changed.Teams[team].Weight = weight
 		return &changed
 	}
-	homeOf := func(run string) *daemon {
+	// homeInStep waits for a step of which a part has been handed over, and
+	// returns the home of the run.
+	homeInStep := func(run string) *daemon {
 		GinkgoHelper()
 		var ledger rollout.Ledger
-		Eventually(func() error {
+		Eventually(func() bool {
 			o, err := d.store().Get(within(time.Second), platform.KindRun, run)
-			if err != nil {
-				return err
+			if err != nil || json.Unmarshal(o.Value, &ledger) != nil {
+				return false
 			}
-			return json.Unmarshal(o.Value, &ledger)
-		}).Should(Succeed())
+			return slices.ContainsFunc(ledger.Steps, func(s rollout.StepState) bool {
+				return s.Delivered.Count() > 0 && s.Delivered.Count() < s.Samples
+			})
+		}).WithPolling(time.Millisecond).Should(BeTrue())
 		return d.daemons[ledger.Home]
 	}
 
@@ -100,9 +104,10 @@
 			replace(all[2])
 		}),
 		Entry("answers of the platform lost while two operators apply and the home of a run is killed", func() {
-			home := homeOf("plans")
-			d.platform.SetFaults(standin.Faults{LoseAnswers: 20})
+			d.platform.SetFaults(standin.Faults{Delay: 100 * time.Millisecond}) // between two batches
+			home := homeInStep("plans")
 			home.kill()
+			d.platform.SetFaults(standin.Faults{LoseAnswers: 20})
 			var racing sync.WaitGroup
 			accepted := make([]contract.Accepted, 2)
 			for n := range accepted {
--- a/test/e2e/session_path_test.go
+++ b/test/e2e/session_path_test.go
@@ -167,13 +167,20 @@
 	}
 	s.train(p)
 	s.orders()
-	all := func() (tokens int64) {
+	all := func() (sum platform.UsageFigure) {
 		for _, team := range d.bundle.Teams {
-			tokens += reportedTokens(d, team.Name)
+			sum.OutputTokens += reportedTokens(d, team.Name)
+			for _, r := range windowsOf(d, team.Name) {
+				for _, f := range r.Figures {
+					sum.Requests += f.Requests
+				}
+			}
 		}
-		return tokens
+		return sum
 	}
-	Eventually(all).Should(Equal(int64(2*1 + 2*4 + 8*8)))
+	// two first and two more completions, eight samples, and four plain
+	// requests: the second with the same Idempotency-Key is not run.
+	Eventually(all).Should(Equal(platform.UsageFigure{Requests: 2 + 2 + 8 + 4, OutputTokens: 2*1 + 2*4 + 8*8}))
 	fmt.Fprintf(&s.text, "%s\n", s.used())
 	for _, one := range daemons {
 		one.terminate()
