Sessions: wait for the orders of both domains

Ruled out: a missing order; the trainer needs only one domain's engines for its step. Change: wait until both domains' stand-ins have received an order.

--- a/test/e2e/session_path_test.go
+++ b/test/e2e/session_path_test.go
@@ -166,6 +166,9 @@
 		s.ask(c)
 	}
 	s.train(p)
+	for _, domain := range d.bundle.Domains[:2] {
+		Eventually(d.journal).WithArguments(domain.Name).ShouldNot(BeEmpty())
+	}
 	s.orders()
 	all := func() (sum platform.UsageFigure) {
 		for _, team := range d.bundle.Teams {
