usage: send reports under the billing role to their last byte

Cause: the biller checked its role before a report and then sent it as any other request; a holder stopped inside the send would complete it after its successor had reported later windows. Ruled out: a shorter deadline, which does not run while the process is stopped. Change: reports go through the fenced sender, whose last byte is held back until the platform reads the body and the role was checked again. Conclusion: what is left is the window that docs/design/0010 measures.

--- a/instance/usage.go
+++ b/instance/usage.go
@@ -45,8 +45,8 @@
 		instance: i,
 		meter:    usage.NewMeter(source, i.settings.UsageWindow),
 		copies:   usage.NewCopies(usageSilence, usage.DefaultRetention),
-		biller:   usage.Biller{Store: i.platform, Reporter: i.platform, Retention: usage.DefaultRetention},
 	}
+	k.biller = usage.Biller{Store: i.platform, Report: k.report, Retention: usage.DefaultRetention}
 	k.replicator = usage.NewReplicator(k.meter, k.push, i.clock)
 	return k
 }
@@ -180,6 +180,21 @@
 	return lines
 }
 
+// report implements usage.ReportFunc. The role is checked once more when the
+// platform has asked for the body, so that a process that was stopped inside the
+// send does not complete it.
+func (k *usageKeeper) report(ctx context.Context, r platform.UsageReport, held func() bool) error {
+	lifetime := k.instance.orderTimeout()
+	ctx, cancel := context.WithTimeout(ctx, lifetime)
+	defer cancel()
+	return k.instance.platform.ReportUsageWhile(ctx, r, lifetime, func() error {
+		if !held() {
+			return usage.ErrLost
+		}
+		return nil
+	})
+}
+
 // holdBilling seeks the billing role and closes windows while it holds it.
 func (i *Instance) holdBilling(ctx context.Context) {
 	i.hold(ctx, i.billingRole, min(i.settings.UsageWindow/4, 5*time.Second), i.usage.closeWindows)
--- a/usage/account_test.go
+++ b/usage/account_test.go
@@ -60,7 +60,7 @@
 	world := &billingWorld{t: t, objects: map[string]platform.Object{}, figures: map[string]string{}}
 	copies := NewCopies(0, 1000*time.Hour)
 	var meters []*Meter
-	holder := &Biller{Store: world, Reporter: world, Retention: 1000 * time.Hour}
+	holder := &Biller{Store: world, Report: world.report, Retention: 1000 * time.Hour}
 	now := testStart
 	var counted int64
 	for range rapid.IntRange(20, 120).Draw(t, "steps") {
@@ -83,7 +83,7 @@
 			seen := heard(t, copies.Orphans(now))
 			_ = holder.Close(context.Background(), world.tenure(), seen, now.Truncate(testWindow).Add(-testWindow))
 		case "holder":
-			holder = &Biller{Store: world, Reporter: world, Retention: 1000 * time.Hour}
+			holder = &Biller{Store: world, Report: world.report, Retention: 1000 * time.Hour}
 		}
 	}
 	world.failing = false
@@ -163,7 +163,7 @@
 	return w.objects[name], nil
 }
 
-func (w *billingWorld) ReportUsage(_ context.Context, r platform.UsageReport) error {
+func (w *billingWorld) report(_ context.Context, r platform.UsageReport, _ func() bool) error {
 	trouble := w.trouble()
 	if trouble == 1 {
 		return errTest
--- a/usage/biller.go
+++ b/usage/biller.go
@@ -15,14 +15,17 @@
 // A source that is cut off for longer must start a new incarnation.
 const DefaultRetention = 24 * time.Hour
 
-// errLost means that the billing role ended while it was being exercised.
-var errLost = errors.New("billing role is no longer held")
+// ErrLost means that the billing role ended while it was being exercised.
+var ErrLost = errors.New("billing role is no longer held")
+
+// ReportFunc sends a report unless held turns false before it has left.
+type ReportFunc func(ctx context.Context, r platform.UsageReport, held func() bool) error
 
 // Biller freezes and reports windows. Only the holder of the billing role runs
 // it, from one goroutine.
 type Biller struct {
 	Store     platform.Store
-	Reporter  platform.Reporter
+	Report    ReportFunc
 	Retention time.Duration
 
 	accounts map[string]*stored
@@ -109,7 +112,7 @@
 // stored account is read again before anything is reported.
 func (b *Biller) save(ctx context.Context, tenure Tenure, known *stored, next *Account) error {
 	if !tenure.Held() {
-		return errLost
+		return ErrLost
 	}
 	o, err := b.Store.Put(ctx, platform.KindUsage, next.Team, known.version, next)
 	if err != nil {
@@ -126,11 +129,11 @@
 		return nil
 	}
 	if !tenure.Held() {
-		return errLost
+		return ErrLost
 	}
 	report := known.account.Report()
 	report.Reporter, report.Epoch = tenure.Holder, tenure.Epoch
-	if err := b.Reporter.ReportUsage(ctx, report); err != nil {
+	if err := b.Report(ctx, report, tenure.Held); err != nil {
 		return oops.With("step", "report").Wrap(err)
 	}
 	known.reported = true
