usage: prove that a frozen holder completes no report

Cause: the fenced send of reports had no proof of its own. Change: a spec stops the holder when the platform has read the header of its report, lets another take over and report, and continues the first. Conclusion: the record of the platform holds rising epochs only.

--- a/test/e2e/usage_test.go
+++ b/test/e2e/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
+	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/platform"
 )
@@ -95,6 +97,22 @@
 		expectRisingEpochs(d)
 	})
 
+	It("are not completed by a holder that froze inside the send", func() {
+		holder := holderOf(d, "billing")
+		other := daemons[(slices.Index(daemons, holder)+1)%len(daemons)]
+		held := d.platform.Holds.Next(hold.Arrived, func(r *http.Request) bool { return r.URL.Path == "/v1/usage" })
+		total := spend(other, 4)
+		Eventually(held.Reached).Should(BeClosed())
+		holder.freeze()
+		held.Release()
+		Eventually(func() int64 { return reportedTokens(d, "audits") }).Should(Equal(total))
+		holder.thaw()
+		total += spend(other, 4)
+		Eventually(func() int64 { return reportedTokens(d, "audits") }).Should(Equal(total))
+		expectOneFigureEach(d)
+		expectRisingEpochs(d)
+	})
+
 	It("mark what a cut-off instance counted as late", func() {
 		cut := daemons[2]
 		if holderOf(d, "billing") == cut {
