--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,15 +14,19 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
+	"github.com/pomelocross/pomelocross/internal/standin/weights"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // Options describe an engine.
 type Options struct {
 	Name          string
+	Model         string // served at the start; empty is not told
 	WeightVersion int64
 	TokenTime     time.Duration // between two tokens of one answer
-	LoadTime      time.Duration // to load a weight version
+	LoadTime      time.Duration // to load a weight version, after it was fetched
+	// Weights is where versions are fetched from; nil fetches at once.
+	Weights *weights.Store
 	// Fences makes the engine refuse orders with an old epoch.
 	Fences bool
 }
@@ -77,8 +81,10 @@
 	Holds hold.Set
 
 	mu      sync.Mutex // guards all below
+	model   string
 	version int64
 	loading int64
+	next    string // model being loaded
 	epoch   int64
 	running int
 	tokens  int64
@@ -88,7 +94,7 @@
 
 // New returns an engine.
 func New(o Options) *Server {
-	s := &Server{options: o, mux: http.NewServeMux(), version: o.WeightVersion}
+	s := &Server{options: o, mux: http.NewServeMux(), model: o.Model, version: o.WeightVersion}
 	s.mux.HandleFunc("POST /v1/generate", s.generate)
 	s.mux.HandleFunc("GET /v1/load", s.load)
 	s.mux.HandleFunc("POST /v1/orders", s.order)
