Decide order by flows and choose among a sample; share slots by demand

Cause: dispatch looked at every waiter and every upstream for each slot; one team could fill the queue; requests in flight at an upstream that left the list were forgotten; accounts of departed teams were kept; a deadline that could not be met was found out by waiting; the static share max(1, slots/instances) gave more slots than engines have once a domain has more instances than slots. Ruled out: strict classes (drafts starve), start tags fixed on arrival (a settled difference reaches none of the requests that wait). Change: a pure scheduler: a heap of teams by pass in each class, flows of equal needs, floors for lower classes, dynamic bound of places a team, early refusal by estimated wait; a candidate set with a free list that rates eight of many; ejection with a floor; a pure allocator of slot shares.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,148 +1,107 @@
 // Package queue holds requests until an upstream has a slot for them. Engines
-// know no priorities, so order is decided here: by class, then by weighted fair
-// sharing among teams on token cost.
+// know no priorities, so order is decided here: by class, with a floor for the
+// less urgent ones, then by weighted fair sharing among teams on token cost.
 package queue
 
 import (
 	"context"
-	"errors"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/pomelocross/pomelocross/contract"
+	"github.com/jonboulle/clockwork"
+
 	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
-// MaxWaiting bounds the requests that wait for one service at one instance.
-const MaxWaiting = 8192
-
-// Errors of Acquire. The request was not run.
-var (
-	ErrFull      = errors.New("queue is full")
-	ErrNoService = errors.New("service has no upstream")
-)
+// Queue holds the requests for one service. It is safe for concurrent use.
+type Queue struct {
+	clock clockwork.Clock
 
-// Ticket is a request's place in the queue.
-type Ticket struct {
-	Team   string
-	Weight int // of the team
-	Class  contract.Class
-	Cost   int64 // expected tokens
-	Route  route.Request
+	mu        sync.Mutex // guards all below; every critical section is free of I/O
+	scheduler *Scheduler
+	waiters   map[*Item]chan *Grant // each buffered, so that a grant never blocks
 }
 
 // Grant is a slot at an upstream. It must be released exactly once.
 type Grant struct {
 	Upstream upstream.Upstream
 	queue    *Queue
-	ticket   Ticket
-}
-
-// Slotted is an upstream with this instance's share of its slots.
-type Slotted struct {
-	upstream.Upstream
-	Slots int
-}
-
-// Queue holds the requests for one service.
-type Queue struct {
-	chooser *route.Chooser
-
-	mu         sync.Mutex // guards all below; every critical section is free of I/O
-	candidates []route.Candidate
-	waiting    []*waiter
-	finish     map[string]float64 // virtual finish time of each team's last request
-	virtual    float64
-}
-
-type waiter struct {
-	ticket  Ticket
-	start   float64 // virtual start time
-	arrived time.Time
-	granted chan *Grant // buffered, so that a grant never blocks
+	entry    *Item
 }
 
 // New returns a queue without upstreams.
 func New(chooser *route.Chooser) *Queue {
-	return &Queue{chooser: chooser, finish: map[string]float64{}}
+	return NewWith(chooser, clockwork.NewRealClock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// NewWith is New with a clock and a source of randomness.
+func NewWith(chooser *route.Chooser, clock clockwork.Clock, random *rand.Rand) *Queue {
+	return &Queue{clock: clock, scheduler: NewScheduler(Fair, chooser, random), waiters: map[*Item]chan *Grant{}}
 }
 
 // Update replaces the upstreams and wakes requests that can now run.
 func (q *Queue) Update(upstreams []Slotted) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	inFlight := map[string]int{}
-	for _, c := range q.candidates {
-		inFlight[c.Name] = c.InFlight
-	}
-	q.candidates = q.candidates[:0]
-	for _, u := range upstreams {
-		q.candidates = append(q.candidates, route.Candidate{Upstream: u.Upstream, Slots: u.Slots, InFlight: inFlight[u.Name]})
-	}
+	q.scheduler.Update(upstreams, q.clock.Now())
 	q.dispatch()
 }
 
-// Acquire waits for a slot until ctx ends.
+// Acquire waits for a slot until ctx ends. A request whose wait is expected to
+// outlast the ticket's or the context's deadline is refused at once.
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (*Grant, error) {
-	w, err := q.enter(ticket)
+	if deadline, ok := ctx.Deadline(); ok && ticket.Deadline.IsZero() {
+		ticket.Deadline = q.clock.Now().Add(time.Until(deadline))
+	}
+	entry, granted, err := q.enter(ticket)
 	if err != nil {
 		return nil, err
 	}
 	select {
-	case grant := <-w.granted:
+	case grant := <-granted:
 		return grant, nil
 	case <-ctx.Done():
-		q.leave(w)
+		q.leave(entry, granted)
 		return nil, ctx.Err()
 	}
 }
 
-func (q *Queue) enter(ticket Ticket) (*waiter, error) {
+func (q *Queue) enter(ticket Ticket) (*Item, chan *Grant, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.candidates) == 0 {
-		return nil, ErrNoService
-	}
-	if len(q.waiting) >= MaxWaiting {
-		return nil, ErrFull
+	entry, err := q.scheduler.Enter(ticket, q.clock.Now())
+	if err != nil {
+		return nil, nil, err
 	}
-	w := &waiter{ticket: ticket, start: max(q.virtual, q.finish[ticket.Team]), arrived: time.Now(), granted: make(chan *Grant, 1)}
-	q.finish[ticket.Team] = w.start + float64(ticket.Cost)/float64(max(ticket.Weight, 1))
-	at, _ := slices.BinarySearchFunc(q.waiting, w, before)
-	q.waiting = slices.Insert(q.waiting, at, w)
+	granted := make(chan *Grant, 1)
+	q.waiters[entry] = granted
 	q.dispatch()
-	return w, nil
+	return entry, granted, nil
 }
 
-// leave removes a waiter whose caller has gone, and returns a slot granted meanwhile.
-func (q *Queue) leave(w *waiter) {
+// leave removes a waiter whose caller has gone, and returns a slot granted
+// meanwhile, for which nothing was run.
+func (q *Queue) leave(entry *Item, granted chan *Grant) {
 	q.mu.Lock()
-	at := slices.Index(q.waiting, w)
-	if at >= 0 {
-		q.waiting = slices.Delete(q.waiting, at, at+1)
-	}
+	left := q.scheduler.Leave(entry)
+	delete(q.waiters, entry)
 	q.mu.Unlock()
-	if at < 0 {
-		grant := <-w.granted
-		grant.Release(0)
+	if !left {
+		(<-granted).Release(0)
 	}
 }
 
 // dispatch grants slots in order. The caller holds mu.
 func (q *Queue) dispatch() {
-	for i := 0; i < len(q.waiting); {
-		w := q.waiting[i]
-		chosen := q.chooser.Choose(w.ticket.Route, q.candidates)
-		if chosen == nil {
-			i++
-			continue
+	for {
+		entry, chosen := q.scheduler.Next(q.clock.Now())
+		if entry == nil {
+			return
 		}
-		chosen.InFlight++
-		q.virtual = max(q.virtual, w.start)
-		q.waiting = slices.Delete(q.waiting, i, i+1)
-		w.granted <- &Grant{Upstream: chosen.Upstream, queue: q, ticket: w.ticket}
+		q.waiters[entry] <- &Grant{Upstream: chosen, queue: q, entry: entry}
+		delete(q.waiters, entry)
 	}
 }
 
@@ -152,35 +111,36 @@
 	q := g.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	difference := float64(actual-g.ticket.Cost) / float64(max(g.ticket.Weight, 1))
-	q.finish[g.ticket.Team] += difference
-	for i := range q.candidates {
-		if q.candidates[i].Name == g.Upstream.Name {
-			q.candidates[i].InFlight--
-		}
-	}
+	q.scheduler.Release(g.entry, actual, q.clock.Now())
 	q.dispatch()
 }
 
+// Observe tells what the attempt showed of the upstream. It may be called any
+// number of times before Release.
+func (g *Grant) Observe(o route.Observation) {
+	q := g.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.scheduler.Observe(g.entry, o, q.clock.Now())
+}
+
 // Depth returns how many requests wait.
 func (q *Queue) Depth() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting)
+	return q.scheduler.waiting
 }
 
-var classRank = map[contract.Class]int{contract.ClassDesk: 0, contract.ClassRollout: 1, contract.ClassDraft: 2}
+// EstimateWait returns how long a request would wait now; 0 when not known.
+func (q *Queue) EstimateWait(ticket Ticket) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.scheduler.EstimateWait(ticket)
+}
 
-// before orders waiters by class, virtual start time and arrival.
-func before(a, b *waiter) int {
-	if d := classRank[a.ticket.Class] - classRank[b.ticket.Class]; d != 0 {
-		return d
-	}
-	if a.start != b.start {
-		if a.start < b.start {
-			return -1
-		}
-		return 1
-	}
-	return a.arrived.Compare(b.arrived)
+// Stats returns the present state.
+func (q *Queue) Stats() Stats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.scheduler.Stats()
 }
--- /dev/null
+++ b/queue/queue_suite_test.go
@@ -0,0 +1,13 @@
+package queue
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Queue")
+}
--- a/route/filters.go
+++ b/route/filters.go
@@ -13,3 +13,6 @@
 
 // FreshEnough leaves out engines that say they run weights older than asked.
 func FreshEnough(r Request, c *Candidate) bool { return c.Load.WeightVersion >= r.MinWeightVersion }
+
+// Healthy leaves out upstreams that failed or were slow.
+func Healthy(_ Request, c *Candidate) bool { return !c.Ejected }
--- a/route/route.go
+++ b/route/route.go
@@ -2,30 +2,6 @@
 // must not be used, scorers rate the rest, and a picker takes one.
 package route
 
-import (
-	"github.com/pomelocross/pomelocross/upstream"
-)
-
-// Request is what the choice of an upstream depends on.
-type Request struct {
-	Service string
-	Domain  string // of the deciding instance
-	// Prefix identifies the start of the prompt; 0 when it has none.
-	Prefix uint64
-	// MinWeightVersion is the oldest weight version that may produce the
-	// answer; 0 accepts any.
-	MinWeightVersion int64
-	// Exclude names upstreams already tried.
-	Exclude []string
-}
-
-// Candidate is an upstream with this instance's own knowledge of it.
-type Candidate struct {
-	upstream.Upstream
-	InFlight int // requests of this instance
-	Slots    int // this instance's share of the upstream's slots
-}
-
 // Filter tells whether a candidate may be used for a request.
 type Filter func(Request, *Candidate) bool
 
@@ -48,33 +24,66 @@
 // Picker takes one of several candidates with their scores.
 type Picker func(candidates []*Candidate, scores []float64) *Candidate
 
+// Weights of the scorers in use. The own failure domain outweighs load. A held
+// prefix outweighs a difference of half a share in load and no more, so that a
+// popular prefix spreads.
+const (
+	domainWeight = 2
+	loadWeight   = 1
+	reportWeight = 0.5
+	prefixWeight = 0.5
+	costWeight   = 0.4
+)
+
 // Default returns the chooser in use.
 func Default() *Chooser {
 	return &Chooser{
-		Filters: []Filter{Staying, FreeSlot, NotExcluded, FreshEnough},
-		Scorers: []Weighted{{Score: LeastLoaded, Weight: 1}, {Score: SameDomain, Weight: 1}},
-		Picker:  Highest,
+		Filters: []Filter{Staying, Healthy, FreeSlot, NotExcluded, FreshEnough},
+		Scorers: []Weighted{
+			{Score: SameDomain, Weight: domainWeight},
+			{Score: LeastLoaded, Weight: loadWeight},
+			{Score: ReportedFree, Weight: reportWeight},
+			{Score: PrefixHeld, Weight: prefixWeight},
+			{Score: CostFit, Weight: costWeight},
+		},
+		Picker: Highest,
 	}
 }
 
 // Choose returns the upstream for a request, or nil when none can take it now.
 func (c *Chooser) Choose(request Request, candidates []Candidate) *Candidate {
-	var usable []*Candidate
+	usable := make([]*Candidate, len(candidates))
 	for i := range candidates {
-		if c.passes(request, &candidates[i]) {
-			usable = append(usable, &candidates[i])
+		usable[i] = &candidates[i]
+	}
+	return c.choose(request, usable, nil)
+}
+
+// choose filters usable in place and picks by scores, for which it uses the
+// space of scratch.
+func (c *Chooser) choose(request Request, usable []*Candidate, scratch []float64) *Candidate {
+	passing := usable[:0]
+	for _, candidate := range usable {
+		if c.passes(request, candidate) {
+			passing = append(passing, candidate)
 		}
 	}
-	if len(usable) == 0 {
+	if len(passing) == 0 {
 		return nil
 	}
-	scores := make([]float64, len(usable))
-	for i, candidate := range usable {
-		for _, s := range c.Scorers {
-			scores[i] += s.Weight * s.Score(request, candidate)
-		}
+	scores := scratch[:0]
+	for _, candidate := range passing {
+		scores = append(scores, c.score(request, candidate))
+	}
+	return c.Picker(passing, scores)
+}
+
+func (c *Chooser) score(request Request, candidate *Candidate) float64 {
+	sum := 0.0
+	for _, s := range c.Scorers {
+		sum += s.Weight * s.Score(request, candidate)
 	}
-	return c.Picker(usable, scores)
+	return sum
 }
 
 func (c *Chooser) passes(request Request, candidate *Candidate) bool {
--- /dev/null
+++ b/slots/holder.go
@@ -0,0 +1,212 @@
+package slots
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Holder is the granting side for one service. It is made anew with each lease
+// and trusts nothing it has not heard: members count as silent at first. It does
+// no I/O and is not safe for concurrent use.
+type Holder struct {
+	engines []Engine
+	listed  []string // sorted
+	members map[string]*member
+	number  int64
+}
+
+// member is what the holder knows of an instance.
+type member struct {
+	heard  time.Time // when it last told that the newest answer is in use
+	last   time.Time // when it was last answered
+	number int64     // of the newest answer
+	demand int
+	given  Shares
+	// held is what the member may be using: the shares given before and now,
+	// and what it runs.
+	held Shares
+}
+
+// epochBits is how many answers a holder may give under one epoch, as a power of two.
+const epochBits = 32
+
+// NewHolder returns a holder that has heard nothing. Epoch is that of its lease
+// and keeps the numbers of its answers apart from those of other holders.
+func NewHolder(epoch int64) *Holder {
+	return &Holder{members: map[string]*member{}, number: epoch << epochBits}
+}
+
+// Listed sets the members, sorted by name, and the engines of the domain.
+// Members that are gone keep what they hold until their term ends.
+func (h *Holder) Listed(members []string, engines []Engine, now time.Time) {
+	h.listed, h.engines = members, engines
+	for name, m := range h.members {
+		if !slices.Contains(members, name) && h.silent(m, now) {
+			delete(h.members, name)
+		}
+	}
+}
+
+func (h *Holder) silent(m *member, now time.Time) bool {
+	return now.Sub(m.heard) >= Term
+}
+
+// Report takes in a member's report and returns its new shares.
+func (h *Holder) Report(r Report, now time.Time) Answer {
+	m := h.members[r.Member]
+	if m == nil {
+		m = &member{held: h.fixed(r.Member)}
+		h.members[r.Member] = m
+	}
+	before := m.held
+	if applied := r.Applied == m.number; applied && h.silent(m, now) {
+		before = most(m.given, h.fixed(r.Member))
+		m.heard = now
+	} else if applied {
+		before = m.given
+		m.heard = now
+	}
+	m.last = now
+	m.demand = r.Demand
+	h.number++
+	m.number = h.number
+	m.given = h.share(r, m, now)
+	m.held = most(most(before, m.given), r.InFlight)
+	return Answer{Number: h.number, Shares: m.given}
+}
+
+// fixed returns a listed member's fixed share; others have none.
+func (h *Holder) fixed(name string) Shares {
+	place, ok := slices.BinarySearch(h.listed, name)
+	if !ok {
+		return Shares{}
+	}
+	return Fixed(h.engines, place, len(h.listed))
+}
+
+// share computes the member's shares: its part of all slots by demand, on the
+// engines where others leave most free.
+func (h *Holder) share(r Report, m *member, now time.Time) Shares {
+	free := h.free(r.Member, now)
+	type room struct {
+		name       string
+		free, kept int
+	}
+	rooms := make([]room, 0, len(h.engines))
+	wanted := h.target(r.Member, now)
+	shares := make(Shares, len(h.engines))
+	for _, e := range h.engines {
+		kept := max(0, min(r.InFlight[e.Name], free[e.Name], wanted))
+		shares[e.Name] = kept
+		wanted -= kept
+		rooms = append(rooms, room{name: e.Name, free: free[e.Name] - kept, kept: m.given[e.Name]})
+	}
+	for wanted > 0 {
+		best := slices.MaxFunc(rooms, func(a, b room) int {
+			return cmp.Or(cmp.Compare(a.free, b.free), cmp.Compare(a.kept, b.kept))
+		})
+		if best.free <= 0 {
+			break
+		}
+		at := slices.IndexFunc(rooms, func(o room) bool { return o.name == best.name })
+		rooms[at].free--
+		shares[best.name]++
+		wanted--
+	}
+	return shares
+}
+
+// free returns the slots that no other member may be using or is owed.
+func (h *Holder) free(self string, now time.Time) Shares {
+	free := make(Shares, len(h.engines))
+	for _, e := range h.engines {
+		free[e.Name] = e.Slots
+	}
+	for _, name := range h.others(self) {
+		for engine, n := range h.reserved(name, now) {
+			free[engine] -= n
+		}
+	}
+	return free
+}
+
+// others returns all members but self, listed or still holding.
+func (h *Holder) others(self string) []string {
+	var names []string
+	for _, name := range h.listed {
+		if name != self {
+			names = append(names, name)
+		}
+	}
+	for name := range h.members {
+		if _, ok := slices.BinarySearch(h.listed, name); !ok && name != self {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// reserved returns what must be left to a member.
+func (h *Holder) reserved(name string, now time.Time) Shares {
+	m := h.members[name]
+	switch {
+	case m == nil || now.Sub(m.last) >= Term:
+		return h.fixed(name)
+	case h.silent(m, now):
+		return most(h.fixed(name), m.held)
+	}
+	return m.held
+}
+
+// target returns the slots that the member should have in all: what is left
+// after silent members, shared so that nobody who wants more has less than
+// another who does, and what nobody wants in equal parts.
+func (h *Holder) target(self string, now time.Time) int {
+	left := 0
+	for _, e := range h.engines {
+		left += e.Slots
+	}
+	var demands []int
+	for _, name := range h.listed {
+		m := h.members[name]
+		if name != self && (m == nil || h.silent(m, now)) {
+			left -= h.fixed(name).Total()
+			continue
+		}
+		demands = append(demands, m.demand)
+	}
+	return Level(demands, h.members[self].demand, left)
+}
+
+// Level shares slots among demands by max-min fairness and returns the share of
+// one of them. Slots that nobody demands are added in equal parts, so that a
+// sudden demand finds some.
+func Level(demands []int, own, slots int) int {
+	sorted := slices.Clone(demands)
+	slices.Sort(sorted)
+	level := 0
+	for i, demand := range sorted {
+		equal := max(0, slots) / (len(sorted) - i)
+		level = equal
+		if demand > equal {
+			return min(own, level)
+		}
+		slots -= demand
+	}
+	if len(sorted) == 0 {
+		return 0
+	}
+	return own + max(0, slots)/len(sorted)
+}
+
+func most(a, b Shares) Shares {
+	both := make(Shares, len(a))
+	for name, n := range a {
+		both[name] = n
+	}
+	for name, n := range b {
+		both[name] = max(both[name], n)
+	}
+	return both
+}
