Share slots by demand over link and borrow from other domains

Cause: equal shares leave an instance with a burst at its part while others idle, and an instance whose domain lost its upstreams served nothing. Ruled out: one owning instance an engine (a hop more on every request and its death takes the engine's queue with it); shares from lagging loads alone (the sum is not bounded). Change: the holder of the domain's upstream role grants shares for a third of the lease term; a silent instance falls back to a fixed share after three terms; waiting requests borrow from at most two other domains, ranked by rendezvous of the instance's name, from half of what is not demanded there.

--- a/instance/counters.go
+++ b/instance/counters.go
@@ -10,6 +10,7 @@
 
 // counters are the instance's metrics. Label sets are bounded by what is declared.
 type counters struct {
+	slotCounters
 	platformCalls metric.Int64Counter
 	requests      metric.Int64Counter
 	orders        metric.Int64Counter
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
+	"github.com/pomelocross/pomelocross/slots"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
 	"github.com/pomelocross/pomelocross/usage"
@@ -46,10 +47,11 @@
 
 	view   atomic.Pointer[View]
 	events chan event
-	queues queues
+	queues *queues
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
+	slotService  *SlotService
 
 	homesMu sync.Mutex // guards homes
 	homes   map[string]*rollout.Home
@@ -75,11 +77,16 @@
 		platform: store, client: upstream.NewClient(), meter: usage.NewMeter(s.UsageWindow),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
 		events:       make(chan event, eventBuffer),
+		queues:       newQueues(clock, slots.TimingFor(s.LeaseTerm)),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
 	}
 	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
+	i.slotService = &SlotService{instance: i}
+	if err := i.observeQueues(t.Meter); err != nil {
+		return nil, oops.In("instance").Wrap(err)
+	}
 	return i, i.registerPeerServices()
 }
 
@@ -96,7 +103,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.shareSlots, i.holdUpstreams, i.holdBilling} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -132,6 +132,9 @@
 	if err := i.peers.Register("Member", &MemberService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register("Slots", i.slotService); err != nil {
+		return err
+	}
 	if err := i.peers.Register("Usage", &UsageService{i}); err != nil {
 		return err
 	}
--- /dev/null
+++ b/instance/slots.go
@@ -0,0 +1,190 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/slots"
+)
+
+// errNotHolder is answered by an instance without the domain's upstream role.
+var errNotHolder = errors.New("not the holder of the upstream role")
+
+// SlotService grants shares of upstreams to the instances of the domain while
+// this instance holds the upstream role.
+type SlotService struct {
+	instance *Instance
+
+	mu      sync.Mutex // guards epoch and holders
+	epoch   int64
+	holders map[string]*slots.Holder // by service
+}
+
+// SlotCall carries an instance's reports, one for each service.
+type SlotCall struct {
+	Domain  string
+	Reports []slots.Report
+}
+
+// SlotReply holds an answer to each report.
+type SlotReply struct{ Answers []slots.Answer }
+
+// Report answers an instance's reports. Shares must end before the lease does,
+// so that a successor starts with none outstanding.
+func (s *SlotService) Report(call SlotCall, reply *SlotReply) error {
+	grant, held := s.instance.upstreamRole.Grant(s.instance.queues.timing.Term)
+	if !held || call.Domain != s.instance.settings.Domain {
+		return errNotHolder
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != grant.Epoch {
+		s.epoch, s.holders = grant.Epoch, map[string]*slots.Holder{}
+	}
+	for _, report := range call.Reports {
+		reply.Answers = append(reply.Answers, s.answer(report, grant))
+	}
+	return nil
+}
+
+func (s *SlotService) answer(report slots.Report, grant lease.Grant) slots.Answer {
+	view := s.instance.view.Load()
+	domain := s.instance.settings.Domain
+	now := s.instance.clock.Now()
+	holder := s.holders[report.Service]
+	if holder == nil {
+		holder = slots.NewHolder(s.instance.queues.timing, grant.Epoch)
+		s.holders[report.Service] = holder
+	}
+	local := localUpstreams(view, report.Service, domain)
+	if view.Contract != nil {
+		service, _ := view.Contract.Service(report.Service)
+		holder.Listed(memberNames(view, domain), enginesOf(local, service.Slots), now)
+	}
+	answer := holder.Report(report, now)
+	answer.Versions = map[string]int64{}
+	for _, u := range local {
+		if answer.Shares[u.Name] > 0 {
+			answer.Versions[u.Name] = u.Load.WeightVersion
+		}
+	}
+	return answer
+}
+
+// reshared makes the control goroutine give queues their new shares.
+type reshared struct{}
+
+func (reshared) apply(*View) {}
+
+// shareSlots reports to the holder of the domain's upstream role, and to those
+// of other domains when there is reason to borrow, until ctx ends.
+func (i *Instance) shareSlots(ctx context.Context) {
+	holders := map[string]string{} // the instance to ask first, by domain
+	for ctx.Err() == nil {
+		domains := append([]string{i.settings.Domain}, i.queues.lenders(i.view.Load(), i.settings.Domain)...)
+		var asking sync.WaitGroup
+		answered := make([]string, len(domains))
+		for n, domain := range domains {
+			asking.Go(func() { answered[n] = i.reportSlots(ctx, domain, holders[domain]) })
+		}
+		asking.Wait()
+		for n, domain := range domains {
+			holders[domain] = answered[n]
+		}
+		i.send(ctx, reshared{})
+		sleep(ctx, i.queues.timing.Interval)
+	}
+}
+
+// reportSlots sends one report. While the holder is not known it asks one peer
+// after another. It returns the instance that answered as holder, or the one to
+// ask first next time.
+func (i *Instance) reportSlots(ctx context.Context, domain, first string) string {
+	peers := i.view.Load().Domain.Peers(domain)
+	start := max(0, placeOf(peers, first))
+	for n := range peers {
+		peer := peers[(start+n)%len(peers)]
+		err := i.reportTo(ctx, domain, peer)
+		i.counters.slotReport(domain, err)
+		if err == nil {
+			return peer.Name
+		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			return peers[(start+n+1)%len(peers)].Name
+		}
+	}
+	return ""
+}
+
+func placeOf(peers []platform.Member, name string) int {
+	for n, peer := range peers {
+		if peer.Name == name {
+			return n
+		}
+	}
+	return -1
+}
+
+func (i *Instance) reportTo(ctx context.Context, domain string, peer platform.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, i.queues.timing.CallTimeout)
+	defer cancel()
+	call := SlotCall{Domain: domain, Reports: i.queues.reports(i.view.Load(), i.settings.Name, domain)}
+	sent := i.clock.Now()
+	var reply SlotReply
+	if err := i.callSlots(ctx, peer, call, &reply); err != nil {
+		return err
+	}
+	i.queues.answered(domain, call, reply, sent)
+	return nil
+}
+
+func (i *Instance) callSlots(ctx context.Context, peer platform.Member, call SlotCall, reply *SlotReply) error {
+	if peer.Name == i.settings.Name {
+		return i.slotService.Report(call, reply)
+	}
+	return i.dialer.Call(ctx, peer.Peer, "Slots.Report", call, reply)
+}
+
+// slotCounters are the metrics of shared slots.
+type slotCounters struct{ reports metric.Int64Counter }
+
+func (c slotCounters) slotReport(domain string, err error) {
+	c.reports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("domain", domain), attribute.Bool("granted", err == nil)))
+}
+
+// observeQueues registers gauges of what waits, is shared and is taken out.
+func (i *Instance) observeQueues(meter metric.Meter) error {
+	gauges := map[string]metric.Int64ObservableGauge{}
+	for name, description := range map[string]string{
+		"pomelocross_queue_waiting": "requests that wait by service",
+		"pomelocross_queue_slots":   "slots of this instance by service",
+		"pomelocross_queue_ejected": "upstreams that get no new work by service",
+	} {
+		gauge, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
+		if err != nil {
+			return err
+		}
+		gauges[name] = gauge
+	}
+	reports, err := meter.Int64Counter("pomelocross_slot_reports", metric.WithDescription("reports to holders of the upstream role"))
+	if err != nil {
+		return err
+	}
+	i.counters.slotCounters = slotCounters{reports}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for name, stats := range i.queues.stats() {
+			service := metric.WithAttributes(attribute.String("service", name))
+			o.ObserveInt64(gauges["pomelocross_queue_waiting"], int64(stats.Waiting), service)
+			o.ObserveInt64(gauges["pomelocross_queue_slots"], int64(stats.Slots), service)
+			o.ObserveInt64(gauges["pomelocross_queue_ejected"], int64(stats.Ejected), service)
+		}
+		return nil
+	}, gauges["pomelocross_queue_waiting"], gauges["pomelocross_queue_slots"], gauges["pomelocross_queue_ejected"])
+	return err
+}
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -10,6 +10,7 @@
 // and trusts nothing it has not heard: members count as silent at first. It does
 // no I/O and is not safe for concurrent use.
 type Holder struct {
+	timing  Timing
 	engines []Engine
 	listed  []string // sorted
 	members map[string]*member
@@ -28,13 +29,17 @@
 	held Shares
 }
 
+// floorPart divides a listed member's equal part: so much of it is left to the
+// member without demand, for requests that come between two reports.
+const floorPart = 4
+
 // epochBits is how many answers a holder may give under one epoch, as a power of two.
 const epochBits = 32
 
 // NewHolder returns a holder that has heard nothing. Epoch is that of its lease
 // and keeps the numbers of its answers apart from those of other holders.
-func NewHolder(epoch int64) *Holder {
-	return &Holder{members: map[string]*member{}, number: epoch << epochBits}
+func NewHolder(timing Timing, epoch int64) *Holder {
+	return &Holder{timing: timing, members: map[string]*member{}, number: epoch << epochBits}
 }
 
 // Listed sets the members, sorted by name, and the engines of the domain.
@@ -49,7 +54,7 @@
 }
 
 func (h *Holder) silent(m *member, now time.Time) bool {
-	return now.Sub(m.heard) >= Term
+	return now.Sub(m.heard) >= h.timing.Term
 }
 
 // Report takes in a member's report and returns its new shares.
@@ -151,7 +156,7 @@
 func (h *Holder) reserved(name string, now time.Time) Shares {
 	m := h.members[name]
 	switch {
-	case m == nil || now.Sub(m.last) >= Term:
+	case m == nil || now.Sub(m.last) >= h.timing.Term:
 		return h.fixed(name)
 	case h.silent(m, now):
 		return most(h.fixed(name), m.held)
@@ -159,29 +164,55 @@
 	return m.held
 }
 
-// target returns the slots that the member should have in all: what is left
-// after silent members, shared so that nobody who wants more has less than
-// another who does, and what nobody wants in equal parts.
+// target returns the slots that the member should have in all. Listed members
+// share what silent ones leave. A member of another domain borrows from half of
+// what they don't demand.
 func (h *Holder) target(self string, now time.Time) int {
 	left := 0
 	for _, e := range h.engines {
 		left += e.Slots
 	}
+	floor := left / max(1, floorPart*len(h.listed))
 	var demands []int
+	wanted := 0
 	for _, name := range h.listed {
 		m := h.members[name]
 		if name != self && (m == nil || h.silent(m, now)) {
 			left -= h.fixed(name).Total()
 			continue
 		}
-		demands = append(demands, m.demand)
+		demand := max(m.demand, floor)
+		demands = append(demands, demand)
+		wanted += demand
+	}
+	own := h.members[self].demand
+	lendable := max(0, left-wanted) / 2
+	borrowers := h.borrowers(self, now)
+	if _, listed := slices.BinarySearch(h.listed, self); !listed {
+		return min(own, lendable/max(1, borrowers))
+	}
+	if borrowers == 0 {
+		lendable = 0
 	}
-	return Level(demands, h.members[self].demand, left)
+	return Level(demands, max(own, floor), left-lendable)
+}
+
+// borrowers counts members of other domains that want slots.
+func (h *Holder) borrowers(self string, now time.Time) int {
+	count := 0
+	for name, m := range h.members {
+		_, listed := slices.BinarySearch(h.listed, name)
+		if !listed && m.demand > 0 && (name == self || !h.silent(m, now)) {
+			count++
+		}
+	}
+	return count
 }
 
 // Level shares slots among demands by max-min fairness and returns the share of
 // one of them. Slots that nobody demands are added in equal parts, so that a
-// sudden demand finds some.
+// sudden demand finds some; where several share, one part is left for an
+// instance that joins.
 func Level(demands []int, own, slots int) int {
 	sorted := slices.Clone(demands)
 	slices.Sort(sorted)
@@ -197,7 +228,11 @@
 	if len(sorted) == 0 {
 		return 0
 	}
-	return own + max(0, slots)/len(sorted)
+	parts := len(sorted)
+	if parts > 1 {
+		parts++
+	}
+	return own + max(0, slots)/parts
 }
 
 func most(a, b Shares) Shares {
--- a/slots/member.go
+++ b/slots/member.go
@@ -5,6 +5,7 @@
 // Member is an instance's side: which shares it may use now. It does no I/O and
 // is not safe for concurrent use.
 type Member struct {
+	timing  Timing
 	sent    time.Time // of the last report that was answered, or the start
 	applied int64
 	granted Shares // nil before the first answer
@@ -12,7 +13,7 @@
 
 // NewMember returns a member that was started at now. It uses nothing until it
 // has heard from a holder or has been silent for FallbackAfter.
-func NewMember(now time.Time) *Member { return &Member{sent: now} }
+func NewMember(timing Timing, now time.Time) *Member { return &Member{timing: timing, sent: now} }
 
 // Applied returns the number of the answer in use.
 func (m *Member) Applied() int64 { return m.applied }
@@ -20,7 +21,7 @@
 // Answered takes in the answer to a report sent at sent. An answer that took
 // longer than CallTimeout is not used.
 func (m *Member) Answered(a Answer, sent, now time.Time) {
-	if now.Sub(sent) > CallTimeout || sent.Before(m.sent) {
+	if now.Sub(sent) > m.timing.CallTimeout || sent.Before(m.sent) {
 		return
 	}
 	m.sent, m.applied, m.granted = sent, a.Number, a.Shares
@@ -30,10 +31,10 @@
 // reports true while a grant is valid.
 func (m *Member) Shares(now time.Time, fixed Shares) (Shares, bool) {
 	silent := now.Sub(m.sent)
-	if silent < Term && m.granted != nil {
+	if silent < m.timing.Term && m.granted != nil {
 		return m.granted, true
 	}
-	if silent >= FallbackAfter {
+	if silent >= m.timing.FallbackAfter() {
 		return fixed, false
 	}
 	return least(m.granted, fixed), false
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -17,18 +17,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
+// Timing is the same at all instances of a deployment.
+type Timing struct {
+	// Term is how long a granted share is valid after its report was sent.
+	Term time.Duration
 	// Interval is the time between two reports of an instance.
-	Interval = 500 * time.Millisecond
+	Interval time.Duration
 	// CallTimeout bounds a report; a later answer is not used.
-	CallTimeout = 500 * time.Millisecond
-	// Term is how long a granted share is valid after its report was sent.
-	Term = 2 * time.Second
-	// FallbackAfter is when a silent instance uses its fixed share. It covers a
-	// term in which a report was heard whose answer got lost, a term in which
-	// the holder notices, a term in which shares of others run out, and calls.
-	FallbackAfter = 3*Term + 2*CallTimeout
-)
+	CallTimeout time.Duration
+}
+
+// TimingFor returns the timing for leases of a term. A holder renews its lease
+// each third of the term, so shares that end within a third end before it.
+func TimingFor(leaseTerm time.Duration) Timing {
+	term := leaseTerm / 3
+	return Timing{Term: term, Interval: term / 8, CallTimeout: term / 4}
+}
+
+// FallbackAfter is when a silent instance uses its fixed share. It covers a term
+// in which a report was heard whose answer got lost, a term in which the holder
+// notices, a term in which shares of others run out, and calls.
+func (t Timing) FallbackAfter() time.Duration { return 3*t.Term + 2*t.CallTimeout }
 
 // Engine is an upstream with the requests it runs at once.
 type Engine struct {
@@ -79,4 +88,6 @@
 type Answer struct {
 	Number int64
 	Shares Shares
+	// Versions are the weight versions that engines with a share say they run.
+	Versions map[string]int64
 }
