Bound token rates of teams over instances and domains

Cause: tokensPerMinute was declared and not enforced. Ruled out: a shared counter in the platform (a write a request), parts by the instances of all domains (cut-off domains would spend the same part twice). Change: package limit: the rate divided by declared domains, then by listed instances; a larger share holds after 30 s; running requests count as expected, charged as used; 429 with the time until tokens come in. Rollouts are not yet charged.

--- a/instance/completion.go
+++ b/instance/completion.go
@@ -12,6 +12,7 @@
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/httpjson"
 	"github.com/pomelocross/pomelocross/queue"
+	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -51,6 +52,14 @@
 	return nil
 }
 
+// start returns what the prompt begins with.
+func (b *completionBody) start() string {
+	if len(b.Messages) > 0 {
+		return b.Messages[0].Role + ": " + b.Messages[0].Content
+	}
+	return b.Prompt
+}
+
 func (i *Instance) serveCompletion(ctx context.Context, w http.ResponseWriter, r *http.Request, admitted *request) {
 	var body completionBody
 	err := httpjson.Read(w, r, maxCompletionBytes, &body)
@@ -61,11 +70,20 @@
 		(&refusal{status: http.StatusBadRequest, code: "bad_request", message: err.Error(), notRun: true}).write(w)
 		return
 	}
+	use, wait := i.limits.Take(admitted.key.Team, int64(body.MaxTokens))
+	if use == nil {
+		i.counters.request(admitted.route.Name, admitted.key.Team, codeTokenRate)
+		refuseRate(wait).write(w)
+		return
+	}
 	answer := &completionWriter{w: w, id: admitted.id, chat: len(body.Messages) > 0, stream: body.Stream, model: admitted.service.Model}
-	whole, err := i.runner.Stream(ctx, admitted.ticket(i.settings.Domain, int64(body.MaxTokens)), upstream.CompletionRequest{
+	ticket := admitted.ticket(i.settings.Domain, int64(body.MaxTokens))
+	ticket.Route.Prefix = route.PrefixOf(body.start())
+	whole, err := i.runner.Stream(ctx, ticket, upstream.CompletionRequest{
 		ID: admitted.id, Model: admitted.service.Model, Prompt: body.Prompt, Messages: body.Messages, MaxTokens: body.MaxTokens,
 		Temperature: body.Temperature, TopP: body.TopP, Seed: body.Seed, Stop: body.Stop,
 	}, answer.chunk)
+	use.Done(int64(whole.PromptTokens + whole.OutputTokens))
 	i.meter.Add(admitted.key.Team, admitted.service.Name, admitted.received, int64(whole.PromptTokens), int64(whole.OutputTokens))
 	if err != nil {
 		failed := failure(ctx, err)
@@ -91,11 +109,16 @@
 		f.status, f.code, f.message, f.retryAfter = http.StatusGatewayTimeout, "deadline", "the deadline passed", busyPause
 	case errors.Is(err, queue.ErrFull):
 		f.status, f.code, f.message, f.retryAfter = http.StatusTooManyRequests, "queue_full", err.Error(), busyPause
+	case errors.Is(err, queue.ErrLate):
+		f.status, f.code, f.message, f.retryAfter = http.StatusTooManyRequests, "queue_late", err.Error(), busyPause
 	case errors.Is(err, queue.ErrNoService):
 		f.status, f.code, f.message, f.retryAfter = http.StatusServiceUnavailable, "no_upstream", err.Error(), busyPause
 	case f.notRun:
 		f.status, f.code, f.message, f.retryAfter = http.StatusServiceUnavailable, "refused", "no upstream took the request", busyPause
 	}
+	if after, ok := queue.RetryAfter(err); ok {
+		f.retryAfter = after
+	}
 	return f
 }
 
--- a/instance/control.go
+++ b/instance/control.go
@@ -39,6 +39,7 @@
 func (i *Instance) publish(next *View) {
 	before := i.view.Swap(next)
 	i.queues.update(next, i.settings.Domain)
+	i.limits.Set(rateShares(next, i.settings.Domain))
 	if next.Contract == before.Contract {
 		return
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/limit"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/rollout"
@@ -48,6 +49,7 @@
 	view   atomic.Pointer[View]
 	events chan event
 	queues *queues
+	limits *limit.Limiter
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
@@ -77,6 +79,7 @@
 		platform: store, client: upstream.NewClient(), meter: usage.NewMeter(s.UsageWindow),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
 		events:       make(chan event, eventBuffer),
+		limits:       limit.New(clock),
 		queues:       newQueues(clock, slots.TimingFor(s.LeaseTerm)),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
