--- a/instance/queues.go
+++ b/instance/queues.go
@@ -1,9 +1,12 @@
 package instance
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomelocross/pomelocross/contract"
@@ -82,9 +85,18 @@
 	for i, u := range local {
 		list[i] = queue.Slotted{Upstream: u, Slots: shares[u.Name], Capacity: service.Slots}
 	}
+	spread(list, v.Domain.Self().Name)
 	return list
 }
 
+// spread orders upstreams by a hash of the instance's and their names, since the
+// first of equals is chosen and instances should not choose the same one.
+func spread(list []queue.Slotted, instance string) {
+	slices.SortFunc(list, func(a, b queue.Slotted) int {
+		return cmp.Compare(xxhash.Sum64String(instance+"\x00"+a.Name), xxhash.Sum64String(instance+"\x00"+b.Name))
+	})
+}
+
 // sharesNow returns the slots that this instance may use. An instance that is
 // alone in its domain need not wait for a holder.
 func sharesNow(v *View, engines []slots.Engine, domain string, member *slots.Member, now time.Time) slots.Shares {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -19,6 +19,9 @@
 	// an instance that is gone from the list has stopped for good.
 	riseAfter = 30 * time.Second
 
+	// smoothing is the part of a new length in the running mean.
+	smoothing = 0.1
+
 	minRetryAfter = time.Second
 	maxRetryAfter = 5 * time.Minute
 )
@@ -35,8 +38,11 @@
 // team is one team's use at this instance.
 type team struct {
 	limiter *rate.Limiter
+	// mean is the running mean of the tokens that requests really used. What a
+	// caller allows at most says little about it.
+	mean float64
 	// pending are the expected tokens of running requests.
-	pending int64
+	pending float64
 	// risen is when a larger share was first seen; zero when none waits.
 	risen time.Time
 }
@@ -104,24 +110,25 @@
 type Use struct {
 	limiter  *Limiter
 	team     *team
-	expected int64
+	expected float64
 }
 
-// Take lets a request of expected tokens in while the team has tokens left after
-// its running requests. Otherwise it returns when the team may come back.
-func (l *Limiter) Take(name string, expected int64) (*Use, time.Duration) {
+// Take lets a request in while the team has tokens left after its running
+// requests, which count as long as its earlier ones were. Otherwise it returns
+// when the team may come back.
+func (l *Limiter) Take(name string) (*Use, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.teams[name]
 	if t == nil {
 		return &Use{}, 0
 	}
-	left := t.limiter.TokensAt(l.clock.Now()) - float64(t.pending)
+	left := t.limiter.TokensAt(l.clock.Now()) - t.pending
 	if left <= 0 {
 		return nil, t.retryAfter(1 - left)
 	}
-	t.pending += expected
-	return &Use{limiter: l, team: t, expected: expected}, 0
+	t.pending += t.mean
+	return &Use{limiter: l, team: t, expected: t.mean}, 0
 }
 
 // retryAfter returns how long the given tokens take to come in.
@@ -139,6 +146,7 @@
 	u.limiter.mu.Lock()
 	defer u.limiter.mu.Unlock()
 	u.team.pending -= u.expected
+	u.team.mean += smoothing * (float64(actual) - u.team.mean)
 	now := u.limiter.clock.Now()
 	for actual > 0 {
 		part := min(actual, int64(u.team.limiter.Burst()))
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -29,6 +29,8 @@
 	Upstream upstream.Upstream
 	queue    *Queue
 	entry    *Item
+	granted  time.Time
+	first    time.Duration // to the first token; 0 before it
 }
 
 // New returns a queue without upstreams.
@@ -100,7 +102,7 @@
 		if entry == nil {
 			return
 		}
-		q.waiters[entry] <- &Grant{Upstream: chosen, queue: q, entry: entry}
+		q.waiters[entry] <- &Grant{Upstream: chosen, queue: q, entry: entry, granted: entry.run.since}
 		delete(q.waiters, entry)
 	}
 }
@@ -115,13 +117,21 @@
 	q.dispatch()
 }
 
-// Observe tells what the attempt showed of the upstream. It may be called any
-// number of times before Release.
-func (g *Grant) Observe(o route.Observation) {
+// FirstToken tells that the upstream has begun to answer. Like Observe it must
+// not be called by two goroutines at once.
+func (g *Grant) FirstToken() {
+	if g.first == 0 {
+		g.first = g.queue.clock.Since(g.granted)
+	}
+}
+
+// Observe tells whether the attempt failed for the upstream's sake. It is called
+// at most once, before Release.
+func (g *Grant) Observe(failed bool) {
 	q := g.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.scheduler.Observe(g.entry, o, q.clock.Now())
+	q.scheduler.Observe(g.entry, route.Observation{Failed: failed, FirstToken: g.first}, q.clock.Now())
 }
 
 // Depth returns how many requests wait.
--- a/queue/scheduler.go
+++ b/queue/scheduler.go
@@ -88,7 +88,7 @@
 // Enter takes a request in, or returns a *RefusedError.
 func (s *Scheduler) Enter(ticket Ticket, now time.Time) (*Item, error) {
 	if s.set.Len() == 0 {
-		return nil, &RefusedError{Err: ErrNoService, RetryAfter: minRetryAfter}
+		return nil, &RefusedError{Err: ErrNoService, After: minRetryAfter}
 	}
 	ticket.Cost = max(ticket.Cost, 1)
 	ticket.Route.Class = ticket.Class
@@ -98,10 +98,10 @@
 	}
 	wait := s.estimate(l, &ticket)
 	if s.teamWaiting(ticket.Team) >= MaxWaiting-s.waiting {
-		return nil, &RefusedError{Err: ErrFull, RetryAfter: bounded(wait / 2)}
+		return nil, &RefusedError{Err: ErrFull, After: bounded(wait / 2)}
 	}
 	if late := now.Add(wait).Sub(ticket.Deadline); !ticket.Deadline.IsZero() && wait > 0 && late > 0 {
-		return nil, &RefusedError{Err: ErrLate, RetryAfter: bounded(late)}
+		return nil, &RefusedError{Err: ErrLate, After: bounded(late)}
 	}
 	s.number++
 	e := &Item{ticket: ticket, need: needOf(ticket.Route), lane: l, account: l.account(&ticket), number: s.number}
--- a/queue/ticket.go
+++ b/queue/ticket.go
@@ -21,10 +21,13 @@
 // RefusedError is a request that the queue did not take in.
 type RefusedError struct {
 	Err error // ErrFull, ErrNoService or ErrLate
-	// RetryAfter is when the queue is expected to have room.
-	RetryAfter time.Duration
+	// After is when the queue is expected to have room.
+	After time.Duration
 }
 
+// RetryAfter returns when the caller may come back.
+func (e *RefusedError) RetryAfter() time.Duration { return e.After }
+
 // Error implements error.
 func (e *RefusedError) Error() string { return e.Err.Error() }
 
@@ -37,7 +40,7 @@
 	if !errors.As(err, &refused) {
 		return 0, false
 	}
-	return refused.RetryAfter, true
+	return refused.After, true
 }
 
 // Ticket is a request's place in the queue.
--- a/route/set.go
+++ b/route/set.go
@@ -32,6 +32,7 @@
 	median     float64
 	observed   int
 	ejected    int
+	ordered    []int // scratch of inOrder
 	considered []*Candidate
 	scores     []float64
 }
@@ -96,8 +97,11 @@
 		return nil
 	}
 	holders := s.prefixes.of(request.Prefix)
+	if len(s.candidates) <= scanAll {
+		return s.chooseAll(request, holders, s.inOrder())
+	}
 	if len(s.free) <= scanAll {
-		return s.chooseAll(request, holders)
+		return s.chooseAll(request, holders, s.free)
 	}
 	s.considered = s.considered[:0]
 	for range sampled {
@@ -112,18 +116,28 @@
 	chosen := s.pick(request)
 	s.mark(holders, false)
 	if chosen == nil {
-		return s.chooseAll(request, holders)
+		return s.chooseAll(request, holders, s.free)
 	}
 	return chosen
 }
 
-// chooseAll rates all free candidates, from a random one on, so that equals are
-// used evenly.
-func (s *Set) chooseAll(request Request, holders []string) *Candidate {
+// inOrder returns the free candidates as they stand in the list, so that the
+// first of equals is chosen and a caller may order the list.
+func (s *Set) inOrder() []int {
+	s.ordered = s.ordered[:0]
+	for i, place := range s.place {
+		if place >= 0 {
+			s.ordered = append(s.ordered, i)
+		}
+	}
+	return s.ordered
+}
+
+// chooseAll rates the candidates with the given indexes.
+func (s *Set) chooseAll(request Request, holders []string, indexes []int) *Candidate {
 	s.considered = s.considered[:0]
-	start := s.random.IntN(len(s.free))
-	for n := range s.free {
-		s.considered = append(s.considered, &s.candidates[s.free[(start+n)%len(s.free)]])
+	for _, i := range indexes {
+		s.considered = append(s.considered, &s.candidates[i])
 	}
 	s.mark(holders, true)
 	defer s.mark(holders, false)
--- a/slots/holder.go
+++ b/slots/holder.go
@@ -211,8 +211,7 @@
 
 // Level shares slots among demands by max-min fairness and returns the share of
 // one of them. Slots that nobody demands are added in equal parts, so that a
-// sudden demand finds some; where several share, one part is left for an
-// instance that joins.
+// sudden demand finds some; one part is left for an instance that joins.
 func Level(demands []int, own, slots int) int {
 	sorted := slices.Clone(demands)
 	slices.Sort(sorted)
@@ -228,11 +227,7 @@
 	if len(sorted) == 0 {
 		return 0
 	}
-	parts := len(sorted)
-	if parts > 1 {
-		parts++
-	}
-	return own + max(0, slots)/parts
+	return own + max(0, slots)/(len(sorted)+1)
 }
 
 func most(a, b Shares) Shares {
