--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -17,6 +17,9 @@
 	gone := member
 	gone.Leaving = true
 	start := time.Unix(0, 0)
+	listed := func(m platform.Member) membership {
+		return membership{domain.NewView(platform.Member{Name: "entry-a"}, []platform.Member{m})}
+	}
 	says := func(leaving bool) loaded {
 		return loaded{map[string]upstream.Load{"lm-1": {Leaving: leaving}}}
 	}
@@ -27,9 +30,9 @@
 		want   bool
 	}{
 		"nothing":                        {[]event{says(false)}, false},
-		"list":                           {[]event{listed{[]platform.Member{gone}}, says(false)}, true},
+		"list":                           {[]event{listed(gone), says(false)}, true},
 		"report":                         {[]event{says(true)}, true},
-		"report, then a stale list":      {[]event{says(true), listed{[]platform.Member{member}}}, true},
+		"report, then a stale list":      {[]event{says(true), listed(member)}, true},
 		"report, then no answer":         {[]event{says(true), silent}, true},
 		"report, then taken back":        {[]event{says(true), says(false)}, false},
 		"notice":                         {[]event{notice}, true},
