--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,134 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/contract"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+var now = time.Unix(1000, 0)
+
+func candidates(count int) []Candidate {
+	var list []Candidate
+	for n := range count {
+		list = append(list, Candidate{Upstream: upstream.Upstream{Member: platform.Member{Name: fmt.Sprintf("u%03d", n), Domain: "a"}}, Slots: 4})
+	}
+	return list
+}
+
+func newSet(list []Candidate) *Set {
+	s := NewSet(Default(), rand.New(rand.NewPCG(1, 1)))
+	s.Replace(list)
+	return s
+}
+
+func TestPreferences(t *testing.T) {
+	plain := candidates(1)[0]
+	for _, test := range []struct {
+		name    string
+		request Request
+		better  func(*Candidate)
+	}{
+		{"own failure domain", Request{Domain: "b"}, func(c *Candidate) { c.Domain = "b" }},
+		{"fewer in flight", Request{Domain: "a"}, func(c *Candidate) { c.Slots = 8 }},
+		{"held prefix", Request{Domain: "a", Prefix: 1}, func(c *Candidate) { c.HoldsPrefix = true }},
+		{"cheap for drafts", Request{Domain: "a", Class: contract.ClassDraft}, func(c *Candidate) { c.Cost = platform.CostCheap }},
+		{"free by its report", Request{Domain: "a"}, func(c *Candidate) { c.Capacity = 4 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list := []Candidate{plain, plain}
+			list[0].InFlight, list[1].InFlight = 1, 1
+			list[1].Name = "better"
+			test.better(&list[1])
+			gomega.NewWithT(t).Expect(Default().Choose(test.request, list).Name).To(gomega.Equal("better"))
+		})
+	}
+}
+
+func TestDeskKeepsToDearUpstreams(t *testing.T) {
+	list := candidates(2)
+	list[0].Cost, list[1].Cost = platform.CostCheap, platform.CostDear
+	gomega.NewWithT(t).Expect(Default().Choose(Request{Domain: "a", Class: contract.ClassDesk}, list).Name).To(gomega.Equal("u001"))
+}
+
+func TestPrefixStaysUntilItsUpstreamIsLoaded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSet(candidates(100))
+	used := map[string]int{}
+	for range 12 {
+		name := s.Choose(Request{Domain: "a", Prefix: 7}).Name
+		s.Take(name, 7)
+		used[name]++
+	}
+	g.Expect(len(used)).To(gomega.BeNumerically("<=", 6), "few upstreams hold the prefix")
+	g.Expect(len(used)).To(gomega.BeNumerically(">=", 3), "and no upstream takes more than its slots")
+}
+
+func TestSetNeverGivesMoreThanItsSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSet(candidates(30))
+	taken := 0
+	for c := s.Choose(Request{}); c != nil; c = s.Choose(Request{}) {
+		s.Take(c.Name, 0)
+		taken++
+	}
+	g.Expect(taken).To(gomega.Equal(120))
+	s.Return("u005")
+	g.Expect(s.Choose(Request{}).Name).To(gomega.Equal("u005"))
+}
+
+func TestEjectionKeepsAFloorAndReturnsSlowly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSet(candidates(4))
+	for range failuresToEject {
+		for n := range 4 {
+			s.Observe(fmt.Sprintf("u%03d", n), Observation{Failed: true}, now)
+		}
+	}
+	g.Expect(s.Ejected()).To(gomega.Equal(2), "half stay in use")
+	s.Readmit(now.Add(firstEjection - time.Millisecond))
+	g.Expect(s.Ejected()).To(gomega.Equal(2))
+	s.Readmit(now.Add(firstEjection))
+	g.Expect(s.Ejected()).To(gomega.BeZero())
+	s.Take("u000", 0)
+	g.Expect(s.place[0]).To(gomega.Equal(-1), "one request at first")
+	s.Observe("u000", Observation{FirstToken: time.Second}, now)
+	g.Expect(s.place[0]).NotTo(gomega.Equal(-1), "two after an answer")
+}
+
+func TestSlowUpstreamIsEjected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSet(candidates(4))
+	for range 3 * medianInterval {
+		for n := range 4 {
+			took := 100 * time.Millisecond
+			if n == 2 {
+				took = time.Second
+			}
+			s.Observe(fmt.Sprintf("u%03d", n), Observation{FirstToken: took}, now)
+		}
+	}
+	g.Expect(s.Ejected()).To(gomega.Equal(1))
+	g.Expect(s.isEjected("u002")).To(gomega.BeTrue())
+}
+
+func TestPrefixIndexForgetsTheOldest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPrefixIndex()
+	for n := range uint64(maxPrefixes + 10) {
+		p.sent(n+1, "u")
+	}
+	g.Expect(p.of(1)).To(gomega.BeEmpty())
+	g.Expect(p.of(maxPrefixes + 10)).To(gomega.Equal([]string{"u"}))
+	for _, name := range []string{"a", "b", "c", "d"} {
+		p.sent(5, name)
+	}
+	g.Expect(p.of(5)).To(gomega.Equal([]string{"d", "c", "b"}))
+}
