--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -39,6 +39,7 @@
 	request  upstream.CompletionRequest
 	emit     func(upstream.Chunk) error
 	produced progress
+	grant    *queue.Grant // of the attempt under way
 }
 
 // mayResume decides whether to go on elsewhere. An attempt that produced tokens
@@ -56,19 +57,28 @@
 	if failed != nil {
 		return failed
 	}
+	s.grant = grant
 	before := s.produced.OutputTokens
 	defer func() { grant.Release(int64(s.produced.OutputTokens - before)) }()
 	ctx, span := startAttempt(ctx, grant.Upstream)
 	defer span.End()
 	s.request.Resume, s.request.ResumedTokens = s.produced.text.String(), before
 	err := s.runner.Client.Complete(ctx, grant.Upstream.Address, s.request, s.take)
+	grant.Observe(blames(ctx, err))
 	return s.runner.finishAttempt(span, grant.Upstream, err)
 }
 
 func (s *streamRun) take(chunk upstream.Chunk) error {
+	s.grant.FirstToken()
 	s.produced.add(&chunk)
 	if err := s.emit(chunk); err != nil {
 		return errors.Join(errCaller, err)
 	}
 	return nil
 }
+
+// blames reports whether err is the upstream's failure: not the caller's, and
+// not a refusal, which an upstream may give for good reason.
+func blames(ctx context.Context, err error) bool {
+	return err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) && Classify(err) != Refused
+}
--- a/instance/completion.go
+++ b/instance/completion.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/httpjson"
+	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -47,6 +48,14 @@
 	return nil
 }
 
+// start returns what the prompt begins with.
+func (b *completionBody) start() string {
+	if len(b.Messages) > 0 {
+		return b.Messages[0].Role + ": " + b.Messages[0].Content
+	}
+	return b.Prompt
+}
+
 func (i *Instance) serveCompletion(ctx context.Context, w http.ResponseWriter, r *http.Request, admitted *request) {
 	var body completionBody
 	err := httpjson.Read(w, r, maxCompletionBytes, &body)
@@ -60,15 +69,24 @@
 		badRequest(err).write(w)
 		return
 	}
+	use, wait := i.limits.Take(admitted.key.Team)
+	if use == nil {
+		i.counters.request(admitted.route.Name, admitted.key.Team, codeTokenRate)
+		refuseRate(wait).write(w)
+		return
+	}
 	answer := &completionWriter{w: w, id: admitted.id, chat: len(body.Messages) > 0, stream: body.Stream, model: admitted.service.Model}
+	ticket := admitted.ticket(i.settings.Domain, int64(body.MaxTokens))
+	ticket.Route.Prefix = route.PrefixOf(body.start())
 	tally := i.usage.meter.Begin(admitted.key.Team, admitted.service.Name)
-	whole, err := i.runner.Stream(ctx, admitted.ticket(i.settings.Domain, int64(body.MaxTokens)), upstream.CompletionRequest{
+	whole, err := i.runner.Stream(ctx, ticket, upstream.CompletionRequest{
 		ID: admitted.id, Model: admitted.service.Model, Prompt: body.Prompt, Messages: body.Messages, MaxTokens: body.MaxTokens,
 		Temperature: body.Temperature, TopP: body.TopP, Seed: body.Seed, Stop: body.Stop,
 	}, func(chunk upstream.Chunk) error {
 		tally.Output(int64(chunk.Tokens))
 		return answer.chunk(chunk)
 	})
+	use.Done(int64(whole.PromptTokens + whole.OutputTokens))
 	i.usage.end(ctx, tally, whole, err)
 	if err != nil {
 		failed := failure(ctx, err)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -59,6 +59,9 @@
 	if err := i.peers.Register("Member", &MemberService{i}); err != nil {
 		return err
 	}
+	if err := i.peers.Register("Slots", i.slotService); err != nil {
+		return err
+	}
 	if err := i.peers.Register("Notice", &NoticeService{i}); err != nil {
 		return err
 	}
