notice: the in-process network is a stand-in

Cause: tests and benchmarks shared a fake that had grown into code. Change: internal/standin/network; tests use the exported interface.

--- a/notice/bench_test.go
+++ b/notice/bench_test.go
@@ -1,4 +1,4 @@
-package notice
+package notice_test
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/pomelocross/pomelocross/internal/standin/network"
+	"github.com/pomelocross/pomelocross/notice"
 	"github.com/pomelocross/pomelocross/platform"
 )
 
@@ -33,33 +35,34 @@
 func benchSpread(b *testing.B, mode string, count int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n, all := newNetwork(ctx, count, min(benchDomains, max(1, count/2)), benchDelay, DefaultTiming(), mode == "watch-all")
-	n.put(1, benchBundle)
+	n := network.New(count, min(benchDomains, max(1, count/2)), benchDelay)
+	all := n.StartAll(ctx, notice.DefaultTiming(), mode == "watch-all")
+	n.Put(1, benchBundle)
 	wait(b, all, 1)
 	time.Sleep(benchSettle)
-	n.reads.Store(0)
-	n.bytes.Store(0)
+	n.Reads.Store(0)
+	n.Bytes.Store(0)
 	time.Sleep(benchRest)
-	b.ReportMetric(float64(n.reads.Load())/benchRest.Seconds(), "platform-calls/s")
-	b.ReportMetric(float64(n.waiting.Load()), "platform-waiting")
-	b.ReportMetric(2*float64(n.bytes.Load())/benchRest.Seconds()/float64(count), "rest-B/s/instance")
+	b.ReportMetric(float64(n.Reads.Load())/benchRest.Seconds(), "platform-calls/s")
+	b.ReportMetric(float64(n.Waiting.Load()), "platform-waiting")
+	b.ReportMetric(2*float64(n.Bytes.Load())/benchRest.Seconds()/float64(count), "rest-B/s/instance")
 	if mode == "relay-dead-watcher" {
-		all = n.killWatchers(all)
+		all = killWatchers(n, all)
 	}
-	n.bytes.Store(0)
-	n.platformBytes.Store(0)
+	n.Bytes.Store(0)
+	n.PlatformBytes.Store(0)
 	var spent []time.Duration
 	for change := range int64(b.N) {
 		started := time.Now()
-		n.put(change+2, benchBundle)
+		n.Put(change+2, benchBundle)
 		wait(b, all, change+2)
 		spent = append(spent, time.Since(started))
 	}
 	b.ReportMetric(float64(slices.Max(spent).Milliseconds()), "worst-ms")
-	b.ReportMetric(float64(2*n.bytes.Load()+n.platformBytes.Load())/float64(b.N)/float64(count), "B/change/instance")
+	b.ReportMetric(float64(2*n.Bytes.Load()+n.PlatformBytes.Load())/float64(b.N)/float64(count), "B/change/instance")
 }
 
-func wait(b *testing.B, all []*member, revision int64) {
+func wait(b *testing.B, all []*network.Instance, revision int64) {
 	reached, deadline := allAt(all, revision), time.Now().Add(time.Minute)
 	for !reached() {
 		if time.Now().After(deadline) {
@@ -69,35 +72,34 @@
 	}
 }
 
-// killWatchers ends the second watcher of each domain and returns the rest.
-func (n *network) killWatchers(all []*member) []*member {
-	dead := map[string]bool{}
-	for _, name := range all[0].viewNow().Domains() {
-		if ranked := ranking(all[0].viewNow(), name); len(ranked) > watcherCount {
-			dead[ranked[1].Name] = true
+// killWatchers ends a watcher of each domain and returns the rest.
+func killWatchers(n *network.Network, all []*network.Instance) []*network.Instance {
+	dead := map[string]*network.Instance{}
+	for _, one := range all {
+		if one.Watching() {
+			dead[one.Self.Domain] = one
 		}
 	}
-	return slices.DeleteFunc(all, func(m *member) bool {
-		if dead[m.Self.Name] {
-			n.change(func() { delete(n.endpoints, m.Self.Peer) })
-			m.stop()
-		}
-		return dead[m.Self.Name]
-	})
+	for _, one := range dead {
+		n.Kill(one)
+	}
+	return slices.DeleteFunc(all, func(one *network.Instance) bool { return dead[one.Self.Domain] == one })
 }
 
 // BenchmarkExchange measures one exchange between instances that know the same.
 func BenchmarkExchange(b *testing.B) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n, all := newNetwork(ctx, 330, benchDomains, 0, DefaultTiming(), false)
-	n.put(1, benchBundle)
+	n := network.New(330, benchDomains, 0)
+	all := n.StartAll(ctx, notice.DefaultTiming(), false)
+	n.Put(1, benchBundle)
 	wait(b, all, 1)
 	cancel()
+	known := []notice.Known{{Kind: platform.KindConfig, Name: "test", Revision: 1}}
 	b.ReportAllocs()
 	for b.Loop() {
-		m := Message{From: platform.Member{Name: "entry-012", Domain: "domain-00"}, Known: all[0].book.Known()}
-		var reply Message
+		m := notice.Message{From: n.Entries[12], Known: known}
+		var reply notice.Message
 		_ = all[0].Exchange(m, &reply)
 	}
 }
--- a/notice/endpoint.go
+++ b/notice/endpoint.go
@@ -267,6 +267,13 @@
 	return e.fresh.Trusted(declared)
 }
 
+// Watching reports whether the instance is to watch the platform by its place.
+func (e *Endpoint) Watching() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.AlwaysWatch || watches(e.view)
+}
+
 // HeardAge returns the age of the platform's word, or -1 when it was never heard.
 func (e *Endpoint) HeardAge() time.Duration {
 	e.mu.Lock()
