notice: tell the charges of a peer that does not answer

Cause: a watcher that died a moment before kept its part of the domain waiting for the next round, 2.5 s at 90 and 330 instances when changes follow each other. Ruled out: taking over at the first failed push only (a trial left 2.5 s, since a push in its backoff does not start anew). Change: while a push fails, whoever pushes tells the peer's charges.

--- a/notice/endpoint.go
+++ b/notice/endpoint.go
@@ -79,10 +79,10 @@
 	view      *domain.View
 	listed    bool // an instance list has been read
 	lastNonce uint64
-	given     map[string]issued // by peer name
-	received  map[string]uint64 // newest nonce of each peer
-	pushing   map[string]bool   // peers being told; true when there is more to tell
-	failing   bool              // the last call to the platform failed
+	given     map[string]issued   // by peer name
+	received  map[string]uint64   // newest nonce of each peer
+	pushing   map[string]*pushing // pushes under way, by peer name
+	failing   bool                // the last call to the platform failed
 	kindHeard map[string]time.Time
 	wake      chan struct{} // closed and replaced when the watching role may change
 }
@@ -93,7 +93,7 @@
 	tracker := domain.NewTracker(o.Self, o.Limits)
 	return &Endpoint{
 		Options: o, run: context.Background(), book: NewBook(), tracker: tracker, view: tracker.View(now),
-		given: map[string]issued{}, received: map[string]uint64{}, pushing: map[string]bool{},
+		given: map[string]issued{}, received: map[string]uint64{}, pushing: map[string]*pushing{},
 		kindHeard: map[string]time.Time{}, wake: make(chan struct{}),
 	}
 }
--- a/notice/loops.go
+++ b/notice/loops.go
@@ -54,24 +54,39 @@
 	return age < 0 || age > e.Timing.Stale
 }
 
-// spread sends news to those that this instance is to tell. A push that is
-// under way is told to look again when it is done.
+// spread sends news to those that this instance is to tell.
 func (e *Endpoint) spread(outside bool) {
 	if e.AlwaysWatch {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, peer := range audience(e.view, outside) {
-		if again, running := e.pushing[peer.Name]; running {
-			e.pushing[peer.Name] = again || running
+	e.tell(audience(e.view, outside))
+}
+
+// tell pushes to peers. In place of a peer that does not answer it tells those
+// that the peer was to tell. The caller holds mu.
+func (e *Endpoint) tell(peers []platform.Member) {
+	for _, peer := range peers {
+		running := e.pushing[peer.Name]
+		if running == nil {
+			e.pushing[peer.Name] = &pushing{}
+			go e.push(e.run, peer)
 			continue
 		}
-		e.pushing[peer.Name] = false
-		go e.push(e.run, peer)
+		running.again = true
+		if running.failing {
+			e.tell(charges(e.view, peer))
+		}
 	}
 }
 
+// pushing is the state of a push to one peer.
+type pushing struct {
+	again   bool // there is more to tell
+	failing bool // the peer did not answer
+}
+
 // push exchanges with peer until it knows all that is known here, or gives up.
 func (e *Endpoint) push(ctx context.Context, peer platform.Member) {
 	pause := pushPause
@@ -82,6 +97,7 @@
 			}
 			continue
 		}
+		e.unanswered(peer)
 		if ctx.Err() != nil || e.viewNow().Liveness(peer.Name) != domain.Alive {
 			break
 		}
@@ -93,12 +109,23 @@
 	delete(e.pushing, peer.Name)
 }
 
+// unanswered takes over from a peer that does not answer.
+func (e *Endpoint) unanswered(peer platform.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.pushing[peer.Name].failing {
+		e.pushing[peer.Name].failing = true
+		e.tell(charges(e.view, peer))
+	}
+}
+
 // pushed ends a push, unless news came meanwhile.
 func (e *Endpoint) pushed(name string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.pushing[name] {
-		e.pushing[name] = false
+	state := e.pushing[name]
+	if state.again {
+		*state = pushing{}
 		return false
 	}
 	delete(e.pushing, name)
--- a/notice/plan.go
+++ b/notice/plan.go
@@ -45,6 +45,16 @@
 	return ranked[min(first, len(ranked)):min(first+fanOut, len(ranked))]
 }
 
+// charges returns whom a peer of the own domain passes news on to.
+func charges(v *domain.View, peer platform.Member) []platform.Member {
+	if peer.Domain != v.Self().Domain {
+		return nil
+	}
+	ranked := ranking(v, peer.Domain)
+	place := slices.IndexFunc(ranked, func(m platform.Member) bool { return m.Name == peer.Name })
+	return without(children(ranked, place), v.Self().Name)
+}
+
 // audience returns whom self tells of news. News from outside the domain also
 // goes to the domain's watchers, and from a watcher to one instance of each
 // other domain, since any of them may be cut off from the platform.
