instance: keep the instance list on the disk as soon as it is known

The list was only written with news or after 30 s. Ruled out: a longer wait, which does not help an instance that knows nobody. Change: the list is written within half a second of a change of its length; the test copies the disk once it names the peers, and asserts what it did before.

--- a/instance/notices.go
+++ b/instance/notices.go
@@ -22,6 +22,8 @@
 	// peer before it puts the disk's configuration in force.
 	restoreWait = 3 * time.Second
 	restoreStep = 20 * time.Millisecond
+	// membersStep is how soon a change of the instance list is noticed.
+	membersStep = 500 * time.Millisecond
 )
 
 // NoticeService answers peers' exchanges.
@@ -135,12 +137,19 @@
 	}
 }
 
-// keepMembers keeps the disk's instance list up to date. News is kept by the
-// sink before it is in force.
+// keepMembers keeps the disk's instance list up to date: soon when its length
+// changes, so that a restart knows whom to ask, and now and then. News is kept by
+// the sink before it is in force.
 func (i *Instance) keepMembers(ctx context.Context) {
+	var saved time.Time
+	kept := 0
 	for ctx.Err() == nil {
-		sleep(ctx, saveInterval)
-		i.keep()
+		listed := len(i.view.Load().Domain.Members())
+		if listed != kept || i.clock.Since(saved) >= saveInterval {
+			i.keep()
+			saved, kept = i.clock.Now(), listed
+		}
+		sleep(ctx, membersStep)
 	}
 }
 
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -147,6 +147,10 @@
 		folder, old := GinkgoT().TempDir(), GinkgoT().TempDir()
 		first := d.startDaemon("entry-d", "mty-d", "--data-dir", folder)
 		Eventually(revision(first)).Should(Equal(contract.Revision(1)))
+		Eventually(func() string {
+			kept, _ := os.ReadFile(filepath.Join(folder, "accepted.json"))
+			return string(kept)
+		}, inForceWithin).Should(ContainSubstring(a.inbound.address), "the disk names the peers to ask")
 		Expect(os.CopyFS(old, os.DirFS(folder))).To(Succeed())
 		d.apply(withoutKey("escuelas"))
 		Eventually(revision(first), inForceWithin).Should(Equal(contract.Revision(2)))
