--- a/Makefile
+++ b/Makefile
@@ -16,17 +16,18 @@
 test: build
 	$(GO) build -o bin/ ./internal/tools/testreport
 	rm -f $(REPORT)
-	-$(GO) tool ginkgo run -r --keep-going --no-color --seed=1 --timeout=40m --output-dir=bin --json-report=report.json $(GINKGOFLAGS)
+	-$(GO) tool ginkgo run -r --procs=4 --keep-going --no-color --seed=1 --timeout=40m --output-dir=bin --json-report=report.json $(GINKGOFLAGS)
 	bin/testreport $(REPORT) KNOWN-RED.txt
 
 lint:
 	@test -z "$$(gofmt -l .)" || (gofmt -l .; echo "run gofmt"; exit 1)
 	$(GO) vet ./...
+	$(GO) vet -tags capacity ./test/e2e
 	$(GO) tool staticcheck ./...
 
 # race runs the suites of the concurrent packages under the race detector.
 race:
-	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./upstream/... ./idempotency/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./notice/... ./usage/...
+	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./upstream/... ./idempotency/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./notice/... ./probe/... ./usage/...
 
 clean:
 	rm -rf bin
--- a/domain/tracker.go
+++ b/domain/tracker.go
@@ -212,6 +212,8 @@
 	switch {
 	case r.missed.IsZero():
 		return Alive
+	case !r.listed:
+		return Dead // the list agrees that it is gone
 	case now.Sub(r.missed) <= t.limits.Dead || (!r.accused && r.member.Domain != t.self.Domain):
 		return Suspected
 	}
--- a/domain/tracker_test.go
+++ b/domain/tracker_test.go
@@ -129,6 +129,14 @@
 		Expect(t.View(now).All()).NotTo(ContainElement(HaveField("Name", "new")))
 	})
 
+	It("drops a silent instance at once when the list does not have it either", func() {
+		pass(limits.Suspect+2*time.Second, "near-1", "far-1", "far-2")
+		Expect(names()).To(ContainElement("near-2"))
+		t.Listed([]platform.Member{list[0], list[1], list[3], list[4]}, now)
+		t.Refresh(now)
+		Expect(names()).NotTo(ContainElement("near-2"))
+	})
+
 	It("starts afresh with a replacement under the same name, and heeds one that leaves", func() {
 		pass(limits.Suspect+limits.Dead+2*time.Second, "near-1")
 		Expect(liveness("near-2")).To(Equal(Dead))
--- a/instance/control.go
+++ b/instance/control.go
@@ -43,6 +43,7 @@
 		members, err := i.platform.Members(ctx)
 		if err == nil {
 			i.notices.Members(members)
+			i.send(ctx, listRead{})
 		}
 		sleep(ctx, i.settings.MembersInterval)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -107,6 +107,7 @@
 	}
 	i.commander = newCommander(i)
 	i.usage = newUsageKeeper(i)
+	i.loads = probe.NewBoard()
 	if s.DataDir != "" {
 		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
 			return nil, err
@@ -115,7 +116,6 @@
 	if err := i.observe(t.Meter); err != nil {
 		return nil, err
 	}
-	i.loads = probe.NewBoard()
 	return i, i.registerPeerServices()
 }
 
@@ -132,7 +132,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.observeMembers, i.usage.replicator.Run} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.followMembers, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
--- a/instance/keyed.go
+++ b/instance/keyed.go
@@ -20,8 +20,8 @@
 // record keys: by then its view agrees with its peers'.
 const keySettle = 5
 
-// observeMembers tells the coordinator of each change of membership.
-func (i *Instance) observeMembers(ctx context.Context) {
+// followMembers tells the coordinator of each change of membership.
+func (i *Instance) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		view := i.view.Load()
 		i.coordinator.Observe(i.self(), view.Domain.Entries())
--- a/instance/view.go
+++ b/instance/view.go
@@ -17,6 +17,8 @@
 	// Weights are the wanted weight versions by model.
 	Weights map[string]int64
 	loads   map[string]upstream.Load
+	// listed is true once the instance list has been read.
+	listed bool
 	// noticed are the upstreams that other domains say are leaving.
 	noticed notices
 }
@@ -57,6 +59,12 @@
 	v.Weights[model] = version
 }
 
+// listRead says that the instance list was read and the membership that comes
+// of it was sent before.
+type listRead struct{}
+
+func (listRead) apply(v *View) { v.listed = true }
+
 // membership is a new view of the entry instances and upstreams.
 type membership struct{ view *domain.View }
 
--- a/test/e2e/capacity_test.go
+++ b/test/e2e/capacity_test.go
@@ -49,20 +49,20 @@
 	}
 	time.Sleep(settleTime)
 
-	before, calls := readAll(daemons), d.calls()
+	before, calls := readCosts(daemons), d.calls()
 	time.Sleep(restTime)
-	rest := readAll(daemons).minus(before).per(restTime.Seconds())
+	rest := readCosts(daemons).minus(before).per(restTime.Seconds())
 	reads, writes := d.calls().minus(calls).per(restTime.Seconds())
 
 	last := d.timeChanges(daemons)
 
-	before = readAll(daemons)
+	before = readCosts(daemons)
 	began := time.Now()
 	for range changes {
 		d.change()
 		time.Sleep(200 * time.Millisecond)
 	}
-	busy := readAll(daemons).minus(before)
+	busy := readCosts(daemons).minus(before)
 	idle := rest.per(1 / time.Since(began).Seconds())
 	change := busy.minus(idle).per(changes)
 
@@ -130,9 +130,9 @@
 	return c.reads / seconds, c.writes / seconds
 }
 
-// cost is what a process has used: milliseconds of processor time, bytes read
+// consumption is what a process has used: milliseconds of processor time, bytes read
 // and written, resident bytes.
-type cost [3]float64
+type consumption [3]float64
 
 const (
 	cpu = iota
@@ -140,17 +140,17 @@
 	resident
 )
 
-type costs []cost
+type consumptions []consumption
 
-func readAll(daemons []*daemon) costs {
-	all := make(costs, len(daemons))
+func readCosts(daemons []*daemon) consumptions {
+	all := make(consumptions, len(daemons))
 	for n, one := range daemons {
 		all[n] = readCost(one.command.Process.Pid)
 	}
 	return all
 }
 
-func readCost(pid int) cost {
+func readCost(pid int) consumption {
 	stat := strings.Fields(proc(pid, "stat"))
 	pages, _ := strconv.ParseFloat(stat[23], 64)
 	user, _ := strconv.ParseFloat(stat[13], 64)
@@ -163,7 +163,7 @@
 			moved += n
 		}
 	}
-	return cost{(user + system) * float64(clockTick.Milliseconds()), moved, pages * float64(os.Getpagesize())}
+	return consumption{(user + system) * float64(clockTick.Milliseconds()), moved, pages * float64(os.Getpagesize())}
 }
 
 func proc(pid int, name string) string {
@@ -172,23 +172,23 @@
 	return string(data)
 }
 
-func (c costs) minus(other costs) costs {
-	result := make(costs, len(c))
+func (c consumptions) minus(other consumptions) consumptions {
+	result := make(consumptions, len(c))
 	for n := range c {
-		result[n] = cost{c[n][cpu] - other[n][cpu], c[n][bytesMoved] - other[n][bytesMoved], c[n][resident]}
+		result[n] = consumption{c[n][cpu] - other[n][cpu], c[n][bytesMoved] - other[n][bytesMoved], c[n][resident]}
 	}
 	return result
 }
 
-func (c costs) per(divisor float64) costs {
-	result := make(costs, len(c))
+func (c consumptions) per(divisor float64) consumptions {
+	result := make(consumptions, len(c))
 	for n := range c {
-		result[n] = cost{c[n][cpu] / divisor, c[n][bytesMoved] / divisor, c[n][resident]}
+		result[n] = consumption{c[n][cpu] / divisor, c[n][bytesMoved] / divisor, c[n][resident]}
 	}
 	return result
 }
 
-func (c costs) mean(field int) float64 {
+func (c consumptions) mean(field int) float64 {
 	total := 0.0
 	for _, one := range c {
 		total += one[field]
@@ -196,7 +196,7 @@
 	return total / float64(len(c))
 }
 
-func (c costs) max(field int) float64 {
+func (c consumptions) max(field int) float64 {
 	largest := 0.0
 	for _, one := range c {
 		largest = math.Max(largest, one[field])
