--- a/idempotency/coordinator.go
+++ b/idempotency/coordinator.go
@@ -256,8 +256,10 @@
 	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
 	defer cancel()
 	var reply AwaitReply
-	err := c.call(ctx, found.Runner, "Await", AwaitCall{found.Run}, &reply)
-	return reply.Record, err
+	if err := c.call(ctx, found.Runner, "Await", AwaitCall{found.Run}, &reply); err != nil {
+		return Record{}, err // the reply may still be written to after a timeout
+	}
+	return reply.Record, nil
 }
 
 // giveBackOther clears the record of a run that its runner says did not happen.
