--- a/attempt/plain.go
+++ b/attempt/plain.go
@@ -35,5 +35,6 @@
 	ctx, span := startAttempt(ctx, grant.Upstream)
 	defer span.End()
 	answer, err := r.Client.Plain(ctx, grant.Upstream.Address, request)
+	grant.Observe(blames(ctx, err))
 	return answer, r.finishAttempt(span, grant.Upstream, err)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,12 +18,14 @@
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/limit"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/notice"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
+	"github.com/pomelocross/pomelocross/slots"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -52,10 +54,12 @@
 
 	view   atomic.Pointer[View]
 	events chan event
-	queues queues
+	queues *queues
+	limits *limit.Limiter
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
+	slotService  *SlotService
 	commander    *commander
 
 	homesMu sync.Mutex // guards homes
@@ -92,6 +96,8 @@
 		platform: store, client: upstream.NewClient(),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
 		events:       make(chan event, eventBuffer),
+		limits:       limit.New(clock),
+		queues:       newQueues(clock, slots.TimingFor(s.LeaseTerm)),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{},
@@ -107,6 +113,10 @@
 	}
 	i.commander = newCommander(i)
 	i.usage = newUsageKeeper(i)
+	i.slotService = &SlotService{instance: i}
+	if err := i.observeQueues(t.Meter); err != nil {
+		return nil, oops.In("instance").Wrap(err)
+	}
 	i.loads = probe.NewBoard()
 	if s.DataDir != "" {
 		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
@@ -132,7 +142,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.followMembers, i.usage.replicator.Run} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.shareSlots, i.holdUpstreams, i.holdBilling, i.followMembers, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
--- a/test/e2e/orders_leaving_test.go
+++ b/test/e2e/orders_leaving_test.go
@@ -48,9 +48,16 @@
 		for _, name := range []string{"lm-1", "lm-2", "lm-3"} {
 			d.addEngine(name, "lm-pool", "mty-a", engine.Options{TokenTime: time.Millisecond})
 		}
+		// Listed as cheap before any instance decides on counts.
+		for n := range d.members {
+			if slices.Contains(leaving, d.members[n].Name) {
+				d.members[n].Cost = platform.CostCheap
+			}
+		}
+		d.platform.SetMembers(slices.Clone(d.members))
 		a, b = d.startDaemon("entry-a", "mty-a"), d.startDaemon("entry-b", "mty-a")
 		for _, one := range []*daemon{a, b} {
-			Eventually(func() int { return one.complete(demoKey("fabricas"), "warm", 1, false).status }).Should(Equal(200))
+			Eventually(func() int { return one.complete(demoKey("restockplans"), "warm", 1, false).status }).Should(Equal(200))
 		}
 	})
 
@@ -64,7 +71,7 @@
 			for _, one := range []*daemon{a, b} {
 				go func() {
 					defer GinkgoRecover()
-					answers <- one.complete(demoKey("fabricas"), "x", 3, false)
+					answers <- one.complete(demoKey("restockplans"), "x", 3, false)
 				}()
 			}
 		}
@@ -112,15 +119,9 @@
 	}
 
 	It("that is cheap is replaced by dear ones under the cost limit, with a whole domain's cheap ones taken at once", func() {
-		for n := range d.members {
-			if slices.Contains(leaving, d.members[n].Name) {
-				d.members[n].Cost = platform.CostCheap
-			}
-		}
-		d.platform.SetMembers(slices.Clone(d.members))
 		const streams = 40 // 16 slots an engine, four fifths of them used: 4 engines
 		for range streams {
-			go func() { _ = a.complete(demoKey("fabricas"), "long", 100000, true) }()
+			go func() { _ = a.complete(demoKey("restockplans"), "long", 100000, true) }()
 		}
 		Eventually(func() []int { return []int{ordered(platform.CostDear), ordered(platform.CostCheap)} }).Should(Equal([]int{2, 2}))
 		sayLeaving()
