--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # race runs the suites of the concurrent packages under the race detector.
 race:
-	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./upstream/... ./idempotency/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./notice/... ./probe/... ./usage/...
+	$(GO) test -race -count=1 ./queue/... ./lease/... ./attempt/... ./upstream/... ./idempotency/... ./rollout/... ./instance/... ./platform/... ./link/... ./domain/... ./notice/... ./probe/... ./usage/... ./limit/...
 
 clean:
 	rm -rf bin
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -68,6 +69,9 @@
 		holder.Listed(memberNames(view, domain), enginesOf(local, service.Slots), now)
 	}
 	answer := holder.Report(report, now)
+	if slices.Contains(memberNames(view, domain), report.Member) {
+		return answer // members of the domain read versions themselves
+	}
 	answer.Versions = map[string]int64{}
 	for _, u := range local {
 		if answer.Shares[u.Name] > 0 {
