--- /dev/null
+++ b/internal/tools/docscheck/docscheck_test.go
@@ -0,0 +1,34 @@
+package docscheck
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const root = "../../.."
+
+func TestDocscheck(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Docs")
+}
+
+var _ = Describe("The pages of proofs", func() {
+	It("name tests that exist in the files that they name", func() {
+		rows, err := Rows(root + "/docs/proofs")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(rows)).To(BeNumerically(">", 40))
+		for _, row := range rows {
+			files := row.FilesOf(root)
+			Expect(files).NotTo(BeEmpty(), "%s:%d names no test file", row.Page, row.Line)
+			var texts []string
+			for _, file := range files {
+				found, err := Texts(file)
+				Expect(err).NotTo(HaveOccurred(), "%s:%d", row.Page, row.Line)
+				texts = append(texts, found...)
+			}
+			Expect(row.Names(texts)).To(BeTrue(), "%s:%d names no test of its files: %s", row.Page, row.Line, row.Test)
+		}
+	})
+})
