Pairs: the platform comes back before the stopped holder does

Cause: while the platform is down nobody can take the role, so the first pair passed on a scratch copy without the checks of grant and intent. Ruled out: counting on that pair alone for a single orderer. Change: a seventh pair in which another instance gives orders before the holder goes on.

--- a/test/e2e/pairs_points_test.go
+++ b/test/e2e/pairs_points_test.go
@@ -264,3 +264,10 @@
 	expectOneFigureEach(w.d)
 	expectRisingEpochs(w.d)
 }
+
+// orderedByOther returns whether the last order received for a domain is of
+// another holder than one.
+func (d *deployment) orderedByOther(domain, one string) bool {
+	orders := d.journal(domain)
+	return len(orders) > 0 && orders[len(orders)-1].Holder != one
+}
--- a/test/e2e/pairs_test.go
+++ b/test/e2e/pairs_test.go
@@ -91,6 +91,16 @@
 			serves(holder)
 			d.platform.SetFaults(standin.Faults{})
 		}),
+		Entry("platform down while the holder of upstream orders is stopped, back before that goes on", func() {
+			holder := holderOf(d, roleA)
+			d.platform.SetFaults(standin.Faults{Down: true})
+			holder.freeze()
+			serves(otherThan(holder))
+			d.platform.SetFaults(standin.Faults{})
+			Eventually(func() bool { return d.orderedByOther("mty-a", holder.name) }).Should(BeTrue())
+			holder.thaw()
+			serves(holder)
+		}),
 		Entry("an instance killed while instances are cut off from each other", func() {
 			for _, one := range all {
 				one.inbound.setCut(true)
