instance: compute membership and upstream lists once a view

Cause: a processor profile of an instance among 18 of one domain gave 26% of all bytes allocated to filtering members, 19% to ranking probers, 12% to filtering upstreams, most of it in each of some five publications a second of a view that had not changed. Ruled out: fewer publications, since shares of slots come with them. Change: a view keeps the members of each domain and the upstreams; the table keeps upstreams by service and domain; token rates and probers are computed again only for a new view; an instance list that is equal to the last is not passed on. Before: 1.5% of a core in 30 s at 18 instances and 36 engines on a loaded machine.

--- a/domain/view.go
+++ b/domain/view.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,10 @@
 	members  []platform.Member
 	liveness map[string]Liveness  // of entries other than self
 	heard    map[string]time.Time // when entries other than self were last heard
+
+	mu        sync.Mutex // guards what is computed at the first use
+	peers     map[string][]platform.Member
+	upstreams []platform.Member
 }
 
 // NewView sorts members into a view as self sees it. Self is added when the
@@ -81,20 +86,39 @@
 	return v.filter(func(platform.Member) bool { return true })
 }
 
-// Peers returns the entry instances of a domain that are not leaving or dead.
+// Peers returns the entry instances of a domain that are not leaving or dead, by
+// name. The slice must not be changed.
 func (v *View) Peers(domain string) []platform.Member {
-	return v.filter(func(m platform.Member) bool { return m.Domain == domain })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	peers, known := v.peers[domain]
+	if known {
+		return peers
+	}
+	if v.peers == nil {
+		v.peers = map[string][]platform.Member{}
+	}
+	peers = slices.Clip(v.filter(func(m platform.Member) bool { return m.Domain == domain }))
+	v.peers[domain] = peers
+	return peers
 }
 
-// Upstreams returns the listed upstreams, leaving ones included.
+// Upstreams returns the listed upstreams, leaving ones included. The slice must
+// not be changed.
 func (v *View) Upstreams() []platform.Member {
-	var found []platform.Member
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.upstreams != nil {
+		return v.upstreams
+	}
+	found := []platform.Member{}
 	for _, m := range v.members {
 		if m.Role == platform.RoleUpstream {
 			found = append(found, m)
 		}
 	}
-	return found
+	v.upstreams = slices.Clip(found)
+	return v.upstreams
 }
 
 // Entry returns the entry instance with a name.
--- a/instance/control.go
+++ b/instance/control.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/platform"
 )
 
 // control owns the view. It applies events in order and publishes the result.
@@ -24,7 +27,9 @@
 func (i *Instance) publish(next *View) {
 	before := i.view.Swap(next)
 	i.queues.update(next, i.settings.Domain)
-	i.limits.Set(rateShares(next, i.settings.Domain))
+	if next.Contract != before.Contract || next.Domain != before.Domain {
+		i.limits.Set(rateShares(next, i.settings.Domain))
+	}
 	if next.Contract == before.Contract {
 		return
 	}
@@ -39,10 +44,14 @@
 	}
 }
 
+// pollMembers reads the instance list and passes on what has changed.
 func (i *Instance) pollMembers(ctx context.Context) {
+	var last []platform.Member
+	read := false
 	for ctx.Err() == nil {
 		members, err := i.platform.Members(ctx)
-		if err == nil {
+		if err == nil && (!read || !slices.Equal(last, members)) {
+			last, read = members, true
 			i.notices.Members(members)
 			i.send(ctx, listRead{})
 		}
--- a/instance/loads.go
+++ b/instance/loads.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -24,6 +25,9 @@
 	known    map[string]upstream.Load
 	readings chan loadReading
 	telling  chan struct{} // bounds batches on their way to peers
+
+	view *domain.View // that mine is from
+	mine []platform.Member
 }
 
 // loadReading is one upstream's answer.
@@ -62,13 +66,17 @@
 // assigned returns the upstreams of the domain that this instance asks.
 func (p *loadPoller) assigned() []platform.Member {
 	view, own := p.instance.view.Load().Domain, p.instance.settings
+	if view == p.view {
+		return p.mine
+	}
 	var upstreams []platform.Member
 	for _, m := range view.Upstreams() {
 		if m.Domain == own.Domain {
 			upstreams = append(upstreams, m)
 		}
 	}
-	return probe.Assigned(own.Name, view.Peers(own.Domain), upstreams)
+	p.view, p.mine = view, probe.Assigned(own.Name, view.Peers(own.Domain), upstreams)
+	return p.mine
 }
 
 func (p *loadPoller) read(ctx context.Context, m platform.Member) {
--- a/instance/queues.go
+++ b/instance/queues.go
@@ -10,7 +10,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/slots"
@@ -79,7 +78,7 @@
 
 // slotted lists the domain's upstreams of a service with this instance's shares.
 func slotted(v *View, service contract.Service, domain string, member *slots.Member, now time.Time) []queue.Slotted {
-	local := localUpstreams(v, service.Name, domain)
+	local := v.Upstream.In(service.Name, domain)
 	shares := sharesNow(v, enginesOf(local, service.Slots), domain, member, now)
 	list := make([]queue.Slotted, len(local))
 	for i, u := range local {
@@ -124,16 +123,6 @@
 	return names
 }
 
-func localUpstreams(v *View, service, domain string) []upstream.Upstream {
-	var local []upstream.Upstream
-	for _, u := range v.Upstream.Of(service) {
-		if u.Domain == domain && u.Role == platform.RoleUpstream {
-			local = append(local, u)
-		}
-	}
-	return local
-}
-
 func enginesOf(upstreams []upstream.Upstream, perUpstream int) []slots.Engine {
 	var engines []slots.Engine
 	for _, u := range upstreams {
@@ -157,7 +146,7 @@
 		}
 		stats := one.queue.Stats()
 		running := slots.Shares{}
-		for _, u := range localUpstreams(v, name, domain) {
+		for _, u := range v.Upstream.In(name, domain) {
 			if n := stats.InFlight[u.Name]; n > 0 {
 				running[u.Name] = n
 			}
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -63,7 +63,7 @@
 		holder = slots.NewHolder(s.instance.queues.timing, grant.Epoch)
 		s.holders[report.Service] = holder
 	}
-	local := localUpstreams(view, report.Service, domain)
+	local := view.Upstream.In(report.Service, domain)
 	if view.Contract != nil {
 		service, _ := view.Contract.Service(report.Service)
 		holder.Listed(memberNames(view, domain), enginesOf(local, service.Slots), now)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -31,18 +31,31 @@
 }
 
 // Table lists upstreams by service. It is immutable.
-type Table struct{ services map[string][]Upstream }
+type Table struct {
+	services map[string][]Upstream
+	places   map[place][]Upstream
+}
+
+// place is where upstreams of a service are.
+type place struct{ service, domain string }
 
 // NewTable joins the member list with the last known loads, by upstream name.
 // An upstream leaves when either says so.
 func NewTable(members []platform.Member, loads map[string]Load) *Table {
-	t := &Table{services: map[string][]Upstream{}}
+	t := &Table{services: map[string][]Upstream{}, places: map[place][]Upstream{}}
 	for _, m := range members {
 		m.Leaving = m.Leaving || loads[m.Name].Leaving
-		t.services[m.Service] = append(t.services[m.Service], Upstream{Member: m, Load: loads[m.Name]})
+		u := Upstream{Member: m, Load: loads[m.Name]}
+		t.services[m.Service] = append(t.services[m.Service], u)
+		here := place{m.Service, m.Domain}
+		t.places[here] = append(t.places[here], u)
 	}
 	return t
 }
 
 // Of returns the upstreams of a service, leaving ones included.
 func (t *Table) Of(service string) []Upstream { return t.services[service] }
+
+// In returns the upstreams of a service in a failure domain, leaving ones
+// included.
+func (t *Table) In(service, domain string) []Upstream { return t.places[place{service, domain}] }
