Hand over each sample once, whoever serves the run

Cause: the first version of the ledger gave a home up whenever one write's outcome was unknown (all finished samples were generated anew), kept an old ledger after a late write, let any instance claim a run after one failed call, redelivered from homes that had lost the run, and left contents behind. Ruled out: batch objects named by number (a home that was stopped for a while could overwrite committed bytes); claiming on a member list that lags. Change: one place settles writes and adopts what is stored; contents are named by epoch and sequence and stored in parts; a trainer may name a voided batch as consumed; homes beat while trainers reach them and are followed only after a silent lease term; pulls between instances are cut into slices and a newer pull ends an older one; attempts are bounded, resumable and cancelled when stale.

--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -61,7 +61,10 @@
 // resumes on another upstream behind the text already emitted. The Completion
 // holds what was produced, also when an *Error is returned.
 func (r *Runner) Stream(ctx context.Context, ticket queue.Ticket, request upstream.CompletionRequest, emit func(upstream.Chunk) error) (Completion, error) {
-	var whole Completion
+	return r.stream(ctx, ticket, request, Completion{}, emit)
+}
+
+func (r *Runner) stream(ctx context.Context, ticket queue.Ticket, request upstream.CompletionRequest, whole Completion, emit func(upstream.Chunk) error) (Completion, error) {
 	var last *Error
 	for range MaxAttempts {
 		request.Resume, request.ResumedTokens = whole.Text, whole.OutputTokens
--- a/instance/homes.go
+++ b/instance/homes.go
@@ -2,20 +2,66 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"net/rpc"
 	"slices"
+	"sync"
 	"time"
 
-	"github.com/pomelocross/pomelocross/contract"
+	"go.uber.org/zap"
+
 	"github.com/pomelocross/pomelocross/platform"
-	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/rollout"
-	"github.com/pomelocross/pomelocross/route"
-	"github.com/pomelocross/pomelocross/upstream"
 )
 
+const (
+	// beatsPerTerm is how often a home shows that it is live in the time after
+	// which others may claim its run. The time is the lease term.
+	beatsPerTerm = 3
+	// homeRetry is the pause between two tries to reach a run's home.
+	homeRetry = 200 * time.Millisecond
+)
+
+// sighting is what an instance has seen of a run's home since it first failed
+// to serve. Any change of the ledger shows that the home is live.
+type sighting struct {
+	version platform.Version
+	since   time.Time
+}
+
+// homeState is what is known of a run's home.
+type homeState struct {
+	ledger *rollout.Ledger
+	// listed says that the home is on the instance list and not leaving.
+	listed bool
+	// silent is for how long the home has failed while its ledger did not change.
+	silent time.Duration
+}
+
+// homeStep is what to do to reach a run's home.
+type homeStep int
+
+const (
+	homeHere  homeStep = iota // claim the run
+	homeThere                 // call the home
+	homeWait                  // it can neither be called nor be followed yet
+)
+
+// nextHomeStep decides who serves a run. A run without a home, or whose home is
+// this instance, is claimed at once; any other only after its home has failed
+// and left its ledger unchanged for a whole term. A home that is live for the
+// platform is thus never followed, whoever can't reach it.
+func nextHomeStep(state homeState, self string, term time.Duration) homeStep {
+	switch {
+	case state.ledger.Home == "" || state.ledger.Home == self:
+		return homeHere
+	case state.silent >= term:
+		return homeHere
+	case state.listed:
+		return homeThere
+	}
+	return homeWait
+}
+
 // localHome returns the home of a run if it is here.
 func (i *Instance) localHome(run, team string) (*rollout.Home, error) {
 	i.homesMu.Lock()
@@ -39,59 +85,67 @@
 	}
 }
 
-// homeOf returns the local home of a run, or the instance that has it. A run
-// whose home is gone from the member list is taken over.
-func (i *Instance) homeOf(ctx context.Context, run, team string) (*rollout.Home, platform.Member, error) {
-	home, err := i.localHome(run, team)
-	if !errors.Is(err, rollout.ErrMoved) {
-		return home, platform.Member{}, err
-	}
-	ledger, err := i.ledger(ctx, run)
-	if err != nil {
-		return nil, platform.Member{}, err
-	}
-	if ledger.Team != team {
-		return nil, platform.Member{}, rollout.ErrOtherTeam
-	}
-	if member, ok := i.view.Load().Domain.Entry(ledger.Home); ok && ledger.Home != i.settings.Name && !member.Leaving {
-		return nil, member, nil
-	}
-	home, err = i.openHome(ctx, run)
-	return home, platform.Member{}, err
-}
-
-func (i *Instance) ledger(ctx context.Context, run string) (*rollout.Ledger, error) {
-	o, err := i.platform.Get(ctx, platform.KindRun, run)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, rollout.ErrUnknownRun
+// openHome claims a run for this instance. Concurrent calls share one claim.
+func (i *Instance) openHome(ctx context.Context, run, team string) (*rollout.Home, error) {
+	if i.draining.Load() {
+		return nil, rollout.ErrUnavailable
 	}
+	_, err, _ := i.opening.Do(run, func() (any, error) {
+		if _, err := i.localHome(run, team); !errors.Is(err, rollout.ErrMoved) {
+			return nil, err
+		}
+		return nil, i.claim(context.WithoutCancel(ctx), run)
+	})
 	if err != nil {
 		return nil, err
 	}
-	ledger := &rollout.Ledger{}
-	return ledger, json.Unmarshal(o.Value, ledger)
+	return i.localHome(run, team)
 }
 
-func (i *Instance) openHome(ctx context.Context, run string) (*rollout.Home, error) {
+func (i *Instance) claim(ctx context.Context, run string) error {
+	ctx, cancel := context.WithTimeout(ctx, i.settings.LeaseTerm)
+	defer cancel()
 	home, err := rollout.Open(ctx, i.platform, generator{i}, i.clock, run, i.settings.Name)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	i.homesMu.Lock()
 	defer i.homesMu.Unlock()
-	if old := i.homes[run]; old != nil {
-		old.Close()
-	}
 	i.homes[run] = home
-	return home, nil
+	delete(i.sightings, run)
+	go i.keepHome(run, home)
+	i.log.Info("run claimed", zap.String("run", run))
+	return nil
 }
 
-func (i *Instance) closeHomes() {
+// keepHome keeps a home live until it is given up.
+func (i *Instance) keepHome(run string, home *rollout.Home) {
+	home.KeepAlive(i.settings.LeaseTerm / beatsPerTerm)
 	i.homesMu.Lock()
 	defer i.homesMu.Unlock()
+	if i.homes[run] == home {
+		delete(i.homes, run)
+	}
+	i.log.Info("run given up", zap.String("run", run))
+}
+
+// closeHomes gives all homes up, so that other instances take the runs at once.
+func (i *Instance) closeHomes(ctx context.Context) {
+	i.homesMu.Lock()
+	homes := make([]*rollout.Home, 0, len(i.homes))
 	for _, home := range i.homes {
-		home.Close()
+		homes = append(homes, home)
 	}
+	i.homesMu.Unlock()
+	var releasing sync.WaitGroup
+	for _, home := range homes {
+		releasing.Go(func() {
+			if err := home.Release(ctx); err != nil {
+				i.log.Warn("run was not released", zap.Error(err))
+			}
+		})
+	}
+	releasing.Wait()
 }
 
 func (i *Instance) homeNames() []string {
@@ -107,122 +161,99 @@
 	return names
 }
 
-// startStep starts a step at the run's home, here or at a peer.
-func (i *Instance) startStep(ctx context.Context, run, team string, spec rollout.StepSpec) error {
-	return i.atHome(ctx, run, team, func(home *rollout.Home) error {
-		return home.StartStep(ctx, spec)
-	}, func(address string) error {
-		return i.dialer.Call(ctx, address, "Rollout.Step", StepCall{run, team, spec}, &struct{}{})
-	})
+// homeCall is a trainer's request to a run's home.
+type homeCall struct {
+	run, team string
+	here      func(ctx context.Context, home *rollout.Home) error
+	there     func(ctx context.Context, address string) error
 }
 
-// pull pulls a batch from the run's home, here or at a peer.
-func (i *Instance) pull(ctx context.Context, run, team string, request rollout.PullRequest) (*rollout.Batch, error) {
-	var batch *rollout.Batch
-	err := i.atHome(ctx, run, team, func(home *rollout.Home) (err error) {
-		batch, err = home.Pull(ctx, request)
-		return err
-	}, func(address string) error {
-		var reply PullReply
-		if err := i.dialer.Call(ctx, address, "Rollout.Pull", PullCall{run, team, request}, &reply); err != nil {
+// atHome carries out a call at the run's home, here or at a peer. While the
+// home can't be reached it tries again until patience has passed, and claims
+// the run when that is due.
+func (i *Instance) atHome(ctx context.Context, call homeCall, patience time.Duration) error {
+	until := i.clock.Now().Add(patience)
+	for {
+		err := i.tryHome(ctx, call)
+		again := errors.Is(err, rollout.ErrMoved) || errors.Is(err, rollout.ErrUnavailable)
+		if !again || ctx.Err() != nil || i.draining.Load() || i.clock.Now().After(until) {
 			return err
 		}
-		if reply.Filled {
-			batch = &reply.Batch
-		}
-		return nil
-	})
-	return batch, err
+		sleep(ctx, homeRetry)
+	}
 }
 
-// atHome calls here or there. When the home does not answer or says that it
-// has moved, the run is taken over and here is called.
-func (i *Instance) atHome(ctx context.Context, run, team string, here func(*rollout.Home) error, there func(address string) error) error {
-	home, member, err := i.homeOf(ctx, run, team)
+func (i *Instance) tryHome(ctx context.Context, call homeCall) error {
+	home, err := i.localHome(call.run, call.team)
+	if err == nil {
+		return call.here(ctx, home)
+	}
+	if !errors.Is(err, rollout.ErrMoved) {
+		return err
+	}
+	ledger, version, err := rollout.Read(ctx, i.platform, call.run)
 	if err != nil {
 		return err
 	}
-	if home != nil {
-		return here(home)
+	if ledger.Team != call.team {
+		return rollout.ErrOtherTeam
 	}
-	err = peerError(there(member.Peer))
-	if err == nil || ctx.Err() != nil || !errors.Is(err, rollout.ErrMoved) {
-		return err
+	member, listed := i.view.Load().Domain.Entry(ledger.Home)
+	state := homeState{ledger: ledger, listed: listed && !member.Leaving, silent: i.silence(call.run, version)}
+	switch nextHomeStep(state, i.settings.Name, i.settings.LeaseTerm) {
+	case homeHere:
+		return i.claimAndCall(ctx, call)
+	case homeThere:
+		return i.callThere(ctx, call, member.Peer, version)
 	}
-	home, err = i.openHome(ctx, run)
+	i.sight(call.run, version)
+	return rollout.ErrUnavailable
+}
+
+func (i *Instance) claimAndCall(ctx context.Context, call homeCall) error {
+	home, err := i.openHome(ctx, call.run, call.team)
 	if err != nil {
 		return err
 	}
-	return here(home)
+	return call.here(ctx, home)
 }
 
-// peerError turns a peer's answer back into the package's errors. A peer that
-// did not answer counts as moved: taking the run over is safe, as the ledger
-// stops the old home.
-func peerError(err error) error {
-	if err == nil {
-		return nil
-	}
-	var answered rpc.ServerError
-	if !errors.As(err, &answered) {
-		return errors.Join(rollout.ErrMoved, err)
-	}
-	for _, known := range []error{rollout.ErrMoved, rollout.ErrOrder, rollout.ErrOtherTeam, rollout.ErrStepExists, rollout.ErrTooMany, rollout.ErrUnknownRun} {
-		if answered.Error() == known.Error() {
-			return known
-		}
+// callThere calls the home at a peer.
+func (i *Instance) callThere(ctx context.Context, call homeCall, address string, version platform.Version) error {
+	err := call.there(ctx, address)
+	if errors.Is(err, rollout.ErrUnavailable) {
+		i.sight(call.run, version)
+		return err
 	}
+	i.unsight(call.run)
 	return err
 }
 
-// nameWeights tells all instances of a trainer's newest weight version.
-func (i *Instance) nameWeights(ctx context.Context, model string, version int64) error {
-	for {
-		o, err := i.platform.Get(ctx, platform.KindWeights, model)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
-			return err
-		}
-		var named int64
-		_ = json.Unmarshal(o.Value, &named) // absent reads as zero
-		if named >= version {
-			return nil
-		}
-		_, err = i.platform.Put(ctx, platform.KindWeights, model, o.Version, version)
-		if !errors.Is(err, platform.ErrConflict) {
-			return err
-		}
+// sight notes that a home failed while its ledger had a version.
+func (i *Instance) sight(run string, version platform.Version) {
+	i.homesMu.Lock()
+	defer i.homesMu.Unlock()
+	if seen, ok := i.sightings[run]; ok && seen.version == version {
+		return
 	}
+	i.sightings[run] = sighting{version: version, since: i.clock.Now()}
 }
 
-// generator runs samples through the instance's own traffic path.
-type generator struct{ instance *Instance }
-
-// sampleTimeout bounds one try at a sample.
-const sampleTimeout = 10 * time.Minute
+// unsight notes that a home serves.
+func (i *Instance) unsight(run string) {
+	i.homesMu.Lock()
+	defer i.homesMu.Unlock()
+	delete(i.sightings, run)
+}
 
-// Generate implements rollout.Generator.
-func (g generator) Generate(ctx context.Context, order rollout.SampleOrder) (rollout.Sample, error) {
-	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
-	defer cancel()
-	i := g.instance
-	view := i.view.Load()
-	services := view.Contract.ServicesOfModel(order.Model)
-	if len(services) == 0 {
-		return rollout.Sample{}, queue.ErrNoService
-	}
-	service := services[0].Name
-	ctx, span := tracer.Start(ctx, "sample")
-	defer span.End()
-	completion, err := i.runner.Stream(ctx, queue.Ticket{
-		Team: order.Team, Weight: weightOf(view.Contract, order.Team), Class: contract.ClassRollout, Cost: int64(order.Group.MaxTokens),
-		Route: route.Request{Service: service, Domain: i.settings.Domain, MinWeightVersion: order.FreshFrom},
-	}, upstream.CompletionRequest{
-		ID: newRequestID(), Model: order.Model, Prompt: order.Group.Prompt, MaxTokens: order.Group.MaxTokens,
-		Temperature: order.Group.Temperature, Seed: order.Group.Seed + int64(order.Index),
-	}, func(upstream.Chunk) error { return nil })
-	i.meter.Add(order.Team, service, i.clock.Now(), int64(completion.PromptTokens), int64(completion.OutputTokens))
-	if err != nil {
-		return rollout.Sample{}, err
+// silence returns for how long the home of a run has failed with its ledger
+// unchanged.
+func (i *Instance) silence(run string, version platform.Version) time.Duration {
+	i.homesMu.Lock()
+	defer i.homesMu.Unlock()
+	seen, ok := i.sightings[run]
+	if !ok || seen.version != version {
+		return 0
 	}
-	return rollout.Sample{Step: order.Step, Number: order.Number, Group: order.Group.ID, Index: order.Index, Completion: completion}, nil
+	return i.clock.Since(seen.since)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
@@ -51,8 +52,10 @@
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
 
-	homesMu sync.Mutex // guards homes
-	homes   map[string]*rollout.Home
+	homesMu   sync.Mutex // guards homes and sightings
+	homes     map[string]*rollout.Home
+	sightings map[string]sighting // of homes elsewhere that failed, by run
+	opening   singleflight.Group
 
 	draining atomic.Bool
 }
@@ -77,7 +80,7 @@
 		events:       make(chan event, eventBuffer),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
-		homes:        map[string]*rollout.Home{},
+		homes:        map[string]*rollout.Home{}, sightings: map[string]sighting{},
 	}
 	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
 	return i, i.registerPeerServices()
@@ -164,11 +167,11 @@
 	i.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
 	defer cancel()
+	i.closeHomes(ctx)
 	if err := s.traffic.Shutdown(ctx); err != nil {
 		i.log.Warn("requests were cut off", zap.Error(err))
 		s.traffic.Close()
 	}
-	i.closeHomes()
 	s.admin.Close()
 }
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/platform"
-	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/usage"
 )
 
@@ -35,51 +34,6 @@
 	return nil
 }
 
-// RolloutService serves trainers' requests that reached another instance.
-type RolloutService struct{ instance *Instance }
-
-// StepCall carries a step to the run's home.
-type StepCall struct {
-	Run  string
-	Team string
-	Spec rollout.StepSpec
-}
-
-// PullCall carries a pull to the run's home.
-type PullCall struct {
-	Run     string
-	Team    string
-	Request rollout.PullRequest
-}
-
-// PullReply holds a batch, or none.
-type PullReply struct {
-	Filled bool
-	Batch  rollout.Batch
-}
-
-// Step starts a step at the home.
-func (s *RolloutService) Step(call StepCall, _ *struct{}) error {
-	home, err := s.instance.localHome(call.Run, call.Team)
-	if err != nil {
-		return err
-	}
-	return home.StartStep(context.Background(), call.Spec)
-}
-
-// Pull pulls a batch from the home.
-func (s *RolloutService) Pull(call PullCall, reply *PullReply) error {
-	home, err := s.instance.localHome(call.Run, call.Team)
-	if err != nil {
-		return err
-	}
-	batch, err := home.Pull(context.Background(), call.Request)
-	if batch != nil {
-		reply.Filled, reply.Batch = true, *batch
-	}
-	return err
-}
-
 // MemberService tells peers about the instance.
 type MemberService struct{ instance *Instance }
 
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -53,6 +53,8 @@
 func (i *Instance) trafficHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/runs", i.withTeam(i.createRun))
+	mux.HandleFunc("GET /v1/runs/{run}", i.withTeam(i.getRun))
+	mux.HandleFunc("DELETE /v1/runs/{run}", i.withTeam(i.deleteRun))
 	mux.HandleFunc("POST /v1/runs/{run}/steps", i.withTeam(i.postStep))
 	mux.HandleFunc("POST /v1/runs/{run}/pull", i.withTeam(i.postPull))
 	mux.HandleFunc("/", i.serveRouted)
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -5,14 +5,26 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/platform"
 )
 
-// kindStep holds the specs of open steps.
-const kindStep = "step"
+const (
+	// kindStep holds the specs of open steps.
+	kindStep = "step"
+	// partBytes keeps a part, encoded as base64, within one platform object.
+	partBytes = 512 << 10
+	// storeTimeout bounds one change of the ledger, reads to settle it included.
+	storeTimeout = 10 * time.Second
+)
+
+// Read returns the stored ledger of a run with its version, or ErrUnknownRun.
+func Read(ctx context.Context, store platform.Store, run string) (*Ledger, platform.Version, error) {
+	return book{store}.ledger(ctx, run)
+}
 
 // book reads and writes what a run keeps in the platform.
 type book struct{ store platform.Store }
@@ -23,7 +35,7 @@
 		return nil, 0, ErrUnknownRun
 	}
 	if err != nil {
-		return nil, 0, oops.In("rollout").With("step", "read ledger", "run", run).Wrap(err)
+		return nil, 0, oops.In("rollout").With("step", "read ledger", "run", run).Wrap(unavailable(err))
 	}
 	l := &Ledger{}
 	if err := json.Unmarshal(o.Value, l); err != nil {
@@ -40,31 +52,77 @@
 	return o.Version, nil
 }
 
-// create writes an object that never changes. One that exists has the same
-// content, since its name tells the content.
-func (b book) create(ctx context.Context, kind, name string, value any) error {
-	_, err := b.store.Put(ctx, kind, name, 0, value)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		return oops.In("rollout").With("step", "write "+kind, "object", name).Wrap(err)
+// part is the stored form of a piece of a blob.
+type part struct {
+	Data []byte `json:"data"`
+	Last bool   `json:"last"`
+}
+
+func partName(name string, index int) string { return fmt.Sprintf("%s-%d", name, index) }
+
+// write stores data under a name that never stands for anything else, so a part
+// that exists already has the same content.
+func (b book) write(ctx context.Context, kind, name string, data []byte) (Blob, error) {
+	blob := Blob{Kind: kind, Name: name}
+	for last := false; !last; {
+		piece := data[:min(partBytes, len(data))]
+		data = data[len(piece):]
+		last = len(data) == 0
+		o, err := b.store.Put(ctx, kind, partName(name, len(blob.Parts)), 0, part{Data: piece, Last: last})
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return blob, oops.In("rollout").With("step", "write "+kind, "object", name).Wrap(unavailable(err))
+		}
+		blob.Parts = append(blob.Parts, o.Version)
 	}
-	return nil
+	return blob, nil
 }
 
-func (b book) read(ctx context.Context, kind, name string, into any) error {
-	o, err := b.store.Get(ctx, kind, name)
-	if err != nil {
-		return oops.In("rollout").With("step", "read "+kind, "object", name).Wrap(err)
+// read returns the data of a blob. Content that does not have the hash is an error.
+func (b book) read(ctx context.Context, blob Blob, hash string) ([]byte, error) {
+	var data []byte
+	for index := range blob.Parts {
+		o, err := b.store.Get(ctx, blob.Kind, partName(blob.Name, index))
+		if err != nil {
+			return nil, oops.In("rollout").With("step", "read "+blob.Kind, "object", blob.Name).Wrap(unavailable(err))
+		}
+		var piece part
+		if err := json.Unmarshal(o.Value, &piece); err != nil {
+			return nil, oops.In("rollout").With("step", "decode "+blob.Kind, "object", blob.Name).Wrap(err)
+		}
+		data = append(data, piece.Data...)
+	}
+	if hashOf(data) != hash {
+		return nil, oops.In("rollout").With("step", "check "+blob.Kind, "object", blob.Name).Errorf("stored content is damaged")
 	}
-	if err := json.Unmarshal(o.Value, into); err != nil {
-		return oops.In("rollout").With("step", "decode "+kind, "object", name).Wrap(err)
+	return data, nil
+}
+
+// remove deletes a blob. It may be repeated.
+func (b book) remove(ctx context.Context, blob Blob) error {
+	for index := 0; len(blob.Parts) == 0 || index < len(blob.Parts); index++ {
+		version, err := b.partVersion(ctx, blob, index)
+		if err == nil {
+			err = b.store.Delete(ctx, blob.Kind, partName(blob.Name, index), version)
+		}
+		if errors.Is(err, platform.ErrNotFound) && len(blob.Parts) == 0 {
+			return nil
+		}
+		gone := errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
+		if err != nil && !gone {
+			return oops.In("rollout").With("step", "delete "+blob.Kind, "object", blob.Name).Wrap(unavailable(err))
+		}
 	}
 	return nil
 }
 
-func stepObject(run string, step int64, hash string) string {
-	return fmt.Sprintf("%s-%d-%.16s", run, step, hash)
+func (b book) partVersion(ctx context.Context, blob Blob, index int) (platform.Version, error) {
+	if index < len(blob.Parts) && blob.Parts[index] != 0 {
+		return blob.Parts[index], nil
+	}
+	o, err := b.store.Get(ctx, blob.Kind, partName(blob.Name, index))
+	return o.Version, err
 }
 
-func batchObject(run string, number int64, hash string) string {
-	return fmt.Sprintf("%s-%d-%.16s", run, number, hash)
+func stepName(run string, step int64, hash string) string {
+	return fmt.Sprintf("%s-%d-%.16s", run, step, hash)
 }
--- a/rollout/home.go
+++ b/rollout/home.go
@@ -2,37 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/platform"
 )
 
-// Generator produces one sample. It returns an error only when it gave up; the
-// home then tries again later.
-type Generator interface {
-	Generate(ctx context.Context, order SampleOrder) (Sample, error)
-}
-
-// SampleOrder is one sample to generate.
-type SampleOrder struct {
-	Run   string
-	Team  string
-	Model string
-	// FreshFrom is the oldest weight version that may produce it.
-	FreshFrom int64
-	Step      int64
-	Number    int
-	Index     int
-	Group     Group
-}
-
-// retryPause is the wait after a sample failed.
-const retryPause = 500 * time.Millisecond
-
 // Home serves one run at the instance that holds its ledger. Its methods are
 // safe for concurrent use; a pull excludes others of the same run.
 type Home struct {
@@ -42,14 +22,23 @@
 	ctx       context.Context // ends when the home is given up
 	giveUp    context.CancelFunc
 
-	pulling sync.Mutex // held over a whole pull, so that batches have one order
-	serial  sync.Mutex // held over each change of the ledger, writes included
-
-	mu      sync.Mutex // guards all below; never held over I/O
-	ledger  *Ledger
-	version platform.Version
-	ready   map[int64]map[int]Sample // by step and sample number
-	changed chan struct{}            // closed and replaced when ready grows
+	pulling  sync.Mutex // held over a whole pull, so that batches have one order
+	prepared prepared   // guarded by pulling
+	serial   sync.Mutex // held over each change of the ledger, writes included
+
+	mu         sync.Mutex // guards all below; never held over I/O
+	ledger     *Ledger
+	version    platform.Version
+	uncertain  bool // a write's outcome is unknown; read before the next
+	unsaved    bool // the ledger has changes that the platform does not have
+	work       map[int64]*stepWork
+	running    int
+	changed    chan struct{} // closed and replaced when more may be handed over
+	waiting    *waitingPull  // nil without one
+	lastCaller time.Time     // when a trainer last reached the home
+	confirmed  time.Time     // when the platform last named this home
+	pace       Pace
+	orphans    []Blob // contents whose commit failed; garbage once a later write succeeds
 }
 
 // Open claims run for the instance self and resumes its open steps.
@@ -59,18 +48,19 @@
 	if err != nil {
 		return nil, err
 	}
-	ledger.Home = self
-	ledger.Epoch++
+	ledger.Claim(self)
 	version, err = b.save(ctx, ledger, version)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil, errors.Join(ErrMoved, err)
+	}
 	if err != nil {
-		return nil, err
+		return nil, unavailable(err)
 	}
-	h := newHome(b, generator, clock, ledger, version)
-	for _, s := range ledger.Steps {
-		if err := h.resume(ctx, s); err != nil {
-			h.Close()
-			return nil, err
-		}
+	h := newHome(b, generator, clock)
+	h.adopt(ledger, version)
+	if err := h.loadSteps(ctx); err != nil {
+		h.Stop()
+		return nil, err
 	}
 	return h, nil
 }
@@ -84,123 +74,158 @@
 		BatchSamples: spec.BatchSamples, Home: self, Settled: true,
 	}
 	_, err := b.save(ctx, l, 0)
+	if err == nil {
+		return nil
+	}
 	if !errors.Is(err, platform.ErrConflict) {
-		return err
+		return unavailable(err)
 	}
 	existing, _, err := b.ledger(ctx, spec.Run)
 	if err != nil {
 		return err
 	}
-	if existing.Team != team {
-		return ErrOtherTeam
+	same := existing.Team == team && existing.Model == spec.Model &&
+		existing.MaxStaleness == spec.MaxStaleness && existing.BatchSamples == spec.BatchSamples
+	if !same {
+		return ErrRunExists
 	}
 	return nil
 }
 
-func newHome(b book, generator Generator, clock clockwork.Clock, ledger *Ledger, version platform.Version) *Home {
+func newHome(b book, generator Generator, clock clockwork.Clock) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Home{
 		book: b, generator: generator, clock: clock, ctx: ctx, giveUp: cancel,
-		ledger: ledger, version: version,
-		ready: map[int64]map[int]Sample{}, changed: make(chan struct{}),
+		work: map[int64]*stepWork{}, changed: make(chan struct{}), lastCaller: clock.Now(),
 	}
 }
 
-// Close stops generating. The ledger stays for the next home.
-func (h *Home) Close() { h.giveUp() }
+// Stop gives the home up at once. The ledger stays for the next home.
+func (h *Home) Stop() { h.giveUp() }
 
-// Done is closed when the home was given up, by Close or because another
+// Release gives the home up and says so in the ledger, so that the next home
+// need not wait.
+func (h *Home) Release(ctx context.Context) error {
+	defer h.giveUp()
+	return h.change(ctx, func(l *Ledger) error {
+		l.Home = ""
+		return nil
+	})
+}
+
+// Done is closed when the home was given up, by Stop or because another
 // instance has taken the run.
 func (h *Home) Done() <-chan struct{} { return h.ctx.Done() }
 
 // Team returns the team that owns the run.
-func (h *Home) Team() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.ledger.Team
-}
+func (h *Home) Team() string { return h.current().Team }
 
 // StartStep records a step and begins to generate its samples. Starting the
 // same step again with the same content is no error.
 func (h *Home) StartStep(ctx context.Context, spec StepSpec) error {
-	hash, err := spec.Hash()
+	h.called()
+	data, err := encode(spec)
 	if err != nil {
 		return err
 	}
-	h.serial.Lock()
-	defer h.serial.Unlock()
-	next := h.current().Clone()
-	if open := next.Step(spec.Step); open != nil {
-		if open.SpecHash != hash {
-			return ErrStepExists
+	hash := hashOf(data)
+	known := h.current()
+	if err := mayStart(known, spec.Step, hash); err != nil || known.repeats(spec.Step, hash) && known.Step(spec.Step) == nil {
+		return err
+	}
+	blob, err := h.book.write(ctx, kindStep, stepName(h.current().Run, spec.Step, hash), data)
+	if err != nil {
+		h.orphan(blob)
+		return err
+	}
+	err = h.change(ctx, func(l *Ledger) error {
+		if err := mayStart(l, spec.Step, hash); err != nil || l.Step(spec.Step) != nil || l.repeats(spec.Step, hash) {
+			return err
 		}
+		l.Steps = append(l.Steps, StepState{
+			Step: spec.Step, Samples: spec.Samples(), WholeGroups: spec.WholeGroups, SpecHash: hash, Spec: blob,
+		})
+		l.LastStep, l.LastSpecHash = spec.Step, hash
+		l.WeightVersion = max(l.WeightVersion, spec.WeightVersion)
 		return nil
+	})
+	if err != nil {
+		h.orphan(blob)
+		return err
 	}
-	if spec.Step <= next.LastStep {
+	h.begin(&spec)
+	return nil
+}
+
+// repeats reports whether a request is for the step that was started last.
+func (l *Ledger) repeats(step int64, hash string) bool {
+	return step == l.LastStep && hash == l.LastSpecHash
+}
+
+// mayStart returns why a step can't be added. A step that is open with the same
+// content is no error.
+func mayStart(l *Ledger, step int64, hash string) error {
+	open := l.Step(step)
+	switch {
+	case l.Closed:
+		return ErrClosed
+	case open != nil && open.SpecHash == hash, l.repeats(step, hash):
+		return nil
+	case step <= l.LastStep:
 		return ErrStepExists
-	}
-	if len(next.Steps) >= MaxOpenSteps {
+	case len(l.Steps) >= MaxOpenSteps:
 		return ErrTooMany
 	}
-	if err := h.book.create(ctx, kindStep, stepObject(next.Run, spec.Step, hash), spec); err != nil {
-		return err
-	}
-	state := StepState{Step: spec.Step, Samples: spec.Samples(), SpecHash: hash}
-	next.Steps = append(next.Steps, state)
-	next.LastStep = spec.Step
-	next.WeightVersion = max(next.WeightVersion, spec.WeightVersion)
-	if err := h.commit(ctx, next); err != nil {
-		return err
-	}
-	h.generate(spec, state)
 	return nil
 }
 
-// commit writes the next ledger. After ErrConflict another instance has the
-// run and the home is given up. The caller holds serial.
-func (h *Home) commit(ctx context.Context, next *Ledger) error {
-	version, err := h.book.save(ctx, next, h.versionNow())
-	if err != nil {
-		return h.settleWrite(ctx, next, err)
+// loadSteps reads the specs of open steps that are not worked on yet.
+func (h *Home) loadSteps(ctx context.Context) error {
+	for _, state := range h.current().Steps {
+		if h.known(state.Step) {
+			continue
+		}
+		data, err := h.book.read(ctx, state.Spec, state.SpecHash)
+		if err != nil {
+			return err
+		}
+		spec := &StepSpec{}
+		if err := json.Unmarshal(data, spec); err != nil {
+			return oops.In("rollout").With("step", "decode step").Wrap(err)
+		}
+		h.begin(spec)
 	}
-	h.mu.Lock()
-	h.ledger, h.version = next, version
-	h.mu.Unlock()
 	return nil
 }
 
-// settleWrite finds out whether a failed write took effect after all.
-func (h *Home) settleWrite(ctx context.Context, next *Ledger, cause error) error {
-	stored, version, err := h.book.ledger(ctx, next.Run)
+// Delete closes the run and deletes all that it has stored, its ledger last. It
+// may be repeated when it failed.
+func (h *Home) Delete(ctx context.Context) error {
+	err := h.change(ctx, func(l *Ledger) error {
+		l.Close()
+		return nil
+	})
 	if err != nil {
-		h.giveUp() // the outcome is unknown; the next home reads the truth
-		return errors.Join(cause, err)
-	}
-	if stored.Epoch != next.Epoch || stored.Home != next.Home {
-		h.giveUp()
-		return ErrMoved
+		return err
 	}
-	same, err := sameLedger(stored, next)
-	if err != nil {
+	if err := h.sweep(ctx); err != nil {
 		return err
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.version = version
-	if !same {
-		return cause
+	h.serial.Lock()
+	defer h.serial.Unlock()
+	err = h.book.store.Delete(ctx, platform.KindRun, h.current().Run, h.versionNow())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return unavailable(err)
 	}
-	h.ledger = next
+	h.giveUp()
 	return nil
 }
 
-func sameLedger(a, b *Ledger) (bool, error) {
-	first, err := hashOf(a)
-	if err != nil {
-		return false, err
-	}
-	second, err := hashOf(b)
-	return first == second, err
+// called notes that a trainer has reached the home.
+func (h *Home) called() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastCaller = h.clock.Now()
 }
 
 func (h *Home) current() *Ledger {
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -1,31 +1,20 @@
-// Package rollout runs the samples of training steps and hands each to its
-// trainer exactly once. What was handed over is kept in a ledger in the
-// platform; samples still running live only in the run's home instance and are
-// generated anew when that dies.
 package rollout
 
 import (
-	"encoding/base64"
-	"encoding/json"
-	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/pomelocross/pomelocross/platform"
 )
 
 // Limits of one run.
 const (
 	MaxStepSamples = 8192
 	MaxOpenSteps   = 4
-	// MaxBatchBytes keeps a batch within one platform object.
-	MaxBatchBytes = 768 << 10
-)
-
-// Errors told to trainers.
-var (
-	ErrUnknownRun = errors.New("run does not exist")
-	ErrOtherTeam  = errors.New("run belongs to another team")
-	ErrOrder      = errors.New("batch numbers are out of order")
-	ErrStepExists = errors.New("step exists with other content")
-	ErrTooMany    = errors.New("too many open steps")
-	ErrMoved      = errors.New("run is served by another instance")
+	// MaxBatchBytes bounds a batch of more than one sample or group.
+	MaxBatchBytes = 4 << 20
+	// maxVoided bounds how many voided batches a ledger remembers.
+	maxVoided = 8
 )
 
 // Ledger is the stored truth of a run.
@@ -38,39 +27,61 @@
 	MaxStaleness int64 `json:"maxStaleness"`
 	BatchSamples int   `json:"batchSamples"`
 
-	Home  string `json:"home"` // instance that serves the run
-	Epoch int64  `json:"epoch"`
+	Home  string `json:"home"`  // instance that serves the run; empty after a planned stop
+	Epoch int64  `json:"epoch"` // rises with each claim
+	// Beat rises while the home serves a trainer, so that others see it live.
+	Beat   int64 `json:"beat"`
+	Closed bool  `json:"closed,omitempty"`
 
 	// WeightVersion is the trainer's newest.
 	WeightVersion int64       `json:"weightVersion"`
 	Steps         []StepState `json:"steps"` // open ones, oldest first
 	LastStep      int64       `json:"lastStep"`
+	// LastSpecHash lets a trainer repeat the request for its last step.
+	LastSpecHash string `json:"lastSpecHash,omitempty"`
 	// Batch is the last committed batch. It is settled once the trainer names
 	// its number as consumed.
 	Batch   BatchRef `json:"batch"`
 	Settled bool     `json:"settled"`
 	// Consumed is the number of the last batch the trainer has named so.
 	Consumed int64 `json:"consumed"`
+	// Voided are batches above Consumed that were taken back. A trainer may
+	// still name one: its pull before that was late, not repeated.
+	Voided []BatchRef `json:"voided,omitempty"`
+	// Seq numbers the batch contents written under one epoch.
+	Seq int64 `json:"seq"`
+	// Garbage are contents that nothing refers to any more.
+	Garbage []Blob `json:"garbage,omitempty"`
 }
 
 // StepState is an open step.
 type StepState struct {
-	Step      int64  `json:"step"`
-	Samples   int    `json:"samples"`
-	Delivered Bitset `json:"delivered"` // by sample number
-	SpecHash  string `json:"specHash"`
+	Step        int64  `json:"step"`
+	Samples     int    `json:"samples"`
+	WholeGroups bool   `json:"wholeGroups,omitempty"`
+	Delivered   Bitset `json:"delivered"` // by sample number
+	SpecHash    string `json:"specHash"`
+	Spec        Blob   `json:"spec"`
 }
 
 // BatchRef names the content of a committed batch.
 type BatchRef struct {
-	Number int64  `json:"number"`
-	Object string `json:"object"`
-	Hash   string `json:"hash"`
+	Number  int64  `json:"number"`
+	Step    int64  `json:"step"`
+	Samples Bitset `json:"samples"` // by sample number
 	// Oldest is the oldest weight version in the batch.
-	Oldest int64 `json:"oldest"`
-	// Samples are the sample numbers by step, kept to void the batch.
-	Step    int64 `json:"step"`
-	Samples []int `json:"samples"`
+	Oldest  int64  `json:"oldest"`
+	Hash    string `json:"hash"`
+	Content Blob   `json:"content"`
+}
+
+// Blob names a value that is stored in parts, as an object's size is bounded.
+type Blob struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Parts are the versions of the stored parts; 0 is not known. A blob
+	// without parts is looked for until a part is missing.
+	Parts []platform.Version `json:"parts,omitempty"`
 }
 
 // FreshFrom returns the oldest weight version that may be delivered now.
@@ -86,12 +97,44 @@
 	return nil
 }
 
+// PullAction is what a trainer's word on its last batch calls for.
+type PullAction int
+
+// The actions of a pull.
+const (
+	PullNext    PullAction = iota // nothing is unsettled: fill the next batch
+	PullSettle                    // the last batch was consumed
+	PullRepeat                    // the last batch's answer was lost: hand it over again
+	PullVoid                      // it was lost and is too old by now
+	PullReclaim                   // a voided batch was consumed after all
+	PullRefuse                    // the number fits nothing
+)
+
+// Decide returns what follows from consumed, the number of the last batch that
+// the trainer has taken in.
+func (l *Ledger) Decide(consumed int64) PullAction {
+	switch {
+	case !l.Settled && consumed == l.Batch.Number:
+		return PullSettle
+	case l.voided(consumed) >= 0:
+		return PullReclaim
+	case consumed != l.Consumed:
+		return PullRefuse
+	case l.Settled:
+		return PullNext
+	case l.Batch.Oldest < l.FreshFrom():
+		return PullVoid
+	}
+	return PullRepeat
+}
+
+func (l *Ledger) voided(number int64) int {
+	return slices.IndexFunc(l.Voided, func(b BatchRef) bool { return b.Number == number })
+}
+
 // Commit records a batch as handed over.
 func (l *Ledger) Commit(ref BatchRef) {
-	step := l.Step(ref.Step)
-	for _, n := range ref.Samples {
-		step.Delivered.Set(n, true)
-	}
+	l.Step(ref.Step).Delivered.Add(ref.Samples)
 	l.Batch, l.Settled = ref, false
 }
 
@@ -99,80 +142,94 @@
 // Its number is not used again.
 func (l *Ledger) Void() {
 	if step := l.Step(l.Batch.Step); step != nil {
-		for _, n := range l.Batch.Samples {
-			step.Delivered.Set(n, false)
-		}
+		step.Delivered.Remove(l.Batch.Samples)
+	}
+	l.discard(l.Batch.Content)
+	l.Batch.Content = Blob{}
+	l.Voided = append(l.Voided, l.Batch)
+	if len(l.Voided) > maxVoided {
+		l.Voided = l.Voided[1:]
 	}
-	l.Batch.Samples, l.Batch.Object, l.Batch.Hash = nil, "", ""
 	l.Settled = true
 }
 
 // Settle records that the trainer has consumed the last batch, and drops steps
 // that are whole.
 func (l *Ledger) Settle() {
-	l.Settled, l.Consumed = true, l.Batch.Number
+	l.discard(l.Batch.Content)
+	l.Batch.Content = Blob{}
+	l.Settled, l.Consumed, l.Voided = true, l.Batch.Number, nil
+	l.dropWhole()
+}
+
+// Reclaim records that the trainer has consumed a voided batch. What was
+// committed since is taken back, as the trainer has not consumed it.
+func (l *Ledger) Reclaim(number int64) {
+	if !l.Settled {
+		l.Void()
+	}
+	claimed := l.Voided[l.voided(number)]
+	if step := l.Step(claimed.Step); step != nil {
+		step.Delivered.Add(claimed.Samples)
+	}
+	l.Consumed = number
+	l.Voided = slices.DeleteFunc(l.Voided, func(b BatchRef) bool { return b.Number <= number })
+	l.dropWhole()
+}
+
+func (l *Ledger) dropWhole() {
 	open := l.Steps[:0]
 	for _, s := range l.Steps {
 		if s.Delivered.Count() < s.Samples {
 			open = append(open, s)
+			continue
 		}
+		l.discard(s.Spec)
 	}
 	l.Steps = open
 }
 
-// Clone returns a deep copy.
-func (l *Ledger) Clone() *Ledger {
-	copied := *l
-	copied.Steps = make([]StepState, len(l.Steps))
-	for i, s := range l.Steps {
-		s.Delivered = append(Bitset(nil), s.Delivered...)
-		copied.Steps[i] = s
-	}
-	copied.Batch.Samples = append([]int(nil), l.Batch.Samples...)
-	return &copied
+// refersTo reports whether the ledger needs the content with a name.
+func (l *Ledger) refersTo(name string) bool {
+	return l.Batch.Content.Name == name || slices.ContainsFunc(l.Steps, func(s StepState) bool { return s.Spec.Name == name })
 }
 
-// Bitset is a set of small numbers, stored as base64.
-type Bitset []byte
-
-// Set puts n into the set or takes it out.
-func (b *Bitset) Set(n int, in bool) {
-	for len(*b) <= n/8 {
-		*b = append(*b, 0)
-	}
-	if in {
-		(*b)[n/8] |= 1 << (n % 8)
-		return
+func (l *Ledger) discard(b Blob) {
+	if b.Name != "" {
+		l.Garbage = append(l.Garbage, b)
 	}
-	(*b)[n/8] &^= 1 << (n % 8)
 }
 
-// Has reports whether n is in the set.
-func (b Bitset) Has(n int) bool { return n/8 < len(b) && b[n/8]&(1<<(n%8)) != 0 }
-
-// Count returns how many numbers are in the set.
-func (b Bitset) Count() int {
-	count := 0
-	for n := range len(b) * 8 {
-		if b.Has(n) {
-			count++
-		}
+// Claim makes self the home. Contents that the last home may have written and
+// not committed become garbage.
+func (l *Ledger) Claim(self string) {
+	for seq := l.Seq + 1; l.Epoch > 0 && seq <= l.Seq+maxOrphans; seq++ {
+		l.discard(Blob{Kind: platform.KindBatch, Name: l.contentName(seq)})
 	}
-	return count
+	l.Home, l.Seq = self, 0
+	l.Epoch++
 }
 
-// MarshalJSON implements json.Marshaler.
-func (b Bitset) MarshalJSON() ([]byte, error) {
-	return json.Marshal(base64.StdEncoding.EncodeToString(b))
+func (l *Ledger) contentName(seq int64) string { return fmt.Sprintf("%s-%d-%d", l.Run, l.Epoch, seq) }
+
+// Close ends the run and gives up all that it has stored.
+func (l *Ledger) Close() {
+	l.Closed = true
+	l.discard(l.Batch.Content)
+	for _, s := range l.Steps {
+		l.discard(s.Spec)
+	}
+	l.Batch.Content, l.Steps, l.Settled = Blob{}, nil, true
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (b *Bitset) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
-		return err
+// Clone returns a deep copy.
+func (l *Ledger) Clone() *Ledger {
+	copied := *l
+	copied.Steps = slices.Clone(l.Steps)
+	for i := range copied.Steps {
+		copied.Steps[i].Delivered = copied.Steps[i].Delivered.clone()
 	}
-	decoded, err := base64.StdEncoding.DecodeString(text)
-	*b = decoded
-	return err
+	copied.Voided = slices.Clone(l.Voided)
+	copied.Garbage = slices.Clone(l.Garbage)
+	return &copied
 }
