--- a/instance/rollouts.go
+++ b/instance/rollouts.go
@@ -114,8 +114,9 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// callPatience is how long a request looks for its run's home.
-const callPatience = 5 * time.Second
+// callPatience is how long a request looks for its run's home. It is short, so
+// that a trainer soon asks an instance that reaches the home.
+const callPatience = time.Second
 
 // startStep starts a step at the run's home.
 func (i *Instance) startStep(ctx context.Context, run RunCall, spec rollout.StepSpec) error {
@@ -150,7 +151,7 @@
 			delivery, err = i.pullThere(ctx, address, PullCall{run, left()})
 			return err
 		},
-	}, waitOf(request))
+	}, min(callPatience, waitOf(request)))
 	return delivery, err
 }
 
--- a/rollout/live.go
+++ b/rollout/live.go
@@ -6,7 +6,7 @@
 )
 
 // idleBeats is for how many beats a home stays live without a trainer's call.
-const idleBeats = 6
+const idleBeats = 9
 
 // KeepAlive shows others that the home is live, moves stragglers and deletes
 // garbage, at each interval until the home is given up.
