--- a/rollout/freshness.go
+++ b/rollout/freshness.go
@@ -21,13 +21,14 @@
 	p.LastWeights = now
 }
 
-// finished learns from an attempt that generated tokens and ended its sample.
-func (p *Pace) finished(took time.Duration, tokens int64) {
+// finished learns from an attempt that ended its sample after took, and whose
+// tokens came within flowing.
+func (p *Pace) finished(took, flowing time.Duration, tokens int64) {
 	p.Sample = average(p.Sample, took)
-	if took <= 0 {
+	if flowing <= 0 {
 		return
 	}
-	rate := float64(tokens) / took.Seconds()
+	rate := float64(tokens) / flowing.Seconds()
 	if p.TokenRate == 0 {
 		p.TokenRate = rate
 	}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -100,6 +100,7 @@
 		Step: w.spec.Step, Number: number, Index: int(s.index), Group: w.spec.Groups[s.group], Begun: t.begun, Avoid: t.avoid,
 	}
 	order.Progress = func(version int64, tokens int) {
+		t.flowing.CompareAndSwap(0, h.clock.Now().UnixNano())
 		t.tokens.Add(int64(tokens))
 		if tokens > 0 && (t.first.Load() == 0 || version < t.first.Load()) {
 			t.first.Store(version)
@@ -139,12 +140,21 @@
 	case sample.Oldest() < h.ledger.FreshFrom():
 		h.retry(w, order.Number, errStale, errStale)
 	default:
-		h.pace.finished(h.clock.Since(t.started), t.tokens.Load())
+		now := h.clock.Now()
+		h.pace.finished(now.Sub(t.started), now.Sub(t.flowed()), t.tokens.Load())
 		w.finish(order.Number, data, sample.Oldest())
 		h.signal()
 	}
 }
 
+// flowed returns when the first token came, or when the attempt started.
+func (t *try) flowed() time.Time {
+	if at := t.flowing.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return t.started
+}
+
 // retry prepares the next attempt at a sample. The caller holds mu.
 func (h *Home) retry(w *stepWork, number int, err, cause error) {
 	s := &w.samples[number]
--- a/rollout/work.go
+++ b/rollout/work.go
@@ -45,6 +45,7 @@
 type try struct {
 	cancel   context.CancelCauseFunc
 	started  time.Time
+	flowing  atomic.Int64 // when the first token came, in Unix ns; 0 before
 	begun    attempt.Completion
 	avoid    []string
 	failures int
