Bound the finished samples that a home holds

Cause: with 10,000 tokens a sample a home would hold 4,096 finished samples of some 45 KB when its trainer pauses, far beyond an instance's memory. Ruled out: writing them to the platform before a pull, which doubles its writes.

--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -152,7 +152,7 @@
 }
 
 // compose returns the next batch when enough samples of the oldest open step
-// are ready, or a channel that is closed when more are.
+// are ready, by number or by size, or a channel that is closed when more are.
 func (h *Home) compose() ([]byte, BatchRef, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -163,7 +163,7 @@
 		if left == 0 {
 			continue
 		}
-		if w == nil || w.ready < min(left, h.ledger.BatchSamples) {
+		if w == nil || w.ready < min(left, h.ledger.BatchSamples) && w.bytes < MaxBatchBytes {
 			break
 		}
 		ref, samples := w.fill(h.ledger.BatchSamples)
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -61,10 +61,14 @@
 	}
 }
 
+// maxReadyBytes bounds the finished samples that a home holds for its trainer.
+// Beyond it nothing new is started until the trainer pulls.
+const maxReadyBytes = 32 << 20
+
 // schedule starts pending samples, those of older steps first, up to the
 // generator's limit. The caller holds mu.
 func (h *Home) schedule() {
-	if h.ctx.Err() != nil {
+	if h.ctx.Err() != nil || h.readyBytes() >= maxReadyBytes {
 		return
 	}
 	limit := defaultLimit
@@ -83,6 +87,15 @@
 	}
 }
 
+// readyBytes is the size of what could be handed over. The caller holds mu.
+func (h *Home) readyBytes() int {
+	bytes := 0
+	for _, w := range h.work {
+		bytes += w.bytes
+	}
+	return bytes
+}
+
 // start runs one sample. The caller holds mu.
 func (h *Home) start(w *stepWork, number int) {
 	ctx, cancel := context.WithCancelCause(h.ctx)
--- a/rollout/work.go
+++ b/rollout/work.go
@@ -27,6 +27,7 @@
 	pending []int        // numbers to start, next one last
 	units   [][]int      // ready numbers in the order of completion; a unit is handed over whole
 	ready   int          // samples in units
+	bytes   int          // of the samples in units
 	counts  StepProgress
 }
 
@@ -77,8 +78,7 @@
 	s.state, s.data, s.oldest, s.try = stateReady, data, oldest, nil
 	w.missing[s.group]--
 	if !w.spec.WholeGroups {
-		w.units = append(w.units, []int{number})
-		w.ready++
+		w.addUnit([]int{number})
 		return
 	}
 	if w.missing[s.group] == 0 {
@@ -95,8 +95,15 @@
 			unit = append(unit, n)
 		}
 	}
+	w.addUnit(unit)
+}
+
+func (w *stepWork) addUnit(unit []int) {
 	w.units = append(w.units, unit)
 	w.ready += len(unit)
+	for _, n := range unit {
+		w.bytes += len(w.samples[n].data)
+	}
 }
 
 // redo makes a sample pending again, before all others.
@@ -150,9 +157,9 @@
 // rebuild keeps of each unit what is still ready. A unit of a whole group goes
 // when its group lacks a sample again.
 func (w *stepWork) rebuild() {
-	units := w.units[:0]
-	w.ready = 0
-	for _, unit := range w.units {
+	units := w.units
+	w.units, w.ready, w.bytes = w.units[:0], 0, 0
+	for _, unit := range units {
 		kept := unit[:0]
 		for _, n := range unit {
 			if w.samples[n].state == stateReady {
@@ -163,10 +170,8 @@
 		if len(kept) == 0 || lacking {
 			continue
 		}
-		units = append(units, kept)
-		w.ready += len(kept)
+		w.addUnit(kept)
 	}
-	w.units = units
 }
 
 // expire cancels an attempt whose first tokens have become too old.
