--- a/instance/generator.go
+++ b/instance/generator.go
@@ -63,14 +63,16 @@
 			MinWeightVersion: minWeightVersion(engines, order), Exclude: avoided(engines, order),
 		},
 	}
+	tally := i.usage.meter.Begin(order.Team, service)
 	completion, err := i.runner.Resume(ctx, ticket, upstream.CompletionRequest{
 		ID: newRequestID(), Model: order.Model, Prompt: order.Group.Prompt, MaxTokens: order.Group.MaxTokens,
 		Temperature: order.Group.Temperature, Seed: order.Group.Seed + int64(order.Index),
 	}, order.Begun, func(chunk upstream.Chunk) error {
+		tally.Output(int64(chunk.Tokens))
 		order.Progress(chunk.WeightVersion, chunk.Tokens)
 		return nil
 	})
-	i.meter.Add(order.Team, service, i.clock.Now(), int64(completion.PromptTokens), int64(completion.OutputTokens-order.Begun.OutputTokens))
+	tally.End(i.clock.Now(), int64(completion.PromptTokens), completion.OutputTokens > order.Begun.OutputTokens)
 	if err != nil {
 		return rollout.Sample{}, interrupted(completion, err)
 	}
--- a/instance/homes.go
+++ b/instance/homes.go
@@ -87,7 +87,7 @@
 
 // openHome claims a run for this instance. Concurrent calls share one claim.
 func (i *Instance) openHome(ctx context.Context, run, team string) (*rollout.Home, error) {
-	if i.draining.Load() {
+	if i.refusing.Load() {
 		return nil, rollout.ErrUnavailable
 	}
 	_, err, _ := i.opening.Do(run, func() (any, error) {
@@ -130,7 +130,9 @@
 }
 
 // closeHomes gives all homes up, so that other instances take the runs at once.
-func (i *Instance) closeHomes(ctx context.Context) {
+func (i *Instance) closeHomes() {
+	ctx, cancel := context.WithTimeout(context.Background(), i.settings.LeaseTerm)
+	defer cancel()
 	i.homesMu.Lock()
 	homes := make([]*rollout.Home, 0, len(i.homes))
 	for _, home := range i.homes {
@@ -176,7 +178,7 @@
 	for {
 		err := i.tryHome(ctx, call)
 		again := errors.Is(err, rollout.ErrMoved) || errors.Is(err, rollout.ErrUnavailable)
-		if !again || ctx.Err() != nil || i.draining.Load() || i.clock.Now().After(until) {
+		if !again || ctx.Err() != nil || i.refusing.Load() || i.clock.Now().After(until) {
 			return err
 		}
 		sleep(ctx, homeRetry)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,14 +17,15 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
+	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
-	"github.com/pomelocross/pomelocross/usage"
 )
 
 // eventBuffer bounds events that wait for the control goroutine.
@@ -39,7 +40,8 @@
 	platform *platform.Client
 	client   *upstream.Client
 	runner   *attempt.Runner
-	meter    *usage.Meter
+	usage    *usageKeeper
+	loads    *probe.Board
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
@@ -51,13 +53,20 @@
 
 	upstreamRole *lease.Keeper
 	billingRole  *lease.Keeper
+	commander    *commander
 
 	homesMu   sync.Mutex // guards homes and sightings
 	homes     map[string]*rollout.Home
 	sightings map[string]sighting // of homes elsewhere that failed, by run
 	opening   singleflight.Group
 
-	draining atomic.Bool
+	coordinator *idempotency.Coordinator
+	traffic     *trafficCounters
+	inFlight    *inFlight
+	draining    atomic.Bool   // readiness fails; requests are still taken
+	refusing    atomic.Bool   // requests are refused
+	aborted     chan struct{} // closed by Abort
+	abort       sync.Once
 }
 
 // New builds an instance; nothing runs before Run.
@@ -70,19 +79,34 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewClient(s.Platform, counters)
+	traffic, err := newTrafficCounters(t.Meter)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewClientWith(s.Platform, platform.Options{Counter: counters, Budget: budget(s)})
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
 	i := &Instance{
 		settings: s, log: t.Log, clock: clock, counters: counters, metrics: t.Metrics,
-		platform: store, client: upstream.NewClient(), meter: usage.NewMeter(s.UsageWindow),
+		platform: store, client: upstream.NewClient(),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), sessions: newSessions(),
 		events:       make(chan event, eventBuffer),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
 		homes:        map[string]*rollout.Home{}, sightings: map[string]sighting{},
+		traffic: traffic, inFlight: newInFlight(), aborted: make(chan struct{}),
+	}
+	i.coordinator = idempotency.New(i.dialer, clock, keySettle*s.MembersInterval, idempotency.DefaultLimits())
+	i.runner = &attempt.Runner{
+		Client: i.client, Queue: i.queues.of, Budgets: attempt.NewBudgets(clock),
+		Alternative: i.hasAlternative, Observe: i.traffic.attempt,
 	}
-	i.runner = &attempt.Runner{Client: i.client, Queue: i.queues.of}
+	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
+		role.SetStandby(func() bool { return i.isStandby(role.Role()) })
+	}
+	i.commander = newCommander(i)
+	i.usage = newUsageKeeper(i)
+	i.loads = probe.NewBoard()
 	return i, i.registerPeerServices()
 }
 
@@ -99,20 +123,20 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling} {
+	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.observeMembers, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
 		zap.String("admin", i.settings.AdminListen), zap.String("peer", i.settings.PeerListen))
 	<-ctx.Done()
-	i.drain(servers)
+	err = i.drain(servers)
 	stopControl()
 	background.Wait()
 	i.release()
 	i.peers.Close()
 	i.dialer.Close()
 	i.log.Info("stopped")
-	return nil
+	return err
 }
 
 type servers struct{ traffic, admin *http.Server }
@@ -132,7 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &servers{traffic: newServer(i.trafficHandler()), admin: newServer(i.adminHandler())}
+	s := &servers{traffic: newServer(i.counted(i.trafficHandler())), admin: newServer(i.adminHandler())}
 	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
 	go s.traffic.Serve(traffic)
 	go s.admin.Serve(admin)
@@ -160,28 +184,3 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols}
 }
-
-// drain refuses new requests and waits for running ones.
-func (i *Instance) drain(s *servers) {
-	i.log.Info("draining")
-	i.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
-	defer cancel()
-	i.closeHomes(ctx)
-	if err := s.traffic.Shutdown(ctx); err != nil {
-		i.log.Warn("requests were cut off", zap.Error(err))
-		s.traffic.Close()
-	}
-	s.admin.Close()
-}
-
-// release gives up roles, so that successors need not wait out their terms.
-func (i *Instance) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
-		if err := role.Release(ctx); err != nil {
-			i.log.Warn("role was not released", zap.Error(err))
-		}
-	}
-}
--- a/rollout/rollout_suite_test.go
+++ b/rollout/rollout_suite_test.go
@@ -29,6 +29,9 @@
 // instant generates every sample at once with the weights that engines run.
 type instant struct{ weights atomic.Int64 }
 
+// Limit makes samples end in the order of their start.
+func (g *instant) Limit(string) int { return 1 }
+
 func (g *instant) Generate(_ context.Context, order rollout.SampleOrder) (rollout.Sample, error) {
 	// Odd samples come from an engine that lies one version behind, if allowed.
 	version := max(order.FreshFrom, g.weights.Load()-int64(order.Number%2), 1)
--- /dev/null
+++ b/test/e2e/rollout_api_test.go
@@ -0,0 +1,44 @@
+package e2e
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The interface for trainers", func() {
+	It("answers alike at the home and elsewhere, and tells what to do", func() {
+		d := newRolloutDeployment()
+		key := demoKey("restockplans")
+		Eventually(d.home).ShouldNot(BeNil())
+		create := `{"run":"plans","model":"restock","maxStaleness":1,"batchSamples":%d}`
+		step := `{"step":1,"weightVersion":1,"groups":[{"id":"g","prompt":"p","samples":1,"maxTokens":%d}]}`
+		calls := []struct {
+			method, path, key, body string
+			status                  int
+			contains                string
+		}{
+			{"POST", "/v1/runs", key, fmt.Sprintf(create, 4), 201, `"plans"`},
+			{"POST", "/v1/runs", key, fmt.Sprintf(create, 8), 409, "run_exists"},
+			{"POST", "/v1/runs", demoKey("audits"), fmt.Sprintf(create, 4), 409, "run_exists"},
+			{"GET", "/v1/runs/plans", demoKey("audits"), "", 404, "no_run"},
+			{"POST", "/v1/runs/plans/steps", key, fmt.Sprintf(step, 2), 202, ""},
+			{"POST", "/v1/runs/plans/steps", key, fmt.Sprintf(step, 2), 202, ""},
+			{"POST", "/v1/runs/plans/steps", key, fmt.Sprintf(step, 3), 409, "step_exists"},
+			{"POST", "/v1/runs/plans/pull", key, `{"consumed":9}`, 409, "batch 9 was named as consumed; the run has 0 consumed"},
+			{"POST", "/v1/runs/plans/pull", key, `{"waitSeconds":61}`, 400, "bad_request"},
+			{"POST", "/v1/runs/plans/pull", key, `{"waitSeconds":20}`, 200, `"stepWhole":true`},
+			{"GET", "/v1/runs/plans", key, "", 200, `"lastBatch":1`},
+		}
+		for _, c := range calls {
+			for _, one := range []*daemon{d.a, d.b, d.c} {
+				got := one.do(call{method: c.method, path: c.path, key: c.key, body: c.body})
+				Expect(got.status).To(Equal(c.status), "%s %s at %s: %s", c.method, c.path, one.name, got.body)
+				Expect(got.body).To(ContainSubstring(c.contains))
+			}
+		}
+		Expect(d.c.do(call{method: "DELETE", path: "/v1/runs/plans", key: key}).status).To(Equal(204))
+		Expect(d.b.do(call{method: "GET", path: "/v1/runs/plans", key: key}).status).To(Equal(404))
+	})
+})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,21 +18,27 @@
 	Running int   `json:"running"` // requests it works on
 	Waiting int   `json:"waiting"` // requests it has admitted but not begun
 	Tokens  int64 `json:"tokens"`  // generated since its start
+	// Model is what the engine says it serves; empty when it does not say.
+	Model string `json:"model,omitempty"`
 	// WeightVersion is what the engine says it runs; 0 for plain services.
 	WeightVersion int64 `json:"weightVersion"`
 	// Loading is the version being loaded; 0 when none is.
 	Loading int64 `json:"loading,omitempty"`
 	// FreeKV is the share of cache memory free, 0 to 1.
 	FreeKV float64 `json:"freeKV"`
+	// Leaving says that the upstream is being taken away.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Table lists upstreams by service. It is immutable.
 type Table struct{ services map[string][]Upstream }
 
 // NewTable joins the member list with the last known loads, by upstream name.
+// An upstream leaves when either says so.
 func NewTable(members []platform.Member, loads map[string]Load) *Table {
 	t := &Table{services: map[string][]Upstream{}}
 	for _, m := range members {
+		m.Leaving = m.Leaving || loads[m.Name].Leaving
 		t.services[m.Service] = append(t.services[m.Service], Upstream{Member: m, Load: loads[m.Name]})
 	}
 	return t
