Tell a trainer whose key is withdrawn that it was

Cause: a pull that waited when its key was withdrawn ended with 503 try_again, which asks the trainer to go on trying. Ruled out: mapping it in package rollout, which knows no keys. Change: the cause of the request's end is asked first; a spec at the home and elsewhere.

--- a/instance/rollouts.go
+++ b/instance/rollouts.go
@@ -42,11 +42,11 @@
 		return
 	}
 	if err := rollout.Create(r.Context(), i.platform, spec, team, i.settings.Name); err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	if _, err := i.progress(r.Context(), spec.Run, team); err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	httpjson.Write(w, http.StatusCreated, spec)
@@ -72,7 +72,7 @@
 		err = i.startStep(r.Context(), RunCall{r.PathValue("run"), team}, spec)
 	}
 	if err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	httpjson.Write(w, http.StatusAccepted, struct{}{})
@@ -85,7 +85,7 @@
 	}
 	delivery, err := i.pull(r.Context(), RunCall{r.PathValue("run"), team}, request)
 	if err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	if delivery == nil {
@@ -100,7 +100,7 @@
 func (i *Instance) getRun(w http.ResponseWriter, r *http.Request, team string) {
 	progress, err := i.progress(r.Context(), r.PathValue("run"), team)
 	if err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	httpjson.Write(w, http.StatusOK, progress)
@@ -108,7 +108,7 @@
 
 func (i *Instance) deleteRun(w http.ResponseWriter, r *http.Request, team string) {
 	if err := i.closeRun(r.Context(), RunCall{r.PathValue("run"), team}); err != nil {
-		rolloutFailure(err).write(w)
+		rolloutFailure(r.Context(), err).write(w)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -211,7 +211,10 @@
 }
 
 // rolloutFailure returns what a trainer is told of a request that failed.
-func rolloutFailure(err error) *refusal {
+func rolloutFailure(ctx context.Context, err error) *refusal {
+	if errors.Is(context.Cause(ctx), errWithdrawn) {
+		return refuseKey()
+	}
 	for _, known := range rolloutRefusals {
 		if errors.Is(err, known.err) {
 			f := known.refusal
--- a/test/e2e/rollout_api_test.go
+++ b/test/e2e/rollout_api_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/contract"
 )
 
 var _ = Describe("The interface for trainers", func() {
@@ -41,4 +44,24 @@
 		Expect(d.c.do(call{method: "DELETE", path: "/v1/runs/plans", key: key}).status).To(Equal(204))
 		Expect(d.b.do(call{method: "GET", path: "/v1/runs/plans", key: key}).status).To(Equal(404))
 	})
+
+	DescribeTable("ends a pull that waits when its key is withdrawn", func(pick func(*rolloutDeployment) *daemon) {
+		d := newRolloutDeployment()
+		Eventually(d.home).ShouldNot(BeNil())
+		one := pick(d)
+		ended := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			ended <- one.do(call{method: "POST", path: "/v1/runs/plans/pull", key: demoKey("restockplans"), body: `{"waitSeconds":60}`})
+		}()
+		without := *d.bundle
+		without.Keys = slices.DeleteFunc(slices.Clone(without.Keys), func(k contract.Key) bool { return k.ID == "restockplans" })
+		d.apply(&without)
+		var got answer
+		Eventually(ended).Should(Receive(&got))
+		Expect(got.status).To(Equal(401), got.body)
+	},
+		Entry("at the home", (*rolloutDeployment).home),
+		Entry("elsewhere", func(d *rolloutDeployment) *daemon { return d.others(d.home())[0] }),
+	)
 })
