--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/pomelocross/pomelocross/idempotency"
 	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/link"
+	"github.com/pomelocross/pomelocross/notice"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
@@ -45,6 +46,9 @@
 	dialer   *link.Dialer
 	peers    *link.Server
 	sessions *sessions
+	notices  *notice.Endpoint
+	disk     *notice.Disk // nil without --data-dir
+	diskMu   sync.Mutex   // held while the disk is written, so that a newer state is not overwritten
 	metrics  http.Handler
 
 	view   atomic.Pointer[View]
@@ -107,6 +111,14 @@
 	i.commander = newCommander(i)
 	i.usage = newUsageKeeper(i)
 	i.loads = probe.NewBoard()
+	if s.DataDir != "" {
+		if i.disk, err = notice.NewDisk(s.DataDir); err != nil {
+			return nil, err
+		}
+	}
+	if err := i.observe(t.Meter); err != nil {
+		return nil, err
+	}
 	return i, i.registerPeerServices()
 }
 
@@ -123,7 +135,7 @@
 	}
 	control, stopControl := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	for _, loop := range []func(context.Context){i.control, i.watchConfig, i.watchWeights, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.observeMembers, i.usage.replicator.Run} {
+	for _, loop := range []func(context.Context){i.control, i.runNotices, i.watchIsolation, i.pollMembers, i.pollLoads, i.holdUpstreams, i.holdBilling, i.followMembers, i.usage.replicator.Run} {
 		background.Go(func() { loop(control) })
 	}
 	i.log.Info("serving", zap.String("domain", i.settings.Domain), zap.String("listen", i.settings.Listen),
@@ -158,6 +170,7 @@
 	}
 	s := &servers{traffic: newServer(i.counted(i.trafficHandler())), admin: newServer(i.adminHandler())}
 	i.view.Store(&View{Domain: domain.NewView(i.self(), nil), Upstream: upstream.NewTable(nil, nil)})
+	i.notices = i.newNotices()
 	go s.traffic.Serve(traffic)
 	go s.admin.Serve(admin)
 	go i.peers.Serve(peers)
--- a/instance/view.go
+++ b/instance/view.go
@@ -5,7 +5,6 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -18,6 +17,8 @@
 	// Weights are the wanted weight versions by model.
 	Weights map[string]int64
 	loads   map[string]upstream.Load
+	// listed is true once the instance list has been read.
+	listed bool
 	// noticed are the upstreams that other domains say are leaving.
 	noticed notices
 }
@@ -58,11 +59,17 @@
 	v.Weights[model] = version
 }
 
-// listed is a reading of the instance list.
-type listed struct{ members []platform.Member }
+// listRead says that the instance list was read and the membership that comes
+// of it was sent before.
+type listRead struct{}
 
-func (e listed) apply(v *View) {
-	v.Domain = domain.NewView(v.Domain.Self(), e.members)
+func (listRead) apply(v *View) { v.listed = true }
+
+// membership is a new view of the entry instances and upstreams.
+type membership struct{ view *domain.View }
+
+func (e membership) apply(v *View) {
+	v.Domain = e.view
 	v.Upstream = v.table()
 }
 
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -122,7 +122,3 @@
 	o, err := b.store.Get(ctx, blob.Kind, partName(blob.Name, index))
 	return o.Version, err
 }
-
-func stepName(run string, step int64, hash string) string {
-	return fmt.Sprintf("%s-%d-%.16s", run, step, hash)
-}
--- a/rollout/change.go
+++ b/rollout/change.go
@@ -53,7 +53,7 @@
 	taken := h.orphans
 	h.orphans = nil
 	for _, blob := range taken {
-		if !next.refersTo(blob.Name) {
+		if !next.refersTo(blob) {
 			next.discard(blob)
 		}
 	}
--- a/rollout/home.go
+++ b/rollout/home.go
@@ -26,6 +26,9 @@
 	prepared prepared   // guarded by pulling
 	serial   sync.Mutex // held over each change of the ledger, writes included
 
+	starting sync.Mutex // held over a whole StartStep
+	stepSeq  int64      // of the last spec written; guarded by starting
+
 	mu         sync.Mutex // guards all below; never held over I/O
 	ledger     *Ledger
 	version    platform.Version
@@ -124,6 +127,8 @@
 // same step again with the same content is no error.
 func (h *Home) StartStep(ctx context.Context, spec StepSpec) error {
 	h.called()
+	h.starting.Lock()
+	defer h.starting.Unlock()
 	data, err := encode(spec)
 	if err != nil {
 		return err
@@ -133,7 +138,11 @@
 	if err := mayStart(known, spec.Step, hash); err != nil || known.repeats(spec.Step, hash) && known.Step(spec.Step) == nil {
 		return err
 	}
-	blob, err := h.book.write(ctx, kindStep, stepName(h.current().Run, spec.Step, hash), data)
+	seq, err := h.reserveStep(ctx)
+	if err != nil {
+		return err
+	}
+	blob, err := h.book.write(ctx, kindStep, known.contentName(seq), data)
 	if err != nil {
 		h.orphan(blob)
 		return err
@@ -145,7 +154,7 @@
 		l.Steps = append(l.Steps, StepState{
 			Step: spec.Step, Samples: spec.Samples(), WholeGroups: spec.WholeGroups, SpecHash: hash, Spec: blob,
 		})
-		l.LastStep, l.LastSpecHash = spec.Step, hash
+		l.LastStep, l.LastSpecHash, l.StepSeq = spec.Step, hash, seq
 		l.WeightVersion = max(l.WeightVersion, spec.WeightVersion)
 		return nil
 	})
@@ -162,6 +171,22 @@
 	return step == l.LastStep && hash == l.LastSpecHash
 }
 
+// reserveStep returns a number for the name of a spec. No two writes share a
+// name: what a failed one wrote becomes garbage, which even a home that has lost
+// the run may still delete. The caller holds starting.
+func (h *Home) reserveStep(ctx context.Context) (int64, error) {
+	stored := h.current().StepSeq
+	h.stepSeq = max(h.stepSeq, stored) + 1
+	if h.stepSeq-stored < maxOrphans {
+		return h.stepSeq, nil
+	}
+	last := h.stepSeq - 1
+	return h.stepSeq, h.change(ctx, func(l *Ledger) error {
+		l.StepSeq = last
+		return nil
+	})
+}
+
 // mayStart returns why a step can't be added. A step that is open with the same
 // content is no error.
 func mayStart(l *Ledger, step int64, hash string) error {
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -50,6 +50,8 @@
 	Voided []BatchRef `json:"voided,omitempty"`
 	// Seq numbers the batch contents written under one epoch.
 	Seq int64 `json:"seq"`
+	// StepSeq numbers the specs of steps written under one epoch.
+	StepSeq int64 `json:"stepSeq"`
 	// Garbage are contents that nothing refers to any more.
 	Garbage []Blob `json:"garbage,omitempty"`
 }
@@ -189,9 +191,12 @@
 	l.Steps = open
 }
 
-// refersTo reports whether the ledger needs the content with a name.
-func (l *Ledger) refersTo(name string) bool {
-	return l.Batch.Content.Name == name || slices.ContainsFunc(l.Steps, func(s StepState) bool { return s.Spec.Name == name })
+// refersTo reports whether the ledger needs a content.
+func (l *Ledger) refersTo(b Blob) bool {
+	if b.Kind == platform.KindBatch {
+		return l.Batch.Content.Name == b.Name
+	}
+	return slices.ContainsFunc(l.Steps, func(s StepState) bool { return s.Spec.Name == b.Name })
 }
 
 func (l *Ledger) discard(b Blob) {
@@ -203,10 +208,11 @@
 // Claim makes self the home. Contents that the last home may have written and
 // not committed become garbage.
 func (l *Ledger) Claim(self string) {
-	for seq := l.Seq + 1; l.Epoch > 0 && seq <= l.Seq+maxOrphans; seq++ {
-		l.discard(Blob{Kind: platform.KindBatch, Name: l.contentName(seq)})
+	for n := int64(1); l.Epoch > 0 && n <= maxOrphans; n++ {
+		l.discard(Blob{Kind: platform.KindBatch, Name: l.contentName(l.Seq + n)})
+		l.discard(Blob{Kind: kindStep, Name: l.contentName(l.StepSeq + n)})
 	}
-	l.Home, l.Seq = self, 0
+	l.Home, l.Seq, l.StepSeq = self, 0, 0
 	l.Epoch++
 }
 
--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -290,7 +290,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
 	stored, _, err := h.book.ledger(ctx, h.current().Run)
-	used := err == nil && stored.refersTo(blob.Name)
+	used := err == nil && stored.refersTo(blob)
 	known := err == nil || errors.Is(err, ErrUnknownRun)
 	if known && !used {
 		_ = h.book.remove(ctx, blob) // what stays is bounded by one batch a claim
