--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -14,8 +14,15 @@
 // resumes on another upstream behind the text already emitted. The Completion
 // holds what was produced, also when an *Error is returned.
 func (r *Runner) Stream(ctx context.Context, ticket queue.Ticket, request upstream.CompletionRequest, emit func(upstream.Chunk) error) (Completion, error) {
+	return r.stream(ctx, ticket, request, Completion{}, emit)
+}
+
+// stream runs a completion behind begun.
+func (r *Runner) stream(ctx context.Context, ticket queue.Ticket, request upstream.CompletionRequest, begun Completion, emit func(upstream.Chunk) error) (Completion, error) {
 	r.Budgets.Request(ticket.Route.Service)
 	run := &streamRun{runner: r, ticket: ticket, request: request, emit: emit}
+	run.produced.Completion = begun
+	run.produced.text.WriteString(begun.Text)
 	earlier := NotSent
 	for attempt := 1; ; attempt++ {
 		before := run.produced.OutputTokens
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -119,6 +119,7 @@
 	case <-i.aborted:
 	}
 	i.refusing.Store(true)
+	i.closeHomes()
 	err := i.awaitRequests(deadline)
 	if err == nil {
 		i.retireKeys()
@@ -126,7 +127,6 @@
 	} else {
 		s.traffic.Close()
 	}
-	i.closeHomes()
 	s.admin.Close()
 	return err
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
@@ -62,8 +63,10 @@
 	slotService  *SlotService
 	commander    *commander
 
-	homesMu sync.Mutex // guards homes
-	homes   map[string]*rollout.Home
+	homesMu   sync.Mutex // guards homes and sightings
+	homes     map[string]*rollout.Home
+	sightings map[string]sighting // of homes elsewhere that failed, by run
+	opening   singleflight.Group
 
 	coordinator *idempotency.Coordinator
 	traffic     *trafficCounters
@@ -100,8 +103,8 @@
 		queues:       newQueues(clock, slots.TimingFor(s.LeaseTerm)),
 		upstreamRole: lease.NewKeeper("upstreams-"+s.Domain, s.Name, store, clock, timing),
 		billingRole:  lease.NewKeeper("billing", s.Name, store, clock, timing),
-		homes:        map[string]*rollout.Home{},
-		traffic:      traffic, inFlight: newInFlight(), aborted: make(chan struct{}),
+		homes:        map[string]*rollout.Home{}, sightings: map[string]sighting{},
+		traffic: traffic, inFlight: newInFlight(), aborted: make(chan struct{}),
 	}
 	i.coordinator = idempotency.New(i.dialer, clock, keySettle*s.MembersInterval, idempotency.DefaultLimits())
 	i.runner = &attempt.Runner{
