domain: report a change when a suspected instance is heard again

Cause: hearing an instance cleared its suspicion without marking a change, so that no view was published for it. The reading of an unchanged instance list every 2 s had published one by chance; since unchanged lists are not passed on, a suspicion stayed in force for as long as nothing else changed. Before: the spec of a domain that was cut off timed out, an instance still suspected 20 s after the cut; the new spec of the tracker fails. After: both pass.

--- a/domain/tracker.go
+++ b/domain/tracker.go
@@ -125,7 +125,7 @@
 	}
 	t.leave(r, m.Leaving)
 	r.failures, r.accused = 0, false
-	r.hear(sent)
+	t.hear(r, sent)
 }
 
 func (t *Tracker) leave(r *record, leaving bool) {
@@ -133,12 +133,13 @@
 	r.leaving = leaving
 }
 
-func (r *record) hear(at time.Time) {
+func (t *Tracker) hear(r *record, at time.Time) {
 	if at.After(r.heard) {
 		r.heard = at
 	}
-	if !r.accused && r.failures == 0 {
+	if !r.accused && r.failures == 0 && !r.missed.IsZero() {
 		r.missed = time.Time{}
+		t.changed = true
 	}
 }
 
@@ -154,7 +155,7 @@
 		}
 		if at := sent.Add(-s.Age); at.After(r.heard) {
 			r.failures, r.accused = 0, false
-			r.hear(at)
+			t.hear(r, at)
 		}
 	}
 }
--- a/domain/tracker_test.go
+++ b/domain/tracker_test.go
@@ -137,6 +137,15 @@
 		Expect(names()).NotTo(ContainElement("near-2"))
 	})
 
+	It("reports a change when a suspected instance is heard again", func() {
+		pass(limits.Suspect+2*time.Second, "near-1", "far-1", "far-2")
+		Expect(liveness("near-2")).To(Equal(Suspected))
+		Expect(t.Refresh(now)).To(BeFalse())
+		t.Heard(list[2], now)
+		Expect(t.Refresh(now)).To(BeTrue())
+		Expect(liveness("near-2")).To(Equal(Alive))
+	})
+
 	It("starts afresh with a replacement under the same name, and heeds one that leaves", func() {
 		pass(limits.Suspect+limits.Dead+2*time.Second, "near-1")
 		Expect(liveness("near-2")).To(Equal(Dead))
