Mend what stood twice; every error code is explained

Cause: four stand-ins each had their own handlers for faults and records; two sums of reports differed in one field; two error codes were in no page; the fuzz target of the Makefile had no rule. Change: the handlers are in internal/standin/control; docscheck reads the codes that an instance answers with and wants each in the pages of the interfaces; make fuzz runs both fuzz tests for a time. Conclusion: no behaviour changed.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,11 @@
 race:
 	$(GO) tool ginkgo run --race --seed=1 --keep-going --no-color $(addprefix ./,$(CONCURRENT))
 
+# fuzz searches for input that the parsers of ours do not bear.
+FUZZTIME ?= 20s
+fuzz:
+	$(GO) test ./contract -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	$(GO) test ./contract -run '^$$' -fuzz FuzzSplitKey -fuzztime $(FUZZTIME)
+
 clean:
 	rm -rf bin
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,7 +4,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomelocross/pomelocross/internal/standin/control"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	"github.com/pomelocross/pomelocross/internal/standin/weights"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -98,8 +98,8 @@
 	s.mux.HandleFunc("POST /v1/generate", s.generate)
 	s.mux.HandleFunc("GET /v1/load", s.load)
 	s.mux.HandleFunc("POST /v1/orders", s.order)
-	s.mux.HandleFunc("PUT /faults", s.putFaults)
-	s.mux.HandleFunc("GET /record", s.getRecord)
+	s.mux.HandleFunc("PUT /faults", control.Switch(s.SetFaults))
+	s.mux.HandleFunc("GET /record", control.Show(s.Record))
 	return s
 }
 
@@ -176,19 +176,3 @@
 func (s *Server) tokenTime() time.Duration {
 	return s.options.TokenTime * time.Duration(max(1, s.faultsNow().Slow))
 }
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
-func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Record()) }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelocross/pomelocross/internal/standin/control"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	"github.com/pomelocross/pomelocross/internal/standin/journal"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -15,7 +16,7 @@
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, upstream.Load{
+	control.Answer(w, upstream.Load{
 		Running: s.running, Tokens: s.tokens, Model: s.model, WeightVersion: s.version,
 		Loading: s.loading, FreeKV: 1, Leaving: s.faults.Leaving,
 	})
@@ -33,7 +34,7 @@
 		return
 	}
 	s.Holds.Wait(hold.Answering, r)
-	writeJSON(w, struct{}{})
+	control.Answer(w, struct{}{})
 }
 
 // takeOrder records an order and begins to load, or reports false when the
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pomelocross/pomelocross/internal/standin/control"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
-
 	client "github.com/pomelocross/pomelocross/platform"
 )
 
@@ -66,11 +66,11 @@
 	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
 	s.mux.HandleFunc("GET /v1/objects/{kind}", s.list)
 	s.mux.HandleFunc("GET /v1/instances", s.listMembers)
-	s.mux.HandleFunc("PUT /v1/instances", s.setMembers)
+	s.mux.HandleFunc("PUT /v1/instances", control.Switch(s.SetMembers))
 	s.mux.HandleFunc("POST /v1/usage", s.usage)
 	s.mux.HandleFunc("POST /v1/scale", s.scale)
-	s.mux.HandleFunc("PUT /faults", s.setFaults)
-	s.mux.HandleFunc("GET /record", s.getRecord)
+	s.mux.HandleFunc("PUT /faults", control.Switch(s.SetFaults))
+	s.mux.HandleFunc("GET /record", control.Show(s.Record))
 	return s
 }
 
@@ -120,7 +120,7 @@
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	write(w, o)
+	control.Answer(w, o)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
@@ -159,7 +159,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.Holds.Wait(hold.Answering, r)
-	write(w, o)
+	control.Answer(w, o)
 }
 
 // commit stores o under the next version. The caller holds mu.
@@ -186,7 +186,7 @@
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	kind := r.PathValue("kind")
 	if !r.URL.Query().Has("after") {
-		write(w, s.all(kind))
+		control.Answer(w, s.all(kind))
 		return
 	}
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
@@ -200,13 +200,13 @@
 			return
 		}
 		if len(found.Objects) > 0 {
-			write(w, found)
+			control.Answer(w, found)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			write(w, found)
+			control.Answer(w, found)
 			return
 		case <-r.Context().Done():
 			return
@@ -254,15 +254,6 @@
 	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
 }
 
-func (s *Server) setMembers(w http.ResponseWriter, r *http.Request) {
-	var members []client.Member
-	if err := json.NewDecoder(r.Body).Decode(&members); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetMembers(members)
-}
-
 func (s *Server) usage(w http.ResponseWriter, r *http.Request) {
 	var report client.UsageReport
 	if err := json.NewDecoder(r.Body).Decode(&report); err != nil {
@@ -276,7 +267,7 @@
 		return
 	}
 	s.record.Usage = append(s.record.Usage, report)
-	write(w, struct{}{})
+	control.Answer(w, struct{}{})
 }
 
 func (s *Server) scale(w http.ResponseWriter, r *http.Request) {
@@ -294,21 +285,5 @@
 	s.epochs[order.Domain] = max(s.epochs[order.Domain], order.Epoch)
 	s.record.Scale = append(s.record.Scale, order)
 	s.record.ScaleTimes = append(s.record.ScaleTimes, time.Now())
-	write(w, struct{}{})
-}
-
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
-func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) { write(w, s.Record()) }
-
-func write(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	control.Answer(w, struct{}{})
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,12 +3,12 @@
 package service
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/pomelocross/pomelocross/internal/standin/control"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -71,16 +71,11 @@
 		s.mu.Lock()
 		running := s.running
 		s.mu.Unlock()
-		writeJSON(w, upstream.Load{Running: running})
+		control.Answer(w, upstream.Load{Running: running})
 	case "/record":
-		writeJSON(w, s.Record())
+		control.Answer(w, s.Record())
 	case "/faults":
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(f)
+		control.Switch(s.SetFaults)(w, r)
 	default:
 		s.run(w, r)
 	}
@@ -102,7 +97,7 @@
 	if faults.RunThenCut {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, Answer{Service: s.name, Path: r.URL.Path, Body: string(body)})
+	control.Answer(w, Answer{Service: s.name, Path: r.URL.Path, Body: string(body)})
 }
 
 func (s *Server) begin(r *http.Request, body string) Faults {
@@ -120,8 +115,3 @@
 	defer s.mu.Unlock()
 	s.running--
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/internal/tools/docscheck/docscheck_test.go
+++ b/internal/tools/docscheck/docscheck_test.go
@@ -1,6 +1,7 @@
 package docscheck
 
 import (
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,3 +33,20 @@
 		}
 	})
 })
+
+var _ = Describe("The pages of the interfaces", func() {
+	It("explain every error code that an instance answers with", func() {
+		var pages string
+		for _, name := range []string{"/docs/API.md", "/docs/api/rollouts.md"} {
+			data, err := os.ReadFile(root + name)
+			Expect(err).NotTo(HaveOccurred())
+			pages += string(data)
+		}
+		codes, err := Codes(root + "/instance")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(codes)).To(BeNumerically(">", 10))
+		for _, code := range codes {
+			Expect(pages).To(ContainSubstring("`" + code + "`"))
+		}
+	})
+})
--- a/test/e2e/usage_test.go
+++ b/test/e2e/usage_test.go
@@ -165,26 +165,25 @@
 	return windows
 }
 
-// reportedTokens sums the output tokens reported for a team, each window once.
-func reportedTokens(d *deployment, team string) int64 {
+// sumReports sums a part of the figures of a team, each window once.
+func sumReports(d *deployment, team string, part func(platform.UsageFigure) int64) int64 {
 	total := int64(0)
 	for _, r := range windowsOf(d, team) {
 		for _, f := range r.Figures {
-			total += f.OutputTokens
+			total += part(f)
 		}
 	}
 	return total
 }
 
+// reportedTokens sums the output tokens reported for a team.
+func reportedTokens(d *deployment, team string) int64 {
+	return sumReports(d, team, func(f platform.UsageFigure) int64 { return f.OutputTokens })
+}
+
 // lateTokens sums the tokens marked as late in a team's reports.
 func lateTokens(d *deployment, team string) int64 {
-	total := int64(0)
-	for _, r := range windowsOf(d, team) {
-		for _, f := range r.Figures {
-			total += f.LateTokens
-		}
-	}
-	return total
+	return sumReports(d, team, func(f platform.UsageFigure) int64 { return f.LateTokens })
 }
 
 // generatedTokens sums what engines say they generated for a prompt.
