--- a/cmd/pomelocrossd/main.go
+++ b/cmd/pomelocrossd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,6 +19,11 @@
 
 const version = "0.1.0"
 
+// gcPercent trades memory, of which an instance has some left, for processor
+// time: the heap may grow to three times what lives before it is collected. The
+// variable GOGC wins.
+const gcPercent = 200
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "pomelocrossd:", err)
@@ -34,6 +40,9 @@
 		s.Print(os.Stdout)
 		return nil
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	t, err := telemetry.Start(telemetry.Options{Service: "pomelocrossd", Instance: s.Name, LogLevel: s.LogLevel, TraceFile: s.TraceFile})
 	if err != nil {
 		return err
--- a/instance/queues.go
+++ b/instance/queues.go
@@ -91,8 +91,12 @@
 // spread orders upstreams by a hash of the instance's and their names, since the
 // first of equals is chosen and instances should not choose the same one.
 func spread(list []queue.Slotted, instance string) {
+	places := make(map[string]uint64, len(list))
+	for _, u := range list {
+		places[u.Name] = xxhash.Sum64String(instance + "\x00" + u.Name)
+	}
 	slices.SortFunc(list, func(a, b queue.Slotted) int {
-		return cmp.Compare(xxhash.Sum64String(instance+"\x00"+a.Name), xxhash.Sum64String(instance+"\x00"+b.Name))
+		return cmp.Compare(places[a.Name], places[b.Name])
 	})
 }
 
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -4,130 +4,13 @@
 	"context"
 	"errors"
 	"net/rpc"
-	"slices"
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/metric"
-
-	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/slots"
 )
 
-// errMalformed is answered to a call whose parts do not fit together.
-var errMalformed = errors.New("malformed report of slots")
-
-// errNotHolder is answered by an instance without the domain's upstream role.
-var errNotHolder = errors.New("not the holder of the upstream role")
-
-// SlotService grants shares of upstreams to the instances of the domain while
-// this instance holds the upstream role.
-type SlotService struct {
-	instance *Instance
-
-	mu      sync.Mutex // guards epoch and holders
-	epoch   int64
-	holders map[string]*slots.Holder // by service
-}
-
-// SlotCall carries an instance's reports, one for each service. The requests in
-// flight are packed apart from the reports.
-type SlotCall struct {
-	Domain   string
-	Reports  []slots.Report
-	InFlight []slots.Packed
-	// Named asks for an answer by names, since the lists of engines differ.
-	Named bool
-}
-
-// SlotReply holds an answer to each report. The shares are packed apart from the
-// answers.
-type SlotReply struct {
-	Answers []slots.Answer
-	Shares  []slots.Packed
-}
-
-// Report answers an instance's reports. Shares must end before the lease does,
-// so that a successor starts with none outstanding.
-func (s *SlotService) Report(call SlotCall, reply *SlotReply) error {
-	grant, held := s.instance.upstreamRole.Grant(s.instance.queues.timing.Term)
-	if !held || call.Domain != s.instance.settings.Domain {
-		return errNotHolder
-	}
-	if len(call.InFlight) != len(call.Reports) {
-		return errMalformed
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.epoch != grant.Epoch {
-		s.epoch, s.holders = grant.Epoch, map[string]*slots.Holder{}
-	}
-	for n, report := range call.Reports {
-		names := s.instance.namesOf(report.Service, call.Domain)
-		inFlight, err := names.Unpack(call.InFlight[n])
-		if err != nil {
-			return err
-		}
-		report.InFlight = inFlight
-		answer := s.answer(report, grant)
-		if call.Named {
-			names = slots.Names{}
-		}
-		reply.Shares = append(reply.Shares, names.Pack(answer.Shares))
-		answer.Shares = nil
-		reply.Answers = append(reply.Answers, answer)
-	}
-	return nil
-}
-
-// namesOf returns the names of a service's upstreams in a domain.
-func (i *Instance) namesOf(service, domain string) slots.Names {
-	var names []string
-	for _, u := range i.view.Load().Upstream.In(service, domain) {
-		names = append(names, u.Name)
-	}
-	return slots.NamesOf(names)
-}
-
-func (s *SlotService) answer(report slots.Report, grant lease.Grant) slots.Answer {
-	view := s.instance.view.Load()
-	domain := s.instance.settings.Domain
-	now := s.instance.clock.Now()
-	holder := s.holders[report.Service]
-	if holder == nil {
-		holder = slots.NewHolder(s.instance.queues.timing, grant.Epoch)
-		s.holders[report.Service] = holder
-	}
-	local := view.Upstream.In(report.Service, domain)
-	if view.Contract != nil {
-		service, _ := view.Contract.Service(report.Service)
-		holder.Listed(memberNames(view, domain), enginesOf(local, service.Slots), now)
-	}
-	answer := holder.Report(report, now)
-	if slices.Contains(memberNames(view, domain), report.Member) {
-		return answer // members of the domain read versions themselves
-	}
-	answer.Versions = map[string]int64{}
-	for _, u := range local {
-		answer.Versions[u.Name] = u.Load.WeightVersion
-	}
-	return answer
-}
-
-// waiting returns how many requests wait for a service in the domain, as its
-// instances have reported under a grant.
-func (s *SlotService) waiting(service string, grant lease.Grant) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	holder := s.holders[service]
-	if s.epoch != grant.Epoch || holder == nil {
-		return 0
-	}
-	return holder.Waiting(s.instance.clock.Now())
-}
-
 // reshared makes the control goroutine give queues their new shares.
 type reshared struct{}
 
@@ -250,41 +133,3 @@
 	}
 	return i.dialer.Call(ctx, peer.Peer, "Slots.Report", call, reply)
 }
-
-// slotCounters are the metrics of shared slots.
-type slotCounters struct{ reports metric.Int64Counter }
-
-func (c slotCounters) slotReport(domain string, err error) {
-	c.reports.Add(context.Background(), 1, metric.WithAttributes(attribute.String("domain", domain), attribute.Bool("granted", err == nil)))
-}
-
-// observeQueues registers gauges of what waits, is shared and is taken out.
-func (i *Instance) observeQueues(meter metric.Meter) error {
-	gauges := map[string]metric.Int64ObservableGauge{}
-	for name, description := range map[string]string{
-		"pomelocross_queue_waiting": "requests that wait by service",
-		"pomelocross_queue_slots":   "slots of this instance by service",
-		"pomelocross_queue_ejected": "upstreams that get no new work by service",
-	} {
-		gauge, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
-		if err != nil {
-			return err
-		}
-		gauges[name] = gauge
-	}
-	reports, err := meter.Int64Counter("pomelocross_slot_reports", metric.WithDescription("reports to holders of the upstream role"))
-	if err != nil {
-		return err
-	}
-	i.counters.slotCounters = slotCounters{reports}
-	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		for name, stats := range i.queues.stats() {
-			service := metric.WithAttributes(attribute.String("service", name))
-			o.ObserveInt64(gauges["pomelocross_queue_waiting"], int64(stats.Waiting), service)
-			o.ObserveInt64(gauges["pomelocross_queue_slots"], int64(stats.Slots), service)
-			o.ObserveInt64(gauges["pomelocross_queue_ejected"], int64(stats.Ejected), service)
-		}
-		return nil
-	}, gauges["pomelocross_queue_waiting"], gauges["pomelocross_queue_slots"], gauges["pomelocross_queue_ejected"])
-	return err
-}
