settings: say faults in words an operator knows

Cause: a name or secret that was refused was answered with the name of the check ("hostname_rfc1123") or a number without its unit. Change: each check that settings use has a sentence; lengths name characters. Before: "--name: must be hostname_rfc1123". After: "--name: must be letters, digits, dots and dashes". The spec of settings expects the unit now.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -158,9 +158,21 @@
 	case "ip_port":
 		return "must be an IP number and a port, such as 127.0.0.1:8080"
 	case "min":
-		return "must be at least " + fault.Param()
+		return "must be at least " + fault.Param() + unitOf(fault.Kind())
+	case "oneof":
+		return "must be one of: " + fault.Param()
+	case "hostname_rfc1123":
+		return "must be letters, digits, dots and dashes"
 	}
-	return "must be " + fault.Tag() + " " + fault.Param()
+	return strings.TrimSpace("fails the check " + fault.Tag() + " " + fault.Param())
+}
+
+// unitOf names what the length of a value is counted in.
+func unitOf(kind reflect.Kind) string {
+	if kind == reflect.String {
+		return " characters"
+	}
+	return ""
 }
 
 // Print writes the effective settings, a line each, with secrets masked.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -43,7 +43,7 @@
 			Expect(err.Error()).To(ContainSubstring(fault))
 		}
 	},
-		Entry("nothing given", nil, nil, "--name: is required", "--domain: is required", "--platform: must be an IP number", "--secret: must be at least 16"),
+		Entry("nothing given", nil, nil, "--name: is required", "--domain: is required", "--platform: must be an IP number", "--secret: must be at least 16 characters"),
 		Entry("variables that cannot be read beside a fault of a flag", map[string]string{"POMELOCROSS_LEASE_TERM": "soon", "POMELOCROSS_USAGE_GRACE": "1x"},
 			append([]string{"--listen", "localhost:80"}, valid...),
 			"--lease-term: POMELOCROSS_LEASE_TERM cannot be read", "--usage-grace: POMELOCROSS_USAGE_GRACE cannot be read", "--listen: must be an IP number"),
