--- a/instance/usage.go
+++ b/instance/usage.go
@@ -34,7 +34,8 @@
 	copies     *usage.Copies
 	replicator *usage.Replicator
 	biller     usage.Biller
-	billing    int64 // epoch that the biller's knowledge is from
+	billing    int64     // epoch that the biller's knowledge is from
+	closed     time.Time // last window closed under that epoch
 
 	holders []string // peers that have everything; used by the replicator only
 }
@@ -204,10 +205,13 @@
 func (k *usageKeeper) closeWindows(ctx context.Context, grant lease.Grant) {
 	if k.billing != grant.Epoch {
 		k.biller.Forget()
-		k.billing = grant.Epoch
+		k.billing, k.closed = grant.Epoch, time.Time{}
 	}
 	i := k.instance
 	last := i.clock.Now().UTC().Add(-i.settings.UsageGrace).Truncate(i.settings.UsageWindow).Add(-i.settings.UsageWindow)
+	if !last.After(k.closed) {
+		return // sources are asked once a window
+	}
 	tenure := usage.Tenure{Holder: i.settings.Name, Epoch: grant.Epoch, Held: func() bool {
 		current, held := i.billingRole.Grant(i.orderSpare())
 		return held && current.Epoch == grant.Epoch
@@ -216,5 +220,7 @@
 	i.counters.order("usage", err)
 	if err != nil {
 		i.log.Warn("usage is not reported", zap.Error(err))
+		return
 	}
+	k.closed = last
 }
