e2e: one way to find the holder of a role

Cause: the specs of usage walked over all instances' statuses themselves, beside deployment.holder, which does the same and had its own copy of daemon.holds. Change: holderOf waits on deployment.holder, which asks daemon.holds. Conclusion: assertions and bounds are as they were.

--- a/test/e2e/orders_lease_test.go
+++ b/test/e2e/orders_lease_test.go
@@ -86,7 +86,7 @@
 // holder returns the daemon that says it holds a role, or nil.
 func (d *deployment) holder(role string) *daemon {
 	for _, one := range d.daemons {
-		if s, err := one.status(); err == nil && slices.Contains(s.Roles, role) {
+		if one.holds(role) {
 			return one
 		}
 	}
--- a/test/e2e/usage_test.go
+++ b/test/e2e/usage_test.go
@@ -141,15 +141,11 @@
 
 // holderOf waits for an instance that holds a role.
 func holderOf(d *deployment, role string) *daemon {
+	GinkgoHelper()
 	var holder *daemon
 	Eventually(func() *daemon {
-		for _, one := range d.daemons {
-			if s, err := one.status(); err == nil && slices.Contains(s.Roles, role) {
-				holder = one
-				return one
-			}
-		}
-		return nil
+		holder = d.holder(role)
+		return holder
 	}).ShouldNot(BeNil())
 	return holder
 }
