--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -41,7 +41,7 @@
 			server.CloseClientConnections()
 			server.Close()
 		})
-		member := platform.Member{Name: string(rune('a' + n)), Service: "s", Address: strings.TrimPrefix(server.URL, "http://")}
+		member := objects.Member{Name: string(rune('a' + n)), Service: "s", Address: strings.TrimPrefix(server.URL, "http://")}
 		slotted = append(slotted, queue.Slotted{Upstream: upstream.Upstream{Member: member}, Slots: slots})
 	}
 	waiting.Update(slotted)
@@ -78,11 +78,11 @@
 		dead, alive := httptest.NewServer(http.NotFoundHandler()), service.New("b")
 		runner := runnerFor(dead.Config.Handler, alive)
 		waiting := runner.Queue("")
-		gone := upstream.Upstream{Member: platform.Member{Name: "gone", Service: "s", Address: strings.TrimPrefix(dead.URL, "http://")}}
+		gone := upstream.Upstream{Member: objects.Member{Name: "gone", Service: "s", Address: strings.TrimPrefix(dead.URL, "http://")}}
 		dead.Close()
 		live := httptest.NewServer(alive)
 		DeferCleanup(live.Close)
-		there := upstream.Upstream{Member: platform.Member{Name: "there", Service: "s", Address: strings.TrimPrefix(live.URL, "http://")}}
+		there := upstream.Upstream{Member: objects.Member{Name: "there", Service: "s", Address: strings.TrimPrefix(live.URL, "http://")}}
 		waiting.Update([]queue.Slotted{{Upstream: gone, Slots: slots}, {Upstream: there, Slots: 1}})
 		_, err := runner.Plain(ctx, ticket, order, false)
 		Expect(err).NotTo(HaveOccurred())
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -7,7 +7,7 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/operator"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Deployment is what load is run against.
@@ -58,10 +58,10 @@
 }
 
 // member returns the n-th engine as the instance list shows it.
-func (d *Deployment) member(n int) platform.Member {
-	m := platform.Member{Name: fmt.Sprintf("engine-%02d", n), Role: platform.RoleUpstream, Service: d.service().Name, Domain: d.domain(n), Cost: platform.CostDear}
+func (d *Deployment) member(n int) objects.Member {
+	m := objects.Member{Name: fmt.Sprintf("engine-%02d", n), Role: objects.RoleUpstream, Service: d.service().Name, Domain: d.domain(n), Cost: objects.CostDear}
 	if n%cheapEvery == 2 {
-		m.Cost = platform.CostCheap
+		m.Cost = objects.CostCheap
 	}
 	return m
 }
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -5,7 +5,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -26,7 +26,7 @@
 // engine admits whatever it is sent; requests beyond its slots wait in order of
 // arrival.
 type engine struct {
-	platform.Member
+	objects.Member
 	clock   *clock
 	slots   int
 	down    bool
@@ -47,7 +47,7 @@
 	first   time.Duration
 }
 
-func newEngine(m platform.Member, slots int, c *clock) *engine {
+func newEngine(m objects.Member, slots int, c *clock) *engine {
 	cache, _ := lru.New[uint64, struct{}](cachedPrefixes) // fails only for a size below 1
 	return &engine{Member: m, clock: c, slots: slots, version: 1, running: map[*work]struct{}{}, cache: cache}
 }
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -48,7 +48,7 @@
 func reclaimDomain(s *simulation, _ *load) {
 	var taken []*engine
 	for _, e := range s.engines {
-		if e.Cost == platform.CostCheap && (len(taken) == 0 || e.Domain == taken[0].Domain) {
+		if e.Cost == objects.CostCheap && (len(taken) == 0 || e.Domain == taken[0].Domain) {
 			taken = append(taken, e)
 		}
 	}
--- a/bench/simulation.go
+++ b/bench/simulation.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/slots"
 )
 
@@ -166,7 +166,7 @@
 }
 
 func (s *simulation) done(r *request, e *engine) {
-	s.result.done(r, s.clock.now.Sub(r.arrived), e.Cost == platform.CostCheap)
+	s.result.done(r, s.clock.now.Sub(r.arrived), e.Cost == objects.CostCheap)
 	if r.finished != nil {
 		r.finished(true)
 	}
--- a/cmd/pomelocross-standin/main.go
+++ b/cmd/pomelocross-standin/main.go
@@ -17,7 +17,7 @@
 	"github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
 	"github.com/pomelocross/pomelocross/internal/standin/trainer"
-	client "github.com/pomelocross/pomelocross/platform"
+	client "github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -104,7 +104,7 @@
 }
 
 func (f *flags) platform() error {
-	s := platform.New()
+	s := objects.New()
 	if f.members != "" {
 		data, err := os.ReadFile(f.members)
 		if err != nil {
--- a/domain/tracker.go
+++ b/domain/tracker.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Liveness is what an instance believes of another entry instance.
@@ -49,16 +49,16 @@
 // calls, and from what peers tell. It does no I/O and reads no clock. It is not
 // safe for concurrent use.
 type Tracker struct {
-	self    platform.Member
+	self    objects.Member
 	limits  Limits
-	members []platform.Member  // last reading of the list
+	members []objects.Member  // last reading of the list
 	known   map[string]*record // entry instances other than self
 	own     []string           // names of known in self's domain, sorted; nil when to be made anew
 	changed bool               // a view taken now differs from the last
 }
 
 type record struct {
-	member   platform.Member
+	member   objects.Member
 	listed   bool
 	leaving  bool      // told by the instance itself or by a peer
 	heard    time.Time // newest moment at which anyone heard it
@@ -68,20 +68,20 @@
 }
 
 // NewTracker returns a tracker of self's deployment that knows no one yet.
-func NewTracker(self platform.Member, limits Limits) *Tracker {
+func NewTracker(self objects.Member, limits Limits) *Tracker {
 	return &Tracker{self: self, limits: limits, known: map[string]*record{}}
 }
 
 // Listed takes a reading of the instance list. An instance that left the list is
 // forgotten unless it was heard lately, since the list lags both ways.
-func (t *Tracker) Listed(members []platform.Member, now time.Time) {
+func (t *Tracker) Listed(members []objects.Member, now time.Time) {
 	t.members = members
 	t.changed = true
 	for _, r := range t.known {
 		r.listed = false
 	}
 	for _, m := range members {
-		if m.Role != platform.RoleEntry || m.Name == t.self.Name {
+		if m.Role != objects.RoleEntry || m.Name == t.self.Name {
 			continue
 		}
 		t.record(m, now).listed = true
@@ -90,7 +90,7 @@
 
 // record returns the record of m. A new address under an old name is a
 // replacement, which starts afresh.
-func (t *Tracker) record(m platform.Member, now time.Time) *record {
+func (t *Tracker) record(m objects.Member, now time.Time) *record {
 	r := t.known[m.Name]
 	if r == nil || r.member.Peer != m.Peer {
 		r = &record{heard: now}
@@ -115,7 +115,7 @@
 
 // Heard takes a message or an answer of m itself, which was sent at or after
 // sent on this instance's clock. An unlisted m has joined before the list says so.
-func (t *Tracker) Heard(m platform.Member, sent time.Time) {
+func (t *Tracker) Heard(m objects.Member, sent time.Time) {
 	if m.Name == t.self.Name || m.Name == "" {
 		return
 	}
@@ -271,14 +271,14 @@
 		v.liveness[name] = t.liveness(r, now)
 		v.heard[name] = r.heard
 	}
-	slices.SortFunc(v.entries, func(a, b platform.Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(v.entries, func(a, b objects.Member) int { return strings.Compare(a.Name, b.Name) })
 	return v
 }
 
 // listedSelf returns self as the list has it, which may name a reachable address.
-func (t *Tracker) listedSelf() platform.Member {
+func (t *Tracker) listedSelf() objects.Member {
 	for _, m := range t.members {
-		if m.Role == platform.RoleEntry && m.Name == t.self.Name {
+		if m.Role == objects.RoleEntry && m.Name == t.self.Name {
 			m.Leaving = m.Leaving || t.self.Leaving
 			return m
 		}
@@ -293,4 +293,4 @@
 }
 
 // Self returns this instance as it tells peers of itself.
-func (t *Tracker) Self() platform.Member { return t.listedSelf() }
+func (t *Tracker) Self() objects.Member { return t.listedSelf() }
--- a/domain/tracker_test.go
+++ b/domain/tracker_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 func TestDomain(t *testing.T) {
@@ -16,8 +16,8 @@
 	RunSpecs(t, "Domain")
 }
 
-func entry(name, domain string) platform.Member {
-	return platform.Member{Name: name, Role: platform.RoleEntry, Domain: domain, Peer: name + ":1"}
+func entry(name, domain string) objects.Member {
+	return objects.Member{Name: name, Role: objects.RoleEntry, Domain: domain, Peer: name + ":1"}
 }
 
 var _ = Describe("A tracker", func() {
@@ -26,7 +26,7 @@
 		start  = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 		now    time.Time
 		limits = DefaultLimits()
-		list   = []platform.Member{entry("self", "a"), entry("near-1", "a"), entry("near-2", "a"), entry("far-1", "b"), entry("far-2", "b")}
+		list   = []objects.Member{entry("self", "a"), entry("near-1", "a"), entry("near-2", "a"), entry("far-1", "b"), entry("far-2", "b")}
 	)
 
 	// pass lets time go by in steps of a second, with those heard that are named.
@@ -132,7 +132,7 @@
 	It("drops a silent instance at once when the list does not have it either", func() {
 		pass(limits.Suspect+2*time.Second, "near-1", "far-1", "far-2")
 		Expect(names()).To(ContainElement("near-2"))
-		t.Listed([]platform.Member{list[0], list[1], list[3], list[4]}, now)
+		t.Listed([]objects.Member{list[0], list[1], list[3], list[4]}, now)
 		t.Refresh(now)
 		Expect(names()).NotTo(ContainElement("near-2"))
 	})
--- a/domain/view.go
+++ b/domain/view.go
@@ -12,29 +12,29 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // View is the membership at one moment. It is immutable.
 type View struct {
-	self     platform.Member
-	entries  []platform.Member // by name, self included
-	members  []platform.Member
+	self     objects.Member
+	entries  []objects.Member // by name, self included
+	members  []objects.Member
 	liveness map[string]Liveness  // of entries other than self
 	heard    map[string]time.Time // when entries other than self were last heard
 
 	mu        sync.Mutex // guards what is computed at the first use
-	peers     map[string][]platform.Member
-	upstreams []platform.Member
+	peers     map[string][]objects.Member
+	upstreams []objects.Member
 }
 
 // NewView sorts members into a view as self sees it. Self is added when the
 // list does not have it yet.
-func NewView(self platform.Member, members []platform.Member) *View {
+func NewView(self objects.Member, members []objects.Member) *View {
 	v := &View{self: self, members: members}
 	found := false
 	for _, m := range members {
-		if m.Role != platform.RoleEntry {
+		if m.Role != objects.RoleEntry {
 			continue
 		}
 		found = found || m.Name == self.Name
@@ -43,15 +43,15 @@
 	if !found {
 		v.entries = append(v.entries, self)
 	}
-	slices.SortFunc(v.entries, func(a, b platform.Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(v.entries, func(a, b objects.Member) int { return strings.Compare(a.Name, b.Name) })
 	return v
 }
 
 // Self returns the instance whose view this is.
-func (v *View) Self() platform.Member { return v.self }
+func (v *View) Self() objects.Member { return v.self }
 
 // Members returns the last reading of the instance list.
-func (v *View) Members() []platform.Member { return v.members }
+func (v *View) Members() []objects.Member { return v.members }
 
 // Liveness returns what is believed of the entry instance with a name. Self and
 // instances of which nothing is known count as alive.
@@ -63,8 +63,8 @@
 }
 
 // Live returns the entry instances of a domain that are alive and not leaving.
-func (v *View) Live(domain string) []platform.Member {
-	return v.filter(func(m platform.Member) bool { return m.Domain == domain && v.Liveness(m.Name) == Alive })
+func (v *View) Live(domain string) []objects.Member {
+	return v.filter(func(m objects.Member) bool { return m.Domain == domain && v.Liveness(m.Name) == Alive })
 }
 
 // Domains returns the failure domains that have entry instances, sorted.
@@ -79,16 +79,16 @@
 
 // All returns every known entry instance by name, leaving and dead ones
 // included.
-func (v *View) All() []platform.Member { return slices.Clone(v.entries) }
+func (v *View) All() []objects.Member { return slices.Clone(v.entries) }
 
 // Entries returns all entry instances that are not leaving or dead, by name.
-func (v *View) Entries() []platform.Member {
-	return v.filter(func(platform.Member) bool { return true })
+func (v *View) Entries() []objects.Member {
+	return v.filter(func(objects.Member) bool { return true })
 }
 
 // Peers returns the entry instances of a domain that are not leaving or dead, by
 // name. The slice must not be changed.
-func (v *View) Peers(domain string) []platform.Member {
+func (v *View) Peers(domain string) []objects.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	peers, known := v.peers[domain]
@@ -96,24 +96,24 @@
 		return peers
 	}
 	if v.peers == nil {
-		v.peers = map[string][]platform.Member{}
+		v.peers = map[string][]objects.Member{}
 	}
-	peers = slices.Clip(v.filter(func(m platform.Member) bool { return m.Domain == domain }))
+	peers = slices.Clip(v.filter(func(m objects.Member) bool { return m.Domain == domain }))
 	v.peers[domain] = peers
 	return peers
 }
 
 // Upstreams returns the listed upstreams, leaving ones included. The slice must
 // not be changed.
-func (v *View) Upstreams() []platform.Member {
+func (v *View) Upstreams() []objects.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.upstreams != nil {
 		return v.upstreams
 	}
-	found := []platform.Member{}
+	found := []objects.Member{}
 	for _, m := range v.members {
-		if m.Role == platform.RoleUpstream {
+		if m.Role == objects.RoleUpstream {
 			found = append(found, m)
 		}
 	}
@@ -122,24 +122,24 @@
 }
 
 // Entry returns the entry instance with a name.
-func (v *View) Entry(name string) (platform.Member, bool) {
+func (v *View) Entry(name string) (objects.Member, bool) {
 	for _, m := range v.entries {
 		if m.Name == name {
 			return m, true
 		}
 	}
-	return platform.Member{}, false
+	return objects.Member{}, false
 }
 
 // Ranked orders members by rendezvous hashing of key: views that share most
 // members agree on most first places.
-func Ranked(members []platform.Member, key string) []platform.Member {
+func Ranked(members []objects.Member, key string) []objects.Member {
 	ranked := make([]scored, len(members))
 	for i, m := range members {
 		ranked[i] = scored{m, xxhash.Sum64String(m.Name + "\x00" + key)}
 	}
 	slices.SortFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	sorted := make([]platform.Member, len(members))
+	sorted := make([]objects.Member, len(members))
 	for i, r := range ranked {
 		sorted[i] = r.member
 	}
@@ -148,12 +148,12 @@
 
 // scored is a member with its rendezvous score for one key.
 type scored struct {
-	member platform.Member
+	member objects.Member
 	score  uint64
 }
 
-func (v *View) filter(keep func(platform.Member) bool) []platform.Member {
-	var found []platform.Member
+func (v *View) filter(keep func(objects.Member) bool) []objects.Member {
+	var found []objects.Member
 	for _, m := range v.entries {
 		if !m.Leaving && v.Liveness(m.Name) != Dead && keep(m) {
 			found = append(found, m)
--- a/fleet/scale.go
+++ b/fleet/scale.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -139,7 +139,7 @@
 func (s *Scaler) watchCheap(live []upstream.Upstream, now time.Time) bool {
 	present, leaving := 0, false
 	for _, u := range live {
-		if u.Cost != platform.CostCheap {
+		if u.Cost != objects.CostCheap {
 			continue
 		}
 		leaving = leaving || u.Leaving
@@ -165,7 +165,7 @@
 func countsOf(all []upstream.Upstream) Counts {
 	var c Counts
 	for _, u := range all {
-		if u.Cost == platform.CostCheap {
+		if u.Cost == objects.CostCheap {
 			c.Cheap++
 			continue
 		}
--- a/idempotency/coordinator.go
+++ b/idempotency/coordinator.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Service is the name under which a Holder is registered with net/rpc.
@@ -42,7 +42,7 @@
 	number atomic.Uint64
 
 	mu   sync.Mutex // guards self
-	self platform.Member
+	self objects.Member
 }
 
 // New returns a coordinator. What it knows counts once it has run for settle,
@@ -55,14 +55,14 @@
 func (c *Coordinator) Holder() *Holder { return c.holder }
 
 // Observe tells of the membership; self is this instance.
-func (c *Coordinator) Observe(self platform.Member, members []platform.Member) {
+func (c *Coordinator) Observe(self objects.Member, members []objects.Member) {
 	c.mu.Lock()
 	c.self = self
 	c.mu.Unlock()
 	c.holder.observe(members)
 }
 
-func (c *Coordinator) me() platform.Member {
+func (c *Coordinator) me() objects.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.self
@@ -96,7 +96,7 @@
 }
 
 // execute runs the request and tells the holders what became of it.
-func (c *Coordinator) execute(ctx context.Context, key Key, record Record, members []platform.Member, run Run) (Answer, error) {
+func (c *Coordinator) execute(ctx context.Context, key Key, record Record, members []objects.Member, run Run) (Answer, error) {
 	answer, state := run(ctx)
 	record.State, record.Answer, record.Kept = state, answer, state == Done
 	c.holder.end(record)
@@ -108,7 +108,7 @@
 }
 
 // giveBack takes back the claims of a run that does not happen.
-func (c *Coordinator) giveBack(key Key, record Record, members []platform.Member) {
+func (c *Coordinator) giveBack(key Key, record Record, members []objects.Member) {
 	record.State = NotRun
 	c.settle(key, record, members)
 	c.holder.end(record)
@@ -116,7 +116,7 @@
 
 // settle tells holders of the end of a run, all at once. A holder that misses it
 // sends retries to the runner instead.
-func (c *Coordinator) settle(key Key, record Record, members []platform.Member) {
+func (c *Coordinator) settle(key Key, record Record, members []objects.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var telling sync.WaitGroup
@@ -129,7 +129,7 @@
 // claimed is the result of a claim: nothing found and no error when the run may
 // begin. Members are all that may have recorded it.
 type claimed struct {
-	members []platform.Member
+	members []objects.Member
 	found   *Record
 	err     error
 }
@@ -157,16 +157,16 @@
 	coordinator *Coordinator
 	key         Key
 	record      Record
-	pending     []platform.Member // by name
-	asked       []platform.Member
-	earlier     [][]platform.Member
+	pending     []objects.Member // by name
+	asked       []objects.Member
+	earlier     [][]objects.Member
 	answered    map[string]bool // did not know the key
 	recorded    map[string]bool // knows it now
 }
 
 // decide tells whether the run may begin after no holder knew the key.
-func (w *claiming) decide(current []platform.Member) error {
-	answered := func(m platform.Member) bool { return w.answered[m.Name] }
+func (w *claiming) decide(current []objects.Member) error {
+	answered := func(m objects.Member) bool { return w.answered[m.Name] }
 	if !slices.ContainsFunc(current, answered) {
 		return ErrUndecided
 	}
@@ -175,16 +175,16 @@
 			return ErrUnknown
 		}
 	}
-	if slices.ContainsFunc(current, func(m platform.Member) bool { return !w.recorded[m.Name] }) {
+	if slices.ContainsFunc(current, func(m objects.Member) bool { return !w.recorded[m.Name] }) {
 		return ErrUnavailable
 	}
 	return nil
 }
 
 // add puts members on the list unless they have been asked.
-func (w *claiming) add(set []platform.Member) {
+func (w *claiming) add(set []objects.Member) {
 	for _, m := range set {
-		known := func(other platform.Member) bool { return other.Name == m.Name }
+		known := func(other objects.Member) bool { return other.Name == m.Name }
 		if !slices.ContainsFunc(w.pending, known) && !slices.ContainsFunc(w.asked, known) {
 			w.pending = append(w.pending, m)
 		}
@@ -205,7 +205,7 @@
 	return nil
 }
 
-func (w *claiming) ask(ctx context.Context, member platform.Member) *Record {
+func (w *claiming) ask(ctx context.Context, member objects.Member) *Record {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply ClaimReply
@@ -273,7 +273,7 @@
 }
 
 // call calls a member's holder, here without a connection.
-func (c *Coordinator) call(ctx context.Context, member platform.Member, method string, args, reply any) error {
+func (c *Coordinator) call(ctx context.Context, member objects.Member, method string, args, reply any) error {
 	if member.Name != c.me().Name {
 		return c.caller.Call(ctx, member.Peer, Service+"."+method, args, reply)
 	}
--- a/idempotency/history.go
+++ b/idempotency/history.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // holders is how many instances record a key.
@@ -21,13 +21,13 @@
 }
 
 type generation struct {
-	members []platform.Member // by name
+	members []objects.Member // by name
 	started time.Time
 	ended   time.Time // zero while current
 }
 
 // observe notes the membership of now and forgets what ended before oldest.
-func (h *history) observe(now, oldest time.Time, members []platform.Member) {
+func (h *history) observe(now, oldest time.Time, members []objects.Member) {
 	members = slices.Clone(members)
 	slices.SortFunc(members, byName)
 	last := len(h.generations) - 1
@@ -45,16 +45,16 @@
 }
 
 // change ends the current generation and begins one of members.
-func (h *history) change(now time.Time, members []platform.Member) {
+func (h *history) change(now time.Time, members []objects.Member) {
 	if last := len(h.generations) - 1; last >= 0 {
 		h.generations[last].ended = now
 	}
 	h.generations = append(h.generations, generation{members: members, started: now})
 }
 
-func byName(a, b platform.Member) int { return strings.Compare(a.Name, b.Name) }
+func byName(a, b objects.Member) int { return strings.Compare(a.Name, b.Name) }
 
-func sameMember(a, b platform.Member) bool { return a.Name == b.Name && a.Peer == b.Peer }
+func sameMember(a, b objects.Member) bool { return a.Name == b.Name && a.Peer == b.Peer }
 
 // retire notes that a member has handed its records over before it stopped. A
 // list that still has it, or an instance that comes back under its name, begins
@@ -68,11 +68,11 @@
 		return
 	}
 	members := slices.Clone(h.generations[len(h.generations)-1].members)
-	h.change(now, slices.DeleteFunc(members, func(m platform.Member) bool { return m.Name == name }))
+	h.change(now, slices.DeleteFunc(members, func(m objects.Member) bool { return m.Name == name }))
 }
 
 // current returns a key's holders now.
-func (h *history) current(key Key) []platform.Member {
+func (h *history) current(key Key) []objects.Member {
 	if len(h.generations) == 0 {
 		return nil
 	}
@@ -81,11 +81,11 @@
 
 // earlier returns a key's sets of holders under earlier memberships, without
 // sets of which a member has since handed its records over.
-func (h *history) earlier(key Key) [][]platform.Member {
-	var sets [][]platform.Member
+func (h *history) earlier(key Key) [][]objects.Member {
+	var sets [][]objects.Member
 	for _, g := range h.generations[:max(0, len(h.generations)-1)] {
 		set := holdersOf(g.members, key)
-		handedOver := slices.ContainsFunc(set, func(m platform.Member) bool { return h.retiredSince(m.Name, g.started) })
+		handedOver := slices.ContainsFunc(set, func(m objects.Member) bool { return h.retiredSince(m.Name, g.started) })
 		if len(set) > 0 && !handedOver && !containsSet(sets, set) {
 			sets = append(sets, set)
 		}
@@ -98,18 +98,18 @@
 	return retired && !at.Before(start)
 }
 
-func containsSet(sets [][]platform.Member, set []platform.Member) bool {
-	return slices.ContainsFunc(sets, func(other []platform.Member) bool { return slices.EqualFunc(other, set, sameMember) })
+func containsSet(sets [][]objects.Member, set []objects.Member) bool {
+	return slices.ContainsFunc(sets, func(other []objects.Member) bool { return slices.EqualFunc(other, set, sameMember) })
 }
 
 // holdersOf ranks the failure domains by key, then the members of each, and
 // takes the first ones. All instances of a deployment agree on it, wherever a
 // retry arrives; a domain with one instance is helped out by the next.
-func holdersOf(members []platform.Member, key Key) []platform.Member {
+func holdersOf(members []objects.Member, key Key) []objects.Member {
 	name := key.Team + "\x00" + key.Value
-	var found []platform.Member
+	var found []objects.Member
 	for _, d := range domain.Ranked(domainsOf(members), name) {
-		inDomain := slices.DeleteFunc(slices.Clone(members), func(m platform.Member) bool { return m.Domain != d.Name })
+		inDomain := slices.DeleteFunc(slices.Clone(members), func(m objects.Member) bool { return m.Domain != d.Name })
 		found = append(found, domain.Ranked(inDomain, name)...)
 		if len(found) >= holders {
 			return found[:holders]
@@ -119,11 +119,11 @@
 }
 
 // domainsOf returns a stand-in member for each failure domain, to be ranked.
-func domainsOf(members []platform.Member) []platform.Member {
-	var domains []platform.Member
+func domainsOf(members []objects.Member) []objects.Member {
+	var domains []objects.Member
 	for _, m := range members {
-		if !slices.ContainsFunc(domains, func(d platform.Member) bool { return d.Name == m.Domain }) {
-			domains = append(domains, platform.Member{Name: m.Domain})
+		if !slices.ContainsFunc(domains, func(d objects.Member) bool { return d.Name == m.Domain }) {
+			domains = append(domains, objects.Member{Name: m.Domain})
 		}
 	}
 	return domains
--- a/idempotency/holder.go
+++ b/idempotency/holder.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // awaitSlice bounds one call of Await.
@@ -36,7 +36,7 @@
 	Verdict Verdict
 	Record  Record // when Found
 	// Earlier are the key's holders under memberships that this holder saw before.
-	Earlier [][]platform.Member
+	Earlier [][]objects.Member
 }
 
 // SettleCall tells a holder what became of a run.
@@ -160,7 +160,7 @@
 }
 
 // observe notes the membership.
-func (h *Holder) observe(members []platform.Member) {
+func (h *Holder) observe(members []objects.Member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -186,7 +186,7 @@
 func ranKey(run RunID) Key { return Key{Value: strconv.FormatUint(run.Number, 10)} }
 
 // holdersFor returns a key's holders now and under earlier memberships.
-func (h *Holder) holdersFor(key Key) (current []platform.Member, earlier [][]platform.Member) {
+func (h *Holder) holdersFor(key Key) (current []objects.Member, earlier [][]objects.Member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.history.current(key), h.history.earlier(key)
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -16,7 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/idempotency"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 func TestIdempotency(t *testing.T) {
@@ -96,13 +96,13 @@
 // fleet is a network of instances that all see each other.
 type fleet struct {
 	network
-	members []platform.Member
+	members []objects.Member
 }
 
 func newFleet(names ...string) *fleet {
 	f := &fleet{network: network{peers: map[string]*idempotency.Coordinator{}, dead: map[string]chan struct{}{}, cuts: map[[2]string]bool{}}}
 	for _, name := range names {
-		f.members = append(f.members, platform.Member{Name: name, Peer: name, Domain: name[:1]})
+		f.members = append(f.members, objects.Member{Name: name, Peer: name, Domain: name[:1]})
 		f.peers[name] = idempotency.New(from{&f.network, name}, clockwork.NewRealClock(), 0, idempotency.DefaultLimits())
 		f.dead[name] = make(chan struct{})
 	}
@@ -110,7 +110,7 @@
 	return f
 }
 
-func (f *fleet) observe(members []platform.Member, by ...string) {
+func (f *fleet) observe(members []objects.Member, by ...string) {
 	for _, self := range f.members {
 		for _, name := range by {
 			if self.Name == name {
@@ -129,8 +129,8 @@
 }
 
 // without returns the members but those named.
-func (f *fleet) without(names ...string) []platform.Member {
-	var kept []platform.Member
+func (f *fleet) without(names ...string) []objects.Member {
+	var kept []objects.Member
 	for _, m := range f.members {
 		if !strings.Contains(strings.Join(names, " "), m.Name) {
 			kept = append(kept, m)
--- a/idempotency/retire.go
+++ b/idempotency/retire.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // handoverRecords is how many records one call hands over.
@@ -15,9 +15,9 @@
 // Retire hands this instance's records over to those that hold them without it,
 // and tells all members that it has. It takes no claims from then on. After an
 // error nobody relies on the handover.
-func (c *Coordinator) Retire(ctx context.Context, members []platform.Member) error {
+func (c *Coordinator) Retire(ctx context.Context, members []objects.Member) error {
 	me := c.me()
-	members = slices.DeleteFunc(slices.Clone(members), func(m platform.Member) bool { return m.Name == me.Name })
+	members = slices.DeleteFunc(slices.Clone(members), func(m objects.Member) bool { return m.Name == me.Name })
 	calls := c.holder.handovers(members)
 	for _, m := range members {
 		if err := c.handOver(ctx, me.Name, m, calls[m.Name]); err != nil {
@@ -32,7 +32,7 @@
 	return nil
 }
 
-func (c *Coordinator) handOver(ctx context.Context, from string, to platform.Member, all HandoverCall) error {
+func (c *Coordinator) handOver(ctx context.Context, from string, to objects.Member, all HandoverCall) error {
 	for start := 0; start < len(all.Keys); start += handoverRecords {
 		end := min(start+handoverRecords, len(all.Keys))
 		part := HandoverCall{From: from, Keys: all.Keys[start:end], Records: all.Records[start:end]}
@@ -44,7 +44,7 @@
 }
 
 // handovers closes the holder and sorts its records by those that must have them.
-func (h *Holder) handovers(members []platform.Member) map[string]HandoverCall {
+func (h *Holder) handovers(members []objects.Member) map[string]HandoverCall {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
--- a/idempotency/types.go
+++ b/idempotency/types.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // MaxKeyBytes bounds an Idempotency-Key.
@@ -73,7 +73,7 @@
 type Record struct {
 	Fingerprint Fingerprint
 	Run         RunID
-	Runner      platform.Member
+	Runner      objects.Member
 	State       State
 	Answer      Answer // when Done and Kept
 	Kept        bool   // false for an answer too large to keep
--- a/instance/borrow.go
+++ b/instance/borrow.go
@@ -5,7 +5,7 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/queue"
 	"github.com/pomelocross/pomelocross/slots"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -69,11 +69,11 @@
 }
 
 // otherDomains returns the declared domains but own, as members by name.
-func otherDomains(v *View, own string) []platform.Member {
-	var others []platform.Member
+func otherDomains(v *View, own string) []objects.Member {
+	var others []objects.Member
 	for _, d := range v.Contract.Bundle.Domains {
 		if d.Name != own {
-			others = append(others, platform.Member{Name: d.Name})
+			others = append(others, objects.Member{Name: d.Name})
 		}
 	}
 	return others
--- a/instance/control.go
+++ b/instance/control.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // control owns the view. It applies events in order and publishes the result.
@@ -46,7 +46,7 @@
 
 // pollMembers reads the instance list and passes on what has changed.
 func (i *Instance) pollMembers(ctx context.Context) {
-	var last []platform.Member
+	var last []objects.Member
 	read := false
 	for ctx.Err() == nil {
 		members, err := i.platform.Members(ctx)
--- a/instance/homes.go
+++ b/instance/homes.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -24,7 +24,7 @@
 // sighting is what an instance has seen of a run's home since it first failed
 // to serve. Any change of the ledger shows that the home is live.
 type sighting struct {
-	version platform.Version
+	version objects.Version
 	since   time.Time
 }
 
@@ -221,7 +221,7 @@
 }
 
 // callThere calls the home at a peer.
-func (i *Instance) callThere(ctx context.Context, call homeCall, address string, version platform.Version) error {
+func (i *Instance) callThere(ctx context.Context, call homeCall, address string, version objects.Version) error {
 	err := call.there(ctx, address)
 	if errors.Is(err, rollout.ErrUnavailable) {
 		i.sight(call.run, version)
@@ -232,7 +232,7 @@
 }
 
 // sight notes that a home failed while its ledger had a version.
-func (i *Instance) sight(run string, version platform.Version) {
+func (i *Instance) sight(run string, version objects.Version) {
 	i.homesMu.Lock()
 	defer i.homesMu.Unlock()
 	if seen, ok := i.sightings[run]; ok && seen.version == version {
@@ -250,7 +250,7 @@
 
 // silence returns for how long the home of a run has failed with its ledger
 // unchanged.
-func (i *Instance) silence(run string, version platform.Version) time.Duration {
+func (i *Instance) silence(run string, version objects.Version) time.Duration {
 	i.homesMu.Lock()
 	defer i.homesMu.Unlock()
 	seen, ok := i.sightings[run]
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,7 +22,7 @@
 	"github.com/pomelocross/pomelocross/limit"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/rollout"
 	"github.com/pomelocross/pomelocross/settings"
@@ -40,7 +40,7 @@
 	log      *zap.Logger
 	clock    clockwork.Clock
 	counters *counters
-	platform *platform.Client
+	platform *objects.Client
 	client   *upstream.Client
 	runner   *attempt.Runner
 	usage    *usageKeeper
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewClientWith(s.Platform, platform.Options{Counter: counters, Budget: budget(s)})
+	store := objects.NewClientWith(s.Platform, objects.Options{Counter: counters, Budget: budget(s)})
 	timing := lease.DefaultTiming()
 	timing.Term, timing.Renew = s.LeaseTerm, s.LeaseTerm/3
 	i := &Instance{
@@ -132,9 +132,9 @@
 	return i, i.registerPeerServices()
 }
 
-func (i *Instance) self() platform.Member {
+func (i *Instance) self() objects.Member {
 	s := i.settings
-	return platform.Member{Name: s.Name, Role: platform.RoleEntry, Domain: s.Domain, Region: s.Region, Address: s.Listen, Peer: s.PeerListen}
+	return objects.Member{Name: s.Name, Role: objects.RoleEntry, Domain: s.Domain, Region: s.Region, Address: s.Listen, Peer: s.PeerListen}
 }
 
 // Run serves until ctx ends, then drains and returns.
--- a/instance/keyed.go
+++ b/instance/keyed.go
@@ -8,7 +8,7 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/idempotency"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -33,7 +33,7 @@
 // not exclude.
 func (i *Instance) hasAlternative(request route.Request) bool {
 	return slices.ContainsFunc(i.view.Load().Upstream.Of(request.Service), func(u upstream.Upstream) bool {
-		return u.Domain == request.Domain && u.Role == platform.RoleUpstream && !u.Leaving && !slices.Contains(request.Exclude, u.Name)
+		return u.Domain == request.Domain && u.Role == objects.RoleUpstream && !u.Leaving && !slices.Contains(request.Exclude, u.Name)
 	})
 }
 
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -127,7 +127,7 @@
 func unlistedLeaving(view *View, domain string) []string {
 	var names []string
 	for _, m := range view.Domain.Upstreams() {
-		if m.Domain == domain && m.Role == platform.RoleUpstream && !m.Leaving && view.loads[m.Name].Leaving {
+		if m.Domain == domain && m.Role == objects.RoleUpstream && !m.Leaving && view.loads[m.Name].Leaving {
 			names = append(names, m.Name)
 		}
 	}
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -13,12 +13,12 @@
 func leavingNow(v *View) bool { return v.Upstream.Of("lm-pool")[0].Leaving }
 
 func TestLeavingIsKnownFromAnyOfListReportAndNotice(t *testing.T) {
-	member := platform.Member{Name: "lm-1", Role: platform.RoleUpstream, Service: "lm-pool", Domain: "mty-a"}
+	member := objects.Member{Name: "lm-1", Role: objects.RoleUpstream, Service: "lm-pool", Domain: "mty-a"}
 	gone := member
 	gone.Leaving = true
 	start := time.Unix(0, 0)
-	listed := func(m platform.Member) membership {
-		return membership{domain.NewView(platform.Member{Name: "entry-a"}, []platform.Member{m})}
+	listed := func(m objects.Member) membership {
+		return membership{domain.NewView(objects.Member{Name: "entry-a"}, []objects.Member{m})}
 	}
 	says := func(leaving bool) loaded {
 		return loaded{map[string]upstream.Load{"lm-1": {Leaving: leaving}}}
@@ -42,7 +42,7 @@
 		"notice repeated before its end": {[]event{notice, leavingNoticed{upstreams: []string{"lm-1"}, now: start.Add(noticeLife / 2)}, leavingNoticed{now: start.Add(noticeLife)}}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			v := &View{Domain: domain.NewView(platform.Member{Name: "entry-a"}, []platform.Member{member})}
+			v := &View{Domain: domain.NewView(objects.Member{Name: "entry-a"}, []objects.Member{member})}
 			for _, e := range c.events {
 				e.apply(v)
 			}
--- a/instance/loads.go
+++ b/instance/loads.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/probe"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -27,7 +27,7 @@
 	telling  chan struct{} // bounds batches on their way to peers
 
 	view *domain.View // that mine is from
-	mine []platform.Member
+	mine []objects.Member
 }
 
 // loadReading is one upstream's answer.
@@ -64,12 +64,12 @@
 }
 
 // assigned returns the upstreams of the domain that this instance asks.
-func (p *loadPoller) assigned() []platform.Member {
+func (p *loadPoller) assigned() []objects.Member {
 	view, own := p.instance.view.Load().Domain, p.instance.settings
 	if view == p.view {
 		return p.mine
 	}
-	var upstreams []platform.Member
+	var upstreams []objects.Member
 	for _, m := range view.Upstreams() {
 		if m.Domain == own.Domain {
 			upstreams = append(upstreams, m)
@@ -79,7 +79,7 @@
 	return p.mine
 }
 
-func (p *loadPoller) read(ctx context.Context, m platform.Member) {
+func (p *loadPoller) read(ctx context.Context, m objects.Member) {
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	load, err := p.instance.client.ReportedLoad(limited, m.Address)
--- a/instance/members.go
+++ b/instance/members.go
@@ -9,7 +9,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -72,7 +72,7 @@
 	return all
 }
 
-func (i *Instance) askStatus(ctx context.Context, entry platform.Member) MemberStatus {
+func (i *Instance) askStatus(ctx context.Context, entry objects.Member) MemberStatus {
 	answer := MemberStatus{Instance: entry.Name, Domain: entry.Domain, Peer: entry.Peer, Leaving: entry.Leaving, Liveness: i.view.Load().Domain.Liveness(entry.Name)}
 	if entry.Name == i.settings.Name {
 		own := i.status()
@@ -90,7 +90,7 @@
 	return answer
 }
 
-func (i *Instance) callStatus(ctx context.Context, entry platform.Member, of string) (*Status, error) {
+func (i *Instance) callStatus(ctx context.Context, entry objects.Member, of string) (*Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
 	status := &Status{}
@@ -102,7 +102,7 @@
 
 // statusThrough asks instances of other domains to pass the question on, since
 // the network may be cut here alone.
-func (i *Instance) statusThrough(ctx context.Context, entry platform.Member) (*Status, string) {
+func (i *Instance) statusThrough(ctx context.Context, entry objects.Member) (*Status, string) {
 	view := i.view.Load().Domain
 	asked := 0
 	for _, name := range view.Domains() {
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -12,7 +12,7 @@
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -37,16 +37,16 @@
 func (i *Instance) newNotices() *notice.Endpoint {
 	return notice.NewEndpoint(notice.Options{
 		Self: i.self(), Caller: i.dialer, Store: i.platform,
-		Kinds: []string{platform.KindConfig, platform.KindWeights}, Decode: i.decodeObject,
+		Kinds: []string{objects.KindConfig, objects.KindWeights}, Decode: i.decodeObject,
 		Sink: noticeSink{i}, Clock: i.clock, Timing: notice.DefaultTiming(), Limits: domain.DefaultLimits(),
 		Seeds: i.settings.Peers,
 	})
 }
 
 // decodeObject turns an object of the platform into an item of the deployment.
-func (i *Instance) decodeObject(o platform.Object) (notice.Item, bool) {
+func (i *Instance) decodeObject(o objects.Object) (notice.Item, bool) {
 	item := notice.Item{Kind: o.Kind, Name: o.Name, Value: o.Value}
-	if o.Kind == platform.KindWeights {
+	if o.Kind == objects.KindWeights {
 		err := json.Unmarshal(o.Value, &item.Revision)
 		return item, err == nil
 	}
@@ -69,7 +69,7 @@
 
 // Check implements notice.Sink.
 func (s noticeSink) Check(item notice.Item) error {
-	if item.Kind == platform.KindWeights {
+	if item.Kind == objects.KindWeights {
 		return nil
 	}
 	_, err := s.instance.snapshotOf(item)
@@ -83,7 +83,7 @@
 // runs for as long as news arrives.
 func (s noticeSink) News(item notice.Item) {
 	s.instance.keep()
-	if item.Kind == platform.KindWeights {
+	if item.Kind == objects.KindWeights {
 		s.instance.events <- weighted{model: item.Name, version: item.Revision}
 		return
 	}
@@ -100,7 +100,7 @@
 	if err := json.Unmarshal(item.Value, &accepted); err != nil {
 		return nil, oops.In("instance").With("step", "decode configuration").Wrap(err)
 	}
-	if item.Kind != platform.KindConfig || accepted.Bundle.Deployment != i.settings.Deployment || int64(accepted.Revision) != item.Revision {
+	if item.Kind != objects.KindConfig || accepted.Bundle.Deployment != i.settings.Deployment || int64(accepted.Revision) != item.Revision {
 		return nil, oops.In("instance").With("step", "decode configuration").Errorf("item %s/%s does not hold this deployment's revision %d", item.Kind, item.Name, item.Revision)
 	}
 	return contract.NewSnapshot(accepted)
--- a/instance/orders.go
+++ b/instance/orders.go
@@ -14,7 +14,7 @@
 	"github.com/pomelocross/pomelocross/fleet"
 	"github.com/pomelocross/pomelocross/internal/fenced"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -147,7 +147,7 @@
 // finished counts an order and keeps in mind one that may still arrive.
 func (c *commander) finished(o order, err error) {
 	c.instance.counters.order(o.record.Kind, err)
-	if outcomeOf(err) != platform.Unknown.String() {
+	if outcomeOf(err) != objects.Unknown.String() {
 		return
 	}
 	c.mu.Lock()
@@ -170,7 +170,7 @@
 	case errors.Is(err, upstream.ErrOldEpoch):
 		return "refused"
 	}
-	return platform.OutcomeOf(err).String()
+	return objects.OutcomeOf(err).String()
 }
 
 func records(orders []order) []lease.Order {
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/settings"
 )
 
@@ -29,9 +29,9 @@
 func (i *Instance) orderSpare() time.Duration { return i.settings.LeaseTerm / orderSparePart }
 
 // budget returns the instance's share of the platform's rates.
-func budget(s *settings.Settings) *platform.Budget {
-	fleet := platform.Rates{Reads: float64(s.PlatformReads), Writes: float64(s.PlatformWrites)}
-	return platform.NewBudget(fleet.Share(s.FleetSize))
+func budget(s *settings.Settings) *objects.Budget {
+	fleet := objects.Rates{Reads: float64(s.PlatformReads), Writes: float64(s.PlatformWrites)}
+	return objects.NewBudget(fleet.Share(s.FleetSize))
 }
 
 // holdUpstreams seeks the domain's upstream role and gives orders while it holds it.
@@ -58,7 +58,7 @@
 	if role == i.upstreamRole.Role() {
 		candidates = view.Domain.Peers(i.settings.Domain)
 	}
-	rank := slices.IndexFunc(domain.Ranked(candidates, role), func(m platform.Member) bool { return m.Name == i.settings.Name })
+	rank := slices.IndexFunc(domain.Ranked(candidates, role), func(m objects.Member) bool { return m.Name == i.settings.Name })
 	return rank >= activeCandidates
 }
 
--- a/instance/rollouts.go
+++ b/instance/rollouts.go
@@ -11,7 +11,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/pomelocross/pomelocross/internal/httpjson"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -194,8 +194,8 @@
 // nameWeights tells all instances of a trainer's newest weight version.
 func (i *Instance) nameWeights(ctx context.Context, model string, version int64) error {
 	for {
-		o, err := i.platform.Get(ctx, platform.KindWeights, model)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		o, err := i.platform.Get(ctx, objects.KindWeights, model)
+		if err != nil && !errors.Is(err, objects.ErrNotFound) {
 			return err
 		}
 		var named int64
@@ -203,8 +203,8 @@
 		if named >= version {
 			return nil
 		}
-		_, err = i.platform.Put(ctx, platform.KindWeights, model, o.Version, version)
-		if !errors.Is(err, platform.ErrConflict) {
+		_, err = i.platform.Put(ctx, objects.KindWeights, model, o.Version, version)
+		if !errors.Is(err, objects.ErrConflict) {
 			return err
 		}
 	}
--- a/instance/scaling.go
+++ b/instance/scaling.go
@@ -9,7 +9,7 @@
 	"github.com/pomelocross/pomelocross/fleet"
 	"github.com/pomelocross/pomelocross/internal/fenced"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -30,7 +30,7 @@
 		demand := demandOf(view.Contract, limit.Service, c.instance.slotService.waiting(limit.Service, grant), live)
 		counts, due := c.scaler(limit.Service).Next(limit, demand, live, now)
 		if due {
-			orders = append(orders, c.scale(limit, platform.CostDear, counts.Dear, grant), c.scale(limit, platform.CostCheap, counts.Cheap, grant))
+			orders = append(orders, c.scale(limit, objects.CostDear, counts.Dear, grant), c.scale(limit, objects.CostCheap, counts.Cheap, grant))
 		}
 	}
 	return orders
@@ -45,8 +45,8 @@
 	return scaler
 }
 
-func (c *commander) scale(limit contract.CostLimit, cost platform.CostClass, count int, grant lease.Grant) order {
-	o := platform.ScaleOrder{
+func (c *commander) scale(limit contract.CostLimit, cost objects.CostClass, count int, grant lease.Grant) order {
+	o := objects.ScaleOrder{
 		Service: limit.Service, Domain: limit.Domain, Cost: cost, Count: count,
 		Holder: c.instance.settings.Name, Epoch: grant.Epoch,
 	}
--- a/instance/slots.go
+++ b/instance/slots.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/slots"
 )
 
@@ -70,7 +70,7 @@
 	return ""
 }
 
-func placeOf(peers []platform.Member, name string) int {
+func placeOf(peers []objects.Member, name string) int {
 	for n, peer := range peers {
 		if peer.Name == name {
 			return n
@@ -79,7 +79,7 @@
 	return -1
 }
 
-func (i *Instance) reportTo(ctx context.Context, domain string, peer platform.Member) error {
+func (i *Instance) reportTo(ctx context.Context, domain string, peer objects.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, i.queues.timing.CallTimeout)
 	defer cancel()
 	reports := i.queues.reports(i.view.Load(), i.settings.Name, domain)
@@ -97,7 +97,7 @@
 }
 
 // exchangeSlots sends reports and takes in the answers, by names when named.
-func (i *Instance) exchangeSlots(ctx context.Context, domain string, peer platform.Member, reports []slots.Report, named bool) error {
+func (i *Instance) exchangeSlots(ctx context.Context, domain string, peer objects.Member, reports []slots.Report, named bool) error {
 	call := SlotCall{Domain: domain, Named: named}
 	names := make([]slots.Names, len(reports))
 	for n, report := range reports {
@@ -127,7 +127,7 @@
 	return nil
 }
 
-func (i *Instance) callSlots(ctx context.Context, peer platform.Member, call SlotCall, reply *SlotReply) error {
+func (i *Instance) callSlots(ctx context.Context, peer objects.Member, call SlotCall, reply *SlotReply) error {
 	if peer.Name == i.settings.Name {
 		return i.slotService.Report(call, reply)
 	}
--- a/instance/traffic_bench_test.go
+++ b/instance/traffic_bench_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -71,10 +71,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	member := func(name, url string) platform.Member {
-		return platform.Member{Name: name, Role: platform.RoleUpstream, Service: name, Domain: "d", Address: strings.TrimPrefix(url, "http://")}
+	member := func(name, url string) objects.Member {
+		return objects.Member{Name: name, Role: objects.RoleUpstream, Service: name, Domain: "d", Address: strings.TrimPrefix(url, "http://")}
 	}
-	members := domain.NewView(i.self(), []platform.Member{member("lm", engine.URL), member("desk", service.URL)})
+	members := domain.NewView(i.self(), []objects.Member{member("lm", engine.URL), member("desk", service.URL)})
 	view := &View{Contract: benchSnapshot(b, hash), Domain: members, Upstream: upstream.NewTable(members.Upstreams(), nil)}
 	i.view.Store(view)
 	i.queues.update(view, "d")
--- a/instance/usage.go
+++ b/instance/usage.go
@@ -11,7 +11,7 @@
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/usage"
 )
 
@@ -108,9 +108,9 @@
 
 // choose returns the peers that hold the copies: one of this failure domain,
 // which answers soon, and one of another, which outlives the domain.
-func (k *usageKeeper) choose() []platform.Member {
+func (k *usageKeeper) choose() []objects.Member {
 	i := k.instance
-	var near, far []platform.Member
+	var near, far []objects.Member
 	for _, peer := range domain.Ranked(i.view.Load().Domain.Entries(), string(k.meter.Source())) {
 		switch {
 		case peer.Name == i.settings.Name:
@@ -120,7 +120,7 @@
 			far = append(far, peer)
 		}
 	}
-	var chosen []platform.Member
+	var chosen []objects.Member
 	for len(chosen) < usageHolders && len(near)+len(far) > 0 {
 		if len(near) > 0 {
 			chosen, near = append(chosen, near[0]), near[1:]
@@ -184,7 +184,7 @@
 // report implements usage.ReportFunc. The role is checked once more when the
 // platform has asked for the body, so that a process that was stopped inside the
 // send does not complete it.
-func (k *usageKeeper) report(ctx context.Context, r platform.UsageReport, held func() bool) error {
+func (k *usageKeeper) report(ctx context.Context, r objects.UsageReport, held func() bool) error {
 	lifetime := k.instance.orderTimeout()
 	ctx, cancel := context.WithTimeout(ctx, lifetime)
 	defer cancel()
--- a/internal/experiment/domain.go
+++ b/internal/experiment/domain.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/fleet"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -18,7 +18,7 @@
 	all := make([]upstream.Upstream, n)
 	for i := range all {
 		all[i] = upstream.Upstream{
-			Member: platform.Member{Name: fmt.Sprintf("lm-%03d", i), Cost: platform.CostDear},
+			Member: objects.Member{Name: fmt.Sprintf("lm-%03d", i), Cost: objects.CostDear},
 			Load:   upstream.Load{WeightVersion: version, Running: i % 7},
 		}
 	}
--- a/internal/experiment/member.go
+++ b/internal/experiment/member.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Intervals of a member's standing work.
@@ -23,7 +23,7 @@
 // upstream role and billing, follows configuration and weights, reads the
 // instance list and writes a ledger.
 type Member struct {
-	client *platform.Client
+	client *objects.Client
 	roles  []*lease.Keeper
 	config atomic.Int64
 	ledger atomic.Int64
@@ -31,13 +31,13 @@
 
 // StartMember starts the work of the nth instance, in domains of a size, until
 // ctx ends.
-func StartMember(ctx context.Context, client *platform.Client, n, domainSize int) *Member {
+func StartMember(ctx context.Context, client *objects.Client, n, domainSize int) *Member {
 	m := &Member{client: client}
 	name := fmt.Sprint("entry-", n)
 	m.seek(ctx, fmt.Sprint("upstreams-", n/domainSize), name, n%domainSize)
 	m.seek(ctx, "billing", name, n)
-	go platform.Follow(ctx, client, platform.KindConfig, m.takeConfig)
-	go platform.Follow(ctx, client, platform.KindWeights, func(platform.Object) {})
+	go objects.Follow(ctx, client, objects.KindConfig, m.takeConfig)
+	go objects.Follow(ctx, client, objects.KindWeights, func(objects.Object) {})
 	go m.readList(ctx)
 	go m.writeLedger(ctx, name)
 	return m
@@ -53,7 +53,7 @@
 	go keeper.Run(ctx, func(error) {})
 }
 
-func (m *Member) takeConfig(o platform.Object) {
+func (m *Member) takeConfig(o objects.Object) {
 	var value int64
 	if json.Unmarshal(o.Value, &value) == nil {
 		m.config.Store(value)
@@ -69,10 +69,10 @@
 
 // writeLedger writes a rising number until a write is not done.
 func (m *Member) writeLedger(ctx context.Context, name string) {
-	var version platform.Version
+	var version objects.Version
 	for n := int64(1); ctx.Err() == nil; n++ {
-		written := platform.PutSettled(ctx, m.client, platform.KindRun, name, version, n)
-		if written.Outcome != platform.Done {
+		written := objects.PutSettled(ctx, m.client, objects.KindRun, name, version, n)
+		if written.Outcome != objects.Done {
 			return
 		}
 		version = written.Object.Version
--- a/internal/experiment/scaling.go
+++ b/internal/experiment/scaling.go
@@ -7,7 +7,7 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/fleet"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -44,14 +44,14 @@
 
 func (s *Scaling) upstreams() []upstream.Upstream {
 	var all []upstream.Upstream
-	add := func(n int, cost platform.CostClass, leaving bool) {
+	add := func(n int, cost objects.CostClass, leaving bool) {
 		for range n {
-			all = append(all, upstream.Upstream{Member: platform.Member{Cost: cost, Leaving: leaving}})
+			all = append(all, upstream.Upstream{Member: objects.Member{Cost: cost, Leaving: leaving}})
 		}
 	}
-	add(s.Live.Dear, platform.CostDear, false)
-	add(s.Live.Cheap, platform.CostCheap, false)
-	add(s.Leaving, platform.CostCheap, true)
+	add(s.Live.Dear, objects.CostDear, false)
+	add(s.Live.Cheap, objects.CostCheap, false)
+	add(s.Leaving, objects.CostCheap, true)
 	return all
 }
 
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store with faults, for tests of what
+// Package memstore is an in-memory objects.Store with faults, for tests of what
 // keeps its state there. It holds values in their encoded form, so that nothing
 // is shared with the caller.
 package memstore
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Errors of calls that a fault has hit. They leave the outcome unknown.
@@ -43,16 +43,16 @@
 	Fault func(kind, name string, write bool) Fault
 
 	mu      sync.Mutex // guards all below
-	version platform.Version
-	objects map[string]map[string]platform.Object
+	version objects.Version
+	objects map[string]map[string]objects.Object
 	late    func()
 	writes  []Write
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objects.Store = (*Store)(nil)
 
 // New returns an empty store.
-func New() *Store { return &Store{objects: map[string]map[string]platform.Object{}} }
+func New() *Store { return &Store{objects: map[string]map[string]objects.Object{}} }
 
 // Writes returns the calls that took effect, in order.
 func (s *Store) Writes() []Write {
@@ -73,43 +73,43 @@
 	return names
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objects.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := ctx.Err(); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	if s.fault(kind, name, false) != None {
-		return platform.Object{}, ErrDown
+		return objects.Object{}, ErrDown
 	}
 	o, ok := s.objects[kind][name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return o, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, kind, name string, expect platform.Version, value any) (platform.Object, error) {
+// Put implements objects.Store.
+func (s *Store) Put(ctx context.Context, kind, name string, expect objects.Version, value any) (objects.Object, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
-	if len(data) > platform.MaxValueBytes {
-		return platform.Object{}, errors.New("value is too large")
+	if len(data) > objects.MaxValueBytes {
+		return objects.Object{}, errors.New("value is too large")
 	}
-	o := platform.Object{Kind: kind, Name: name, Value: data}
+	o := objects.Object{Kind: kind, Name: name, Value: data}
 	err = s.write(ctx, &o, expect)
 	return o, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, expect platform.Version) error {
-	return s.write(ctx, &platform.Object{Kind: kind, Name: name, Deleted: true}, expect)
+// Delete implements objects.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, expect objects.Version) error {
+	return s.write(ctx, &objects.Object{Kind: kind, Name: name, Deleted: true}, expect)
 }
 
-func (s *Store) write(ctx context.Context, o *platform.Object, expect platform.Version) error {
+func (s *Store) write(ctx context.Context, o *objects.Object, expect objects.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := ctx.Err(); err != nil {
@@ -151,13 +151,13 @@
 }
 
 // apply carries out a write. The caller holds mu.
-func (s *Store) apply(o *platform.Object, expect platform.Version) error {
+func (s *Store) apply(o *objects.Object, expect objects.Version) error {
 	existing, ok := s.objects[o.Kind][o.Name]
 	if o.Deleted && !ok {
-		return platform.ErrNotFound
+		return objects.ErrNotFound
 	}
 	if existing.Version != expect {
-		return platform.ErrConflict
+		return objects.ErrConflict
 	}
 	s.version++
 	o.Version = s.version
@@ -167,28 +167,28 @@
 		return nil
 	}
 	if s.objects[o.Kind] == nil {
-		s.objects[o.Kind] = map[string]platform.Object{}
+		s.objects[o.Kind] = map[string]objects.Object{}
 	}
 	s.objects[o.Kind][o.Name] = *o
 	return nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) (platform.List, error) {
+// List implements objects.Store.
+func (s *Store) List(ctx context.Context, kind string) (objects.List, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fault(kind, "", false) != None {
-		return platform.List{}, ErrDown
+		return objects.List{}, ErrDown
 	}
-	l := platform.List{Version: s.version}
+	l := objects.List{Version: s.version}
 	for _, o := range s.objects[kind] {
 		l.Objects = append(l.Objects, o)
 	}
 	return l, ctx.Err()
 }
 
-// Watch implements platform.Store. It never sees changes.
-func (s *Store) Watch(ctx context.Context, _ string, after platform.Version, _ time.Duration) (platform.List, error) {
+// Watch implements objects.Store. It never sees changes.
+func (s *Store) Watch(ctx context.Context, _ string, after objects.Version, _ time.Duration) (objects.List, error) {
 	<-ctx.Done()
-	return platform.List{Version: after}, ctx.Err()
+	return objects.List{Version: after}, ctx.Err()
 }
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -16,7 +16,7 @@
 
 	"github.com/pomelocross/pomelocross/domain"
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // ErrCut is the error of calls that do not pass.
@@ -38,7 +38,7 @@
 // Network holds the instances and the platform.
 type Network struct {
 	// Entries are the instances on the list.
-	Entries []platform.Member
+	Entries []objects.Member
 	// Delay is the time that a call takes one way.
 	Delay time.Duration
 	// Bytes are carried between instances; PlatformBytes are object values read;
@@ -62,9 +62,9 @@
 }
 
 // Entry returns the member with a number in the domain with a number.
-func Entry(number, domain int) platform.Member {
-	return platform.Member{
-		Name: fmt.Sprintf("entry-%03d", number), Role: platform.RoleEntry, Domain: fmt.Sprintf("domain-%02d", domain), Region: "test",
+func Entry(number, domain int) objects.Member {
+	return objects.Member{
+		Name: fmt.Sprintf("entry-%03d", number), Role: objects.RoleEntry, Domain: fmt.Sprintf("domain-%02d", domain), Region: "test",
 		Address: fmt.Sprintf("10.0.0.%d:80", number), Peer: fmt.Sprintf("10.0.0.%d:82", number),
 	}
 }
@@ -114,11 +114,11 @@
 }
 
 // Start runs an instance until ctx ends or it is killed.
-func (n *Network) Start(ctx context.Context, self platform.Member, timing notice.Timing, always bool) *Instance {
+func (n *Network) Start(ctx context.Context, self objects.Member, timing notice.Timing, always bool) *Instance {
 	ctx, stop := context.WithCancel(ctx)
 	one := &Instance{stop: stop}
 	one.Endpoint = notice.NewEndpoint(notice.Options{
-		Self: self, Caller: way{n, self.Domain}, Store: access{net: n, domain: self.Domain}, Kinds: []string{platform.KindConfig},
+		Self: self, Caller: way{n, self.Domain}, Store: access{net: n, domain: self.Domain}, Kinds: []string{objects.KindConfig},
 		Decode: decode, Sink: one, Clock: clockwork.NewRealClock(), Timing: timing, Limits: domain.DefaultLimits(), AlwaysWatch: always,
 	})
 	one.Members(n.Entries)
@@ -146,7 +146,7 @@
 	delete(n.instances, one.Self.Peer)
 }
 
-func decode(o platform.Object) (notice.Item, bool) {
+func decode(o objects.Object) (notice.Item, bool) {
 	return notice.Item{Kind: o.Kind, Name: o.Name, Revision: int64(o.Version), Value: o.Value}, true
 }
 
@@ -190,5 +190,5 @@
 
 // Put makes a value of a size the platform's object.
 func (n *Network) Put(revision int64, size int) {
-	n.objects.put(notice.Item{Kind: platform.KindConfig, Name: "test", Revision: revision, Value: bytes.Repeat([]byte{'x'}, size)})
+	n.objects.put(notice.Item{Kind: objects.KindConfig, Name: "test", Revision: revision, Value: bytes.Repeat([]byte{'x'}, size)})
 }
--- a/internal/standin/network/store.go
+++ b/internal/standin/network/store.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // store is one watched kind with one object.
@@ -28,38 +28,38 @@
 
 // access is one domain's way to the platform.
 type access struct {
-	platform.Store
+	objects.Store
 	net    *Network
 	domain string
 }
 
-func (a access) read(after platform.Version) (platform.List, <-chan struct{}, error) {
+func (a access) read(after objects.Version) (objects.List, <-chan struct{}, error) {
 	a.net.mu.Lock()
 	down := a.net.faults.Down[a.domain]
 	a.net.mu.Unlock()
 	if down {
-		return platform.List{}, nil, ErrCut
+		return objects.List{}, nil, ErrCut
 	}
 	s := &a.net.objects
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := platform.List{Version: platform.Version(s.item.Revision)}
+	list := objects.List{Version: objects.Version(s.item.Revision)}
 	if list.Version > after {
 		a.net.PlatformBytes.Add(int64(len(s.item.Value)))
-		list.Objects = []platform.Object{{Kind: s.item.Kind, Name: s.item.Name, Version: list.Version, Value: s.item.Value}}
+		list.Objects = []objects.Object{{Kind: s.item.Kind, Name: s.item.Name, Version: list.Version, Value: s.item.Value}}
 	}
 	return list, s.changed, nil
 }
 
-// List implements platform.Store.
-func (a access) List(context.Context, string) (platform.List, error) {
+// List implements objects.Store.
+func (a access) List(context.Context, string) (objects.List, error) {
 	a.net.Reads.Add(1)
 	list, _, err := a.read(0)
 	return list, err
 }
 
-// Watch implements platform.Store.
-func (a access) Watch(ctx context.Context, _ string, after platform.Version, wait time.Duration) (platform.List, error) {
+// Watch implements objects.Store.
+func (a access) Watch(ctx context.Context, _ string, after objects.Version, wait time.Duration) (objects.List, error) {
 	a.net.Reads.Add(1)
 	list, changed, err := a.read(after)
 	if err != nil || len(list.Objects) > 0 {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/time/rate"
 
-	client "github.com/pomelocross/pomelocross/platform"
+	client "github.com/pomelocross/pomelocross/objects"
 )
 
 // Faults are switched while the stand-in runs.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -17,7 +17,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/control"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
-	client "github.com/pomelocross/pomelocross/platform"
+	client "github.com/pomelocross/pomelocross/objects"
 )
 
 // historyLength is how many changes a watch can look back on.
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // candidate is the state machine of one process's wish for one role. It does
@@ -15,7 +15,7 @@
 	self   Identity
 	timing Timing
 
-	seen    platform.Version // version last seen
+	seen    objects.Version // version last seen
 	value   Value
 	changed time.Time // when seen last changed, on our clock
 	until   time.Time // end of our own term; zero when we do not hold
@@ -30,7 +30,7 @@
 }
 
 // observe takes in a stored lease read at now.
-func (c *candidate) observe(version platform.Version, value Value, now time.Time) {
+func (c *candidate) observe(version objects.Version, value Value, now time.Time) {
 	if version != c.seen || c.changed.IsZero() {
 		c.changed = now
 	}
@@ -83,7 +83,7 @@
 }
 
 // written takes in the answer that the pending write took effect.
-func (c *candidate) written(version platform.Version, now time.Time) {
+func (c *candidate) written(version objects.Version, now time.Time) {
 	c.seen, c.value, c.changed = version, c.pending.value, now
 	c.extend(c.pending.sent)
 }
--- a/lease/candidate_test.go
+++ b/lease/candidate_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	"pgregory.net/rapid"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // The property test draws the same cases in every run.
@@ -30,17 +30,17 @@
 }
 
 type simulatedRead struct {
-	version platform.Version
+	version objects.Version
 	value   Value
 }
 
 // simulatedWrite travels to the store, takes effect there, and is answered; it
 // may be given up by its sender at any point and still take effect later.
 type simulatedWrite struct {
-	expect   platform.Version
+	expect   objects.Version
 	value    Value
 	arrived  bool
-	version  platform.Version
+	version  objects.Version
 	conflict bool
 }
 
@@ -48,7 +48,7 @@
 type world struct {
 	t          *rapid.T
 	now        time.Duration
-	version    platform.Version
+	version    objects.Version
 	stored     Value
 	candidates []*simulated
 	late       []*simulatedWrite // given up by their senders, still on their way
--- a/lease/intent.go
+++ b/lease/intent.go
@@ -7,7 +7,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Errors that keep a process from giving an order.
@@ -36,15 +36,15 @@
 type Recorder struct {
 	role  string
 	self  Identity
-	store platform.Store
+	store objects.Store
 
 	epoch   int64 // of the last intent written; 0 when the stored one must be read
-	version platform.Version
+	version objects.Version
 	last    Intent
 }
 
 // NewRecorder returns a recorder of the keeper's role and identity.
-func NewRecorder(k *Keeper, store platform.Store) *Recorder {
+func NewRecorder(k *Keeper, store objects.Store) *Recorder {
 	return &Recorder{role: k.role, self: k.Identity(), store: store}
 }
 
@@ -61,8 +61,8 @@
 		return ErrSuperseded
 	}
 	next := Intent{Epoch: grant.Epoch, Sequence: r.last.Sequence + 1, Holder: r.self, Orders: orders}
-	written := platform.PutSettled(ctx, r.store, platform.KindIntent, r.role, r.version, next)
-	if written.Outcome != platform.Done {
+	written := objects.PutSettled(ctx, r.store, objects.KindIntent, r.role, r.version, next)
+	if written.Outcome != objects.Done {
 		r.epoch = 0
 		return oops.In("lease").With("step", "record intent", "role", r.role).Wrap(written.Err)
 	}
@@ -71,8 +71,8 @@
 }
 
 func (r *Recorder) read(ctx context.Context) error {
-	o, err := r.store.Get(ctx, platform.KindIntent, r.role)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := r.store.Get(ctx, objects.KindIntent, r.role)
+	if errors.Is(err, objects.ErrNotFound) {
 		r.version, r.last = 0, Intent{}
 		return nil
 	}
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -25,7 +25,7 @@
 // Keeper seeks and keeps one role for one process.
 type Keeper struct {
 	role   string
-	store  platform.Store
+	store  objects.Store
 	clock  clockwork.Clock
 	timing Timing
 	grant  atomic.Pointer[Grant]
@@ -37,7 +37,7 @@
 }
 
 // NewKeeper returns a Keeper for role that acts as a new incarnation of self.
-func NewKeeper(role, self string, store platform.Store, clock clockwork.Clock, timing Timing) *Keeper {
+func NewKeeper(role, self string, store objects.Store, clock clockwork.Clock, timing Timing) *Keeper {
 	return &Keeper{
 		role: role, store: store, clock: clock, timing: timing,
 		candidate: candidate{self: NewIdentity(self), timing: timing},
@@ -109,8 +109,8 @@
 		return nil
 	}
 	k.candidate.sending(value, sent)
-	stored, err := k.store.Put(ctx, platform.KindLease, k.role, k.candidate.seen, value)
-	if errors.Is(err, platform.ErrConflict) {
+	stored, err := k.store.Put(ctx, objects.KindLease, k.role, k.candidate.seen, value)
+	if errors.Is(err, objects.ErrConflict) {
 		return nil // another write was first; the next read tells whose
 	}
 	if err != nil {
@@ -122,9 +122,9 @@
 }
 
 func (k *Keeper) read(ctx context.Context) error {
-	o, err := k.store.Get(ctx, platform.KindLease, k.role)
+	o, err := k.store.Get(ctx, objects.KindLease, k.role)
 	var value Value
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return oops.In("lease").With("step", "read", "role", k.role).Wrap(err)
 	}
 	if err == nil {
@@ -156,8 +156,8 @@
 	if !held {
 		return nil
 	}
-	_, err := k.store.Put(ctx, platform.KindLease, k.role, k.candidate.seen, value)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	_, err := k.store.Put(ctx, objects.KindLease, k.role, k.candidate.seen, value)
+	if err != nil && !errors.Is(err, objects.ErrConflict) {
 		return oops.In("lease").With("step", "release", "role", k.role).Wrap(err)
 	}
 	return nil
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -12,14 +12,14 @@
 	. "github.com/onsi/gomega"
 
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 var _ = Describe("Keepers", func() {
 	var (
 		ctx    = context.Background()
 		server *standin.Server
-		store  *platform.Client
+		store  *objects.Client
 		clock  *clockwork.FakeClock
 		a, b   *Keeper
 	)
@@ -28,7 +28,7 @@
 		server, clock = standin.New(), clockwork.NewFakeClock()
 		listener := httptest.NewServer(server)
 		DeferCleanup(listener.Close)
-		store = platform.NewClient(strings.TrimPrefix(listener.URL, "http://"), nil)
+		store = objects.NewClient(strings.TrimPrefix(listener.URL, "http://"), nil)
 		a = NewKeeper("role", "entry-a", store, clock, DefaultTiming())
 		b = NewKeeper("role", "entry-b", store, clock, DefaultTiming())
 	})
@@ -39,7 +39,7 @@
 		Expect(a.Attempt(ctx)).To(Succeed())
 		for range 5 {
 			clock.Advance(DefaultRenew)
-			server.SetFaults(standin.Faults{LoseAnswers: 1, LoseKind: platform.KindLease})
+			server.SetFaults(standin.Faults{LoseAnswers: 1, LoseKind: objects.KindLease})
 			Expect(a.Attempt(ctx)).NotTo(Succeed())
 			Expect(held(a)).To(BeTrue())
 		}
@@ -75,7 +75,7 @@
 		orders := []Order{{Kind: "load", Target: "lm-1", Detail: "restock 2"}}
 		Expect(early.Record(ctx, Grant{Epoch: 1}, orders)).To(Succeed())
 		Expect(late.Record(ctx, Grant{Epoch: 2}, orders)).To(Succeed())
-		Expect(errors.Is(early.Record(ctx, Grant{Epoch: 1}, orders), platform.ErrConflict)).To(BeTrue())
+		Expect(errors.Is(early.Record(ctx, Grant{Epoch: 1}, orders), objects.ErrConflict)).To(BeTrue())
 		Expect(early.Record(ctx, Grant{Epoch: 1}, orders)).To(MatchError(ErrSuperseded))
 	})
 
@@ -85,7 +85,7 @@
 			Expect(recorder.Record(ctx, Grant{Epoch: 1}, nil)).To(Succeed())
 			server.SetFaults(faults)
 			Expect(recorder.Record(ctx, Grant{Epoch: 1}, nil)).To(Succeed())
-			stored, err := store.Get(ctx, platform.KindIntent, "role")
+			stored, err := store.Get(ctx, objects.KindIntent, "role")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(stored.Value)).To(ContainSubstring(`"sequence":2`))
 		},
--- a/notice/bench_test.go
+++ b/notice/bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/network"
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -95,7 +95,7 @@
 	n.Put(1, benchBundle)
 	wait(b, all, 1)
 	cancel()
-	known := []notice.Known{{Kind: platform.KindConfig, Name: "test", Revision: 1}}
+	known := []notice.Known{{Kind: objects.KindConfig, Name: "test", Revision: 1}}
 	b.ReportAllocs()
 	for b.Loop() {
 		m := notice.Message{From: n.Entries[12], Known: known}
--- a/notice/disk.go
+++ b/notice/disk.go
@@ -10,7 +10,7 @@
 	"github.com/google/renameio/v2"
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -22,7 +22,7 @@
 // State is what an instance with a disk keeps over a restart.
 type State struct {
 	Items   []Item            `json:"items"`
-	Members []platform.Member `json:"members"`
+	Members []objects.Member `json:"members"`
 }
 
 // Disk keeps the newest state in one file, which is replaced as a whole.
--- a/notice/endpoint.go
+++ b/notice/endpoint.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Caller calls a method of a peer, as link.Dialer does.
@@ -50,12 +50,12 @@
 
 // Options configures an endpoint.
 type Options struct {
-	Self   platform.Member
+	Self   objects.Member
 	Caller Caller
-	Store  platform.Store
+	Store  objects.Store
 	// Kinds are the kinds to watch; Decode turns their objects into items.
 	Kinds  []string
-	Decode func(platform.Object) (Item, bool)
+	Decode func(objects.Object) (Item, bool)
 	Sink   Sink
 	Clock  clockwork.Clock
 	Timing Timing
@@ -128,7 +128,7 @@
 
 // exchange tells a peer what is known here, and hears what is known there. When
 // it returns nil both know the same, which is the acknowledgement of all news.
-func (e *Endpoint) exchange(ctx context.Context, peer platform.Member) error {
+func (e *Endpoint) exchange(ctx context.Context, peer objects.Member) error {
 	reply, err := e.ask(ctx, peer, nil)
 	if err != nil {
 		return err
@@ -152,7 +152,7 @@
 	return e.book.Beyond(reply.Known), older
 }
 
-func (e *Endpoint) ask(ctx context.Context, peer platform.Member, items []Item) (Message, error) {
+func (e *Endpoint) ask(ctx context.Context, peer objects.Member, items []Item) (Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timing.CallTimeout)
 	defer cancel()
 	sent := e.Clock.Now()
@@ -208,7 +208,7 @@
 func (e *Endpoint) Restore(items []Item) { e.take(items, false) }
 
 // Members takes a reading of the instance list.
-func (e *Endpoint) Members(members []platform.Member) {
+func (e *Endpoint) Members(members []objects.Member) {
 	e.mu.Lock()
 	e.listed = true
 	e.tracker.Listed(members, e.Clock.Now())
--- a/notice/freshness_test.go
+++ b/notice/freshness_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 var _ = Describe("Freshness", func() {
@@ -34,9 +34,9 @@
 
 var _ = Describe("The plan", func() {
 	view := func(count, domains int, self int) *domain.View {
-		var members []platform.Member
+		var members []objects.Member
 		for n := range count {
-			members = append(members, platform.Member{Name: fmt.Sprintf("entry-%03d", n), Role: platform.RoleEntry, Domain: fmt.Sprintf("domain-%02d", n%domains)})
+			members = append(members, objects.Member{Name: fmt.Sprintf("entry-%03d", n), Role: objects.RoleEntry, Domain: fmt.Sprintf("domain-%02d", n%domains)})
 		}
 		return domain.NewView(members[self], members)
 	}
--- a/notice/loops.go
+++ b/notice/loops.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -35,13 +35,13 @@
 	asking.Wait()
 }
 
-func (e *Endpoint) roundPeers(turn int) []platform.Member {
+func (e *Endpoint) roundPeers(turn int) []objects.Member {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.listed {
-		var seeds []platform.Member
+		var seeds []objects.Member
 		for _, address := range e.Seeds {
-			seeds = append(seeds, platform.Member{Peer: address})
+			seeds = append(seeds, objects.Member{Peer: address})
 		}
 		return seeds
 	}
@@ -66,7 +66,7 @@
 
 // tell pushes to peers. In place of a peer that does not answer it tells those
 // that the peer was to tell. The caller holds mu.
-func (e *Endpoint) tell(peers []platform.Member) {
+func (e *Endpoint) tell(peers []objects.Member) {
 	for _, peer := range peers {
 		running := e.pushing[peer.Name]
 		if running == nil {
@@ -88,7 +88,7 @@
 }
 
 // push exchanges with peer until it knows all that is known here, or gives up.
-func (e *Endpoint) push(ctx context.Context, peer platform.Member) {
+func (e *Endpoint) push(ctx context.Context, peer objects.Member) {
 	pause := pushPause
 	for range pushTries {
 		if e.exchange(ctx, peer) == nil {
@@ -110,7 +110,7 @@
 }
 
 // unanswered takes over from a peer that does not answer.
-func (e *Endpoint) unanswered(peer platform.Member) {
+func (e *Endpoint) unanswered(peer objects.Member) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.pushing[peer.Name].failing {
@@ -142,7 +142,7 @@
 // lists again after a gap.
 func (e *Endpoint) follow(ctx context.Context, kind string) {
 	pause := e.Timing.MinPause
-	var after platform.Version
+	var after objects.Version
 	listed := false
 	for ctx.Err() == nil {
 		if !e.awaitWatching(ctx) {
@@ -153,7 +153,7 @@
 		list, err := e.read(ctx, kind, after, listed)
 		if err != nil {
 			e.missed(ctx)
-			listed = listed && !errors.Is(err, platform.ErrGap)
+			listed = listed && !errors.Is(err, objects.ErrGap)
 			e.sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, e.maxPause())
 			continue
@@ -164,14 +164,14 @@
 	}
 }
 
-func (e *Endpoint) read(ctx context.Context, kind string, after platform.Version, listed bool) (platform.List, error) {
+func (e *Endpoint) read(ctx context.Context, kind string, after objects.Version, listed bool) (objects.List, error) {
 	if !listed {
 		return e.Store.List(ctx, kind)
 	}
 	return e.Store.Watch(ctx, kind, after, e.Timing.Wait)
 }
 
-func (e *Endpoint) takeObjects(objects []platform.Object) {
+func (e *Endpoint) takeObjects(objects []objects.Object) {
 	var items []Item
 	for _, o := range objects {
 		if item, ok := e.Decode(o); ok && !o.Deleted {
--- a/notice/message.go
+++ b/notice/message.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Method is the name of the exchange on the link between instances.
@@ -18,7 +18,7 @@
 // Message is one side of an exchange. A caller sends one and gets one back. Its
 // Known acknowledges all that it holds.
 type Message struct {
-	From platform.Member
+	From objects.Member
 	// Nonce is to be echoed by the receiver's next message. An echo proves that
 	// what comes with it was said after the nonce was given.
 	Nonce, Echo uint64
@@ -32,7 +32,7 @@
 	// WantMembers asks for the instance list, which an instance does that has
 	// had none since it started.
 	WantMembers bool
-	Members     []platform.Member
+	Members     []objects.Member
 }
 
 // newMessage returns what state tells a peer. The caller holds the endpoint's lock.
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/network"
 	"github.com/pomelocross/pomelocross/notice"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 func TestNotice(t *testing.T) {
@@ -91,7 +91,7 @@
 		n.Put(5, 10)
 		Eventually(allAt(all, 5)).Should(BeTrue())
 		var reply notice.Message
-		item := notice.Item{Kind: platform.KindConfig, Name: "test"}
+		item := notice.Item{Kind: objects.KindConfig, Name: "test"}
 		older, damaged := item, item
 		older.Revision, damaged.Revision, damaged.Value = 4, 9, []byte(network.Damaged)
 		Expect(all[0].Exchange(notice.Message{From: n.Entries[3], Items: []notice.Item{older, damaged}}, &reply)).To(Succeed())
--- a/notice/plan.go
+++ b/notice/plan.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -20,13 +20,13 @@
 
 // ranking returns the live instances of a domain in the order in which they
 // watch and pass news on. Views that share most members share most of it.
-func ranking(v *domain.View, name string) []platform.Member {
+func ranking(v *domain.View, name string) []objects.Member {
 	return domain.Ranked(v.Live(name), rankingKey)
 }
 
 // rank returns self's place in its domain, or -1 when it leaves.
 func rank(v *domain.View) int {
-	return slices.IndexFunc(ranking(v, v.Self().Domain), func(m platform.Member) bool { return m.Name == v.Self().Name })
+	return slices.IndexFunc(ranking(v, v.Self().Domain), func(m objects.Member) bool { return m.Name == v.Self().Name })
 }
 
 // watches reports whether self is to watch the platform.
@@ -37,7 +37,7 @@
 
 // children returns whom the instance at a place passes news on to: the watchers
 // are roots of trees that reach each other member once.
-func children(ranked []platform.Member, place int) []platform.Member {
+func children(ranked []objects.Member, place int) []objects.Member {
 	if place < 0 {
 		return nil
 	}
@@ -46,19 +46,19 @@
 }
 
 // charges returns whom a peer of the own domain passes news on to.
-func charges(v *domain.View, peer platform.Member) []platform.Member {
+func charges(v *domain.View, peer objects.Member) []objects.Member {
 	if peer.Domain != v.Self().Domain {
 		return nil
 	}
 	ranked := ranking(v, peer.Domain)
-	place := slices.IndexFunc(ranked, func(m platform.Member) bool { return m.Name == peer.Name })
+	place := slices.IndexFunc(ranked, func(m objects.Member) bool { return m.Name == peer.Name })
 	return without(children(ranked, place), v.Self().Name)
 }
 
 // audience returns whom self tells of news. News from outside the domain also
 // goes to the domain's watchers, and from a watcher to one instance of each
 // other domain, since any of them may be cut off from the platform.
-func audience(v *domain.View, outside bool) []platform.Member {
+func audience(v *domain.View, outside bool) []objects.Member {
 	ranked := ranking(v, v.Self().Domain)
 	place := rank(v)
 	targets := slices.Clone(children(ranked, place))
@@ -80,7 +80,7 @@
 // domain, another member of it, one that is missed, and for a watcher one other
 // domain. An instance
 // that does not hear the platform asks more domains.
-func rounds(v *domain.View, turn int, stale bool) []platform.Member {
+func rounds(v *domain.View, turn int, stale bool) []objects.Member {
 	ranked := ranking(v, v.Self().Domain)
 	others := without(ranked, v.Self().Name)
 	targets := pick(without(ranked[:min(watcherCount, len(ranked))], v.Self().Name), turn)
@@ -96,33 +96,33 @@
 		width = 1
 	}
 	targets = append(targets, abroad(v, turn, width)...)
-	slices.SortFunc(targets, func(a, b platform.Member) int {
+	slices.SortFunc(targets, func(a, b objects.Member) int {
 		if a.Name < b.Name {
 			return -1
 		}
 		return 1
 	})
-	return slices.CompactFunc(targets, func(a, b platform.Member) bool { return a.Name == b.Name })
+	return slices.CompactFunc(targets, func(a, b objects.Member) bool { return a.Name == b.Name })
 }
 
 // missed returns the instances of the own domain that are not alive. One is
 // tried each round: two that miss each other would else never meet again.
-func missed(v *domain.View) []platform.Member {
-	return slices.DeleteFunc(v.All(), func(m platform.Member) bool {
+func missed(v *domain.View) []objects.Member {
+	return slices.DeleteFunc(v.All(), func(m objects.Member) bool {
 		return m.Domain != v.Self().Domain || v.Liveness(m.Name) == domain.Alive
 	})
 }
 
 // abroad returns one instance in each of width other domains, which turn by turn
 // are all domains and, in each, its first few instances.
-func abroad(v *domain.View, turn, width int) []platform.Member {
+func abroad(v *domain.View, turn, width int) []objects.Member {
 	var names []string
 	for _, name := range v.Domains() {
 		if name != v.Self().Domain {
 			names = append(names, name)
 		}
 	}
-	var targets []platform.Member
+	var targets []objects.Member
 	for n := range min(width, len(names)) {
 		at := turn*width + n
 		ranked := domain.Ranked(reachable(v, names[at%len(names)]), rankingKey)
@@ -133,7 +133,7 @@
 
 // reachable returns the instances of a domain, live ones if there are any: a
 // domain that is cut off must be tried, or the end of the cut goes unnoticed.
-func reachable(v *domain.View, name string) []platform.Member {
+func reachable(v *domain.View, name string) []objects.Member {
 	if live := v.Live(name); len(live) > 0 {
 		return live
 	}
@@ -141,13 +141,13 @@
 }
 
 // pick returns one of members, chosen by turn.
-func pick(members []platform.Member, turn int) []platform.Member {
+func pick(members []objects.Member, turn int) []objects.Member {
 	if len(members) == 0 {
 		return nil
 	}
-	return []platform.Member{members[turn%len(members)]}
+	return []objects.Member{members[turn%len(members)]}
 }
 
-func without(members []platform.Member, name string) []platform.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m platform.Member) bool { return m.Name == name })
+func without(members []objects.Member, name string) []objects.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m objects.Member) bool { return m.Name == name })
 }
--- a/platform/directory_test.go
+++ b/objects/directory_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // statuses records the status of each answer.
@@ -29,16 +29,16 @@
 	It("is sent again only after a change", func() {
 		server := standin.New()
 		transport := &statuses{Direct: standin.Direct{Server: server}}
-		c := platform.NewClientWith("platform", platform.Options{Transport: transport})
-		read := func() []platform.Member {
+		c := objects.NewClientWith("platform", objects.Options{Transport: transport})
+		read := func() []objects.Member {
 			members, err := c.Members(context.Background())
 			Expect(err).NotTo(HaveOccurred())
 			return members
 		}
-		server.SetMembers([]platform.Member{{Name: "a"}})
+		server.SetMembers([]objects.Member{{Name: "a"}})
 		Expect(read()).To(HaveLen(1))
 		Expect(read()).To(HaveLen(1))
-		server.SetMembers([]platform.Member{{Name: "a"}, {Name: "b"}})
+		server.SetMembers([]objects.Member{{Name: "a"}, {Name: "b"}})
 		Expect(read()).To(HaveLen(2))
 		Expect(transport.seen).To(Equal([]int{200, 304, 200}))
 	})
--- a/platform/outage_test.go
+++ b/objects/outage_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/experiment"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // The fleet at target size, of which some instances run here.
@@ -22,7 +22,7 @@
 const startPause = 300 * time.Millisecond
 
 // fleetRates are what the platform gives the whole fleet.
-var fleetRates = platform.Rates{Reads: 2000, Writes: 300}
+var fleetRates = objects.Rates{Reads: 2000, Writes: 300}
 
 // rig is some instances of the fleet before one stand-in.
 type rig struct {
@@ -60,8 +60,8 @@
 
 func (r *rig) setConfig(value int64) {
 	c := client(r.server, ample)
-	o, _ := c.Get(context.Background(), platform.KindConfig, "deployment")
-	if _, err := c.Put(context.Background(), platform.KindConfig, "deployment", o.Version, value); err != nil {
+	o, _ := c.Get(context.Background(), objects.KindConfig, "deployment")
+	if _, err := c.Put(context.Background(), objects.KindConfig, "deployment", o.Version, value); err != nil {
 		r.t.Fatal(err)
 	}
 }
--- a/platform/outcome.go
+++ b/objects/outcome.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/objects/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the typed client of the platform that the deployment
+// Package objects is the typed client of the platform that the deployment
 // runs on: its object API, usage interface, scaling interface and instance list.
-package platform
+package objects
 
 import (
 	"context"
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -11,7 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // settlePause is how long to wait before asking again what became of a write.
@@ -19,10 +19,10 @@
 
 // Accepted returns the accepted bundle of a deployment and its object version.
 // Both are zero when none was ever applied.
-func (o *Operator) Accepted(ctx context.Context, deployment string) (contract.Accepted, platform.Version, error) {
+func (o *Operator) Accepted(ctx context.Context, deployment string) (contract.Accepted, objects.Version, error) {
 	var accepted contract.Accepted
-	object, err := o.Store.Get(ctx, platform.KindConfig, deployment)
-	if errors.Is(err, platform.ErrNotFound) {
+	object, err := o.Store.Get(ctx, objects.KindConfig, deployment)
+	if errors.Is(err, objects.ErrNotFound) {
 		return accepted, 0, nil
 	}
 	if err != nil {
@@ -49,8 +49,8 @@
 	if err := checkSize(next); err != nil {
 		return before, err
 	}
-	_, err = o.Store.Put(ctx, platform.KindConfig, bundle.Deployment, version, next)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = o.Store.Put(ctx, objects.KindConfig, bundle.Deployment, version, next)
+	if errors.Is(err, objects.ErrConflict) {
 		return before, o.conflict(ctx, before, bundle.Deployment)
 	}
 	if err != nil {
@@ -71,10 +71,10 @@
 	if err != nil {
 		return oops.In("operator").With("step", "encode").Wrap(err)
 	}
-	if len(data) <= platform.MaxValueBytes {
+	if len(data) <= objects.MaxValueBytes {
 		return nil
 	}
-	return &Error{Code: ExitInvalid, Err: fmt.Errorf("the configuration takes %d bytes as the platform stores it; the limit is %d", len(data), platform.MaxValueBytes)}
+	return &Error{Code: ExitInvalid, Err: fmt.Errorf("the configuration takes %d bytes as the platform stores it; the limit is %d", len(data), objects.MaxValueBytes)}
 }
 
 // conflict tells which revision of whom was first.
@@ -102,7 +102,7 @@
 			return &Error{Code: ExitConflict, Err: fmt.Errorf("%s was first with revision %d; nothing of yours was applied", stored.By, stored.Revision)}
 		case err == nil:
 			// The same conditional write again has one effect at most.
-			_, cause = o.Store.Put(ctx, platform.KindConfig, next.Bundle.Deployment, version, next)
+			_, cause = o.Store.Put(ctx, objects.KindConfig, next.Bundle.Deployment, version, next)
 			if cause == nil {
 				return nil
 			}
--- a/operator/command.go
+++ b/operator/command.go
@@ -13,7 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // options are the flags of all commands.
@@ -57,7 +57,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
 	defer cancel()
-	operator := &Operator{Store: platform.NewClient(o.platform, nil), Admin: o.admin, Out: out, JSON: o.output == "json"}
+	operator := &Operator{Store: objects.NewClient(o.platform, nil), Admin: o.admin, Out: out, JSON: o.output == "json"}
 	for _, c := range commands {
 		if c.sub.Used {
 			err := c.run(ctx, operator)
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -12,7 +12,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/instance"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/usage"
 )
 
@@ -41,12 +41,12 @@
 	Team    string               `json:"team"`
 	Window  string               `json:"window"` // start, UTC
 	Service string               `json:"service"`
-	Figure  platform.UsageFigure `json:"figure"`
+	Figure  objects.UsageFigure `json:"figure"`
 }
 
 // Usage returns the last frozen figures of one team, or of all.
 func (o *Operator) Usage(ctx context.Context, team string) ([]UsageLine, error) {
-	list, err := o.Store.List(ctx, platform.KindUsage)
+	list, err := o.Store.List(ctx, objects.KindUsage)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/history.go
+++ b/operator/history.go
@@ -12,7 +12,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -49,16 +49,16 @@
 		if err == nil {
 			return merged, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objects.ErrConflict) {
 			return merged, oops.In("operator").With("step", "store history").Wrap(err)
 		}
 	}
 	return nil, oops.In("operator").With("step", "store history").Errorf("other operators changed the history %d times", historyTries)
 }
 
-func (o *Operator) storedHistory(ctx context.Context, deployment string) ([]contract.HistoryEntry, platform.Version, error) {
+func (o *Operator) storedHistory(ctx context.Context, deployment string) ([]contract.HistoryEntry, objects.Version, error) {
 	object, err := o.Store.Get(ctx, kindHistory, deployment)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,7 +6,7 @@
 	"io"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Exit codes of the command.
@@ -44,7 +44,7 @@
 
 // Operator carries out commands.
 type Operator struct {
-	Store platform.Store
+	Store objects.Store
 	// Admin is the admin IP:port of any instance, for status and waiting.
 	Admin string
 	Out   io.Writer
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/domain"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -41,12 +41,12 @@
 
 // Assigned returns the upstreams that self asks. Instances whose views of the
 // peers differ may ask an upstream more or fewer times for a while.
-func Assigned(self string, peers, upstreams []platform.Member) []platform.Member {
-	var assigned []platform.Member
+func Assigned(self string, peers, upstreams []objects.Member) []objects.Member {
+	var assigned []objects.Member
 	for _, u := range upstreams {
 		ranked := domain.Ranked(peers, u.Name)
 		probers := ranked[:min(ProbersEach, len(ranked))]
-		if slices.ContainsFunc(probers, func(m platform.Member) bool { return m.Name == self }) {
+		if slices.ContainsFunc(probers, func(m objects.Member) bool { return m.Name == self }) {
 			assigned = append(assigned, u)
 		}
 	}
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -17,8 +17,8 @@
 	RunSpecs(t, "Probe")
 }
 
-func named(prefix string, n int) []platform.Member {
-	members := make([]platform.Member, n)
+func named(prefix string, n int) []objects.Member {
+	members := make([]objects.Member, n)
 	for i := range members {
 		members[i].Name = fmt.Sprint(prefix, i)
 	}
@@ -48,7 +48,7 @@
 		for _, u := range upstreams {
 			probers := 0
 			for _, p := range peers[1:] {
-				probers += len(Assigned(p.Name, peers[1:], []platform.Member{u}))
+				probers += len(Assigned(p.Name, peers[1:], []objects.Member{u}))
 			}
 			Expect(probers).To(Equal(ProbersEach))
 		}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/route"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -22,7 +22,7 @@
 func slotted(count, slots int) []Slotted {
 	var list []Slotted
 	for n := range count {
-		list = append(list, Slotted{Upstream: upstream.Upstream{Member: platform.Member{Name: fmt.Sprintf("u%03d", n)}}, Slots: slots})
+		list = append(list, Slotted{Upstream: upstream.Upstream{Member: objects.Member{Name: fmt.Sprintf("u%03d", n)}}, Slots: slots})
 	}
 	return list
 }
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -9,7 +9,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const (
@@ -22,16 +22,16 @@
 )
 
 // Read returns the stored ledger of a run with its version, or ErrUnknownRun.
-func Read(ctx context.Context, store platform.Store, run string) (*Ledger, platform.Version, error) {
+func Read(ctx context.Context, store objects.Store, run string) (*Ledger, objects.Version, error) {
 	return book{store}.ledger(ctx, run)
 }
 
 // book reads and writes what a run keeps in the platform.
-type book struct{ store platform.Store }
+type book struct{ store objects.Store }
 
-func (b book) ledger(ctx context.Context, run string) (*Ledger, platform.Version, error) {
-	o, err := b.store.Get(ctx, platform.KindRun, run)
-	if errors.Is(err, platform.ErrNotFound) {
+func (b book) ledger(ctx context.Context, run string) (*Ledger, objects.Version, error) {
+	o, err := b.store.Get(ctx, objects.KindRun, run)
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, 0, ErrUnknownRun
 	}
 	if err != nil {
@@ -44,8 +44,8 @@
 	return l, o.Version, nil
 }
 
-func (b book) save(ctx context.Context, l *Ledger, expect platform.Version) (platform.Version, error) {
-	o, err := b.store.Put(ctx, platform.KindRun, l.Run, expect, l)
+func (b book) save(ctx context.Context, l *Ledger, expect objects.Version) (objects.Version, error) {
+	o, err := b.store.Put(ctx, objects.KindRun, l.Run, expect, l)
 	if err != nil {
 		return 0, oops.In("rollout").With("step", "write ledger", "run", l.Run).Wrap(err)
 	}
@@ -69,7 +69,7 @@
 		data = data[len(piece):]
 		last = len(data) == 0
 		o, err := b.store.Put(ctx, kind, partName(name, len(blob.Parts)), 0, part{Data: piece, Last: last})
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, objects.ErrConflict) {
 			return blob, oops.In("rollout").With("step", "write "+kind, "object", name).Wrap(unavailable(err))
 		}
 		blob.Parts = append(blob.Parts, o.Version)
@@ -104,10 +104,10 @@
 		if err == nil {
 			err = b.store.Delete(ctx, blob.Kind, partName(blob.Name, index), version)
 		}
-		if errors.Is(err, platform.ErrNotFound) && len(blob.Parts) == 0 {
+		if errors.Is(err, objects.ErrNotFound) && len(blob.Parts) == 0 {
 			return nil
 		}
-		gone := errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
+		gone := errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrConflict)
 		if err != nil && !gone {
 			return oops.In("rollout").With("step", "delete "+blob.Kind, "object", blob.Name).Wrap(unavailable(err))
 		}
@@ -115,7 +115,7 @@
 	return nil
 }
 
-func (b book) partVersion(ctx context.Context, blob Blob, index int) (platform.Version, error) {
+func (b book) partVersion(ctx context.Context, blob Blob, index int) (objects.Version, error) {
 	if index < len(blob.Parts) && blob.Parts[index] != 0 {
 		return blob.Parts[index], nil
 	}
--- a/rollout/change.go
+++ b/rollout/change.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // change writes the ledger after mutate. It does not end with the caller, whose
@@ -134,7 +134,7 @@
 }
 
 // adopt makes the stored ledger the current one.
-func (h *Home) adopt(ledger *Ledger, version platform.Version) {
+func (h *Home) adopt(ledger *Ledger, version objects.Version) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.version, h.uncertain, h.unsaved, h.confirmed = version, false, false, h.clock.Now()
--- a/rollout/home.go
+++ b/rollout/home.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Home serves one run at the instance that holds its ledger. Its methods are
@@ -31,7 +31,7 @@
 
 	mu         sync.Mutex // guards all below; never held over I/O
 	ledger     *Ledger
-	version    platform.Version
+	version    objects.Version
 	uncertain  bool // a write's outcome is unknown; read before the next
 	unsaved    bool // the ledger has changes that the platform does not have
 	work       map[int64]*stepWork
@@ -45,7 +45,7 @@
 }
 
 // Open claims run for the instance self and resumes its open steps.
-func Open(ctx context.Context, store platform.Store, generator Generator, clock clockwork.Clock, run, self string) (*Home, error) {
+func Open(ctx context.Context, store objects.Store, generator Generator, clock clockwork.Clock, run, self string) (*Home, error) {
 	b := book{store: store}
 	ledger, version, err := b.ledger(ctx, run)
 	if err != nil {
@@ -53,7 +53,7 @@
 	}
 	ledger.Claim(self)
 	version, err = b.save(ctx, ledger, version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		return nil, errors.Join(ErrMoved, err)
 	}
 	if err != nil {
@@ -70,7 +70,7 @@
 
 // Create writes the ledger of a new run with self as its home. Creating the
 // same run again is no error.
-func Create(ctx context.Context, store platform.Store, spec RunSpec, team, self string) error {
+func Create(ctx context.Context, store objects.Store, spec RunSpec, team, self string) error {
 	b := book{store: store}
 	l := &Ledger{
 		Run: spec.Run, Team: team, Model: spec.Model, MaxStaleness: spec.MaxStaleness,
@@ -80,7 +80,7 @@
 	if err == nil {
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, objects.ErrConflict) {
 		return unavailable(err)
 	}
 	existing, _, err := b.ledger(ctx, spec.Run)
@@ -238,8 +238,8 @@
 	}
 	h.serial.Lock()
 	defer h.serial.Unlock()
-	err = h.book.store.Delete(ctx, platform.KindRun, h.current().Run, h.versionNow())
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	err = h.book.store.Delete(ctx, objects.KindRun, h.current().Run, h.versionNow())
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return unavailable(err)
 	}
 	h.giveUp()
@@ -259,7 +259,7 @@
 	return h.ledger
 }
 
-func (h *Home) versionNow() platform.Version {
+func (h *Home) versionNow() objects.Version {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.version
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Limits of one run.
@@ -83,7 +83,7 @@
 	Name string `json:"name"`
 	// Parts are the versions of the stored parts; 0 is not known. A blob
 	// without parts is looked for until a part is missing.
-	Parts []platform.Version `json:"parts,omitempty"`
+	Parts []objects.Version `json:"parts,omitempty"`
 }
 
 // FreshFrom returns the oldest weight version that may be delivered now.
@@ -193,7 +193,7 @@
 
 // refersTo reports whether the ledger needs a content.
 func (l *Ledger) refersTo(b Blob) bool {
-	if b.Kind == platform.KindBatch {
+	if b.Kind == objects.KindBatch {
 		return l.Batch.Content.Name == b.Name
 	}
 	return slices.ContainsFunc(l.Steps, func(s StepState) bool { return s.Spec.Name == b.Name })
@@ -209,7 +209,7 @@
 // not committed become garbage.
 func (l *Ledger) Claim(self string) {
 	for n := int64(1); l.Epoch > 0 && n <= maxOrphans; n++ {
-		l.discard(Blob{Kind: platform.KindBatch, Name: l.contentName(l.Seq + n)})
+		l.discard(Blob{Kind: objects.KindBatch, Name: l.contentName(l.Seq + n)})
 		l.discard(Blob{Kind: kindStep, Name: l.contentName(l.StepSeq + n)})
 	}
 	l.Home, l.Seq, l.StepSeq = self, 0, 0
--- a/rollout/once_test.go
+++ b/rollout/once_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pomelocross/pomelocross/internal/memstore"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -180,7 +180,7 @@
 	home := m.home(0)
 	home.Tick(1 << 40)
 	home.Tick(1 << 40)
-	for _, kind := range []string{platform.KindBatch, "step"} {
+	for _, kind := range []string{objects.KindBatch, "step"} {
 		if left := m.store.Names(kind); len(left) > onceInstances {
 			m.t.Fatalf("garbage is left: %v", left)
 		}
--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -9,7 +9,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Pull settles the batch that the trainer has consumed and returns the next
@@ -242,7 +242,7 @@
 		return nil, err
 	}
 	ledger, seq := h.current(), h.prepared.seq
-	blob, err := h.book.write(ctx, platform.KindBatch, ledger.contentName(seq), body)
+	blob, err := h.book.write(ctx, objects.KindBatch, ledger.contentName(seq), body)
 	ref.Content = blob
 	if err == nil {
 		err = h.change(ctx, func(l *Ledger) error {
@@ -271,7 +271,7 @@
 	}
 	next := max(h.prepared.seq, stored) + 1
 	if h.prepared.seq > stored {
-		h.orphan(Blob{Kind: platform.KindBatch, Name: h.current().contentName(h.prepared.seq)})
+		h.orphan(Blob{Kind: objects.KindBatch, Name: h.current().contentName(h.prepared.seq)})
 	}
 	h.prepared = prepared{hash: hash, seq: next}
 	if next-stored < maxOrphans {
--- a/rollout/scale_test.go
+++ b/rollout/scale_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/pomelocross/pomelocross/attempt"
 	"github.com/pomelocross/pomelocross/internal/memstore"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -89,7 +89,7 @@
 		home.Tick(time.Hour)
 		for _, w := range store.Writes() {
 			writes++
-			if w.Kind == platform.KindRun {
+			if w.Kind == objects.KindRun {
 				written += float64(w.Bytes)
 			}
 		}
--- a/rollout/step_test.go
+++ b/rollout/step_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/internal/memstore"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -37,7 +37,7 @@
 	It("of more than an object's size is resumed by the next home", func() {
 		spec := stepOf(1, 1, 2, 1)
 		for g := range spec.Groups {
-			spec.Groups[g].Prompt = strings.Repeat("gauze ", platform.MaxValueBytes/6)
+			spec.Groups[g].Prompt = strings.Repeat("gauze ", objects.MaxValueBytes/6)
 		}
 		first := open()
 		Expect(first.StartStep(ctx, spec)).To(Succeed())
@@ -73,7 +73,7 @@
 		_, err := home.Pull(ctx, rollout.PullRequest{WaitSeconds: 10})
 		Expect(err).NotTo(HaveOccurred())
 		store.Fault = func(kind, _ string, write bool) memstore.Fault {
-			if write && kind == platform.KindBatch {
+			if write && kind == objects.KindBatch {
 				return memstore.Down
 			}
 			return memstore.None
@@ -83,7 +83,7 @@
 		Expect(err).To(MatchError(rollout.ErrClosed))
 		store.Fault = nil
 		Expect(open().Delete(ctx)).To(Succeed())
-		for _, kind := range []string{platform.KindRun, platform.KindBatch, "step"} {
+		for _, kind := range []string{objects.KindRun, objects.KindBatch, "step"} {
 			Expect(store.Names(kind)).To(BeEmpty())
 		}
 	})
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -18,7 +18,7 @@
 func candidates(count int) []Candidate {
 	var list []Candidate
 	for n := range count {
-		list = append(list, Candidate{Upstream: upstream.Upstream{Member: platform.Member{Name: fmt.Sprintf("u%03d", n), Domain: "a"}}, Slots: 4})
+		list = append(list, Candidate{Upstream: upstream.Upstream{Member: objects.Member{Name: fmt.Sprintf("u%03d", n), Domain: "a"}}, Slots: 4})
 	}
 	return list
 }
@@ -39,7 +39,7 @@
 		{"own failure domain", Request{Domain: "b"}, func(c *Candidate) { c.Domain = "b" }},
 		{"fewer in flight", Request{Domain: "a"}, func(c *Candidate) { c.Slots = 8 }},
 		{"held prefix", Request{Domain: "a", Prefix: 1}, func(c *Candidate) { c.HoldsPrefix = true }},
-		{"cheap for drafts", Request{Domain: "a", Class: contract.ClassDraft}, func(c *Candidate) { c.Cost = platform.CostCheap }},
+		{"cheap for drafts", Request{Domain: "a", Class: contract.ClassDraft}, func(c *Candidate) { c.Cost = objects.CostCheap }},
 		{"free by its report", Request{Domain: "a"}, func(c *Candidate) { c.Capacity = 4 }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -54,7 +54,7 @@
 
 func TestDeskKeepsToDearUpstreams(t *testing.T) {
 	list := candidates(2)
-	list[0].Cost, list[1].Cost = platform.CostCheap, platform.CostDear
+	list[0].Cost, list[1].Cost = objects.CostCheap, objects.CostDear
 	gomega.NewWithT(t).Expect(Default().Choose(Request{Domain: "a", Class: contract.ClassDesk}, list).Name).To(gomega.Equal("u001"))
 }
 
--- a/route/scorers.go
+++ b/route/scorers.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // LeastLoaded prefers upstreams with more of this instance's share free.
@@ -44,7 +44,7 @@
 	if r.Class == "" {
 		return 0
 	}
-	if (r.Class == contract.ClassDesk) == (c.Cost != platform.CostCheap) {
+	if (r.Class == contract.ClassDesk) == (c.Cost != objects.CostCheap) {
 		return 1
 	}
 	return 0
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -26,7 +26,7 @@
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
 	"github.com/pomelocross/pomelocross/operator"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const testSecret = "a secret of the test deployment"
@@ -40,7 +40,7 @@
 	engines         map[string]*engine.Server
 	services        map[string]*service.Server
 	daemons         map[string]*daemon
-	members         []platform.Member
+	members         []objects.Member
 	bundle          *contract.Bundle
 }
 
@@ -88,7 +88,7 @@
 }
 
 // store is a client of the platform outside any relay.
-func (d *deployment) store() *platform.Client { return platform.NewClient(d.platformAddress, nil) }
+func (d *deployment) store() *objects.Client { return objects.NewClient(d.platformAddress, nil) }
 
 // addEngine starts an engine and lists it.
 func (d *deployment) addEngine(name, serviceName, domain string, options engine.Options) *engine.Server {
@@ -98,7 +98,7 @@
 	}
 	e := engine.New(options)
 	d.engines[name] = e
-	d.list(platform.Member{Name: name, Role: platform.RoleUpstream, Service: serviceName, Domain: domain, Address: serve(e), Cost: platform.CostDear})
+	d.list(objects.Member{Name: name, Role: objects.RoleUpstream, Service: serviceName, Domain: domain, Address: serve(e), Cost: objects.CostDear})
 	return e
 }
 
@@ -106,13 +106,13 @@
 func (d *deployment) addService(name, serviceName, domain string) *service.Server {
 	s := service.New(name)
 	d.services[name] = s
-	d.list(platform.Member{Name: name, Role: platform.RoleUpstream, Service: serviceName, Domain: domain, Address: serve(s), Cost: platform.CostDear})
+	d.list(objects.Member{Name: name, Role: objects.RoleUpstream, Service: serviceName, Domain: domain, Address: serve(s), Cost: objects.CostDear})
 	return s
 }
 
-func (d *deployment) list(m platform.Member) {
+func (d *deployment) list(m objects.Member) {
 	d.members = append(d.members, m)
-	d.platform.SetMembers(append([]platform.Member(nil), d.members...))
+	d.platform.SetMembers(append([]objects.Member(nil), d.members...))
 }
 
 // unlist takes a member off the instance list.
@@ -124,14 +124,14 @@
 		}
 	}
 	d.members = kept
-	d.platform.SetMembers(append([]platform.Member(nil), kept...))
+	d.platform.SetMembers(append([]objects.Member(nil), kept...))
 }
 
 // startDaemon starts an instance, lists it and waits until it is ready. Extra
 // arguments win over the harness's.
 func (d *deployment) startDaemon(name, domain string, args ...string) *daemon {
 	one := d.launch(name, domain, args...)
-	d.list(platform.Member{Name: name, Role: platform.RoleEntry, Domain: domain, Address: one.listen, Peer: one.inbound.address})
+	d.list(objects.Member{Name: name, Role: objects.RoleEntry, Domain: domain, Address: one.listen, Peer: one.inbound.address})
 	Eventually(one.ready).Should(BeTrue(), "%s is not ready: %s", name, one.log)
 	return one
 }
--- a/test/e2e/orders_lease_test.go
+++ b/test/e2e/orders_lease_test.go
@@ -16,7 +16,7 @@
 	"github.com/pomelocross/pomelocross/internal/standin/journal"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/lease"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const roleA = "upstreams-mty-a"
@@ -42,7 +42,7 @@
 // expectOneIncarnation checks that each epoch's intents are of one process.
 func (d *deployment) expectOneIncarnation() {
 	GinkgoHelper()
-	written, err := d.store().Watch(within(time.Second), platform.KindIntent, 0, 0)
+	written, err := d.store().Watch(within(time.Second), objects.KindIntent, 0, 0)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(written.Objects).NotTo(BeEmpty())
 	processes := map[int64]lease.Identity{}
@@ -59,11 +59,11 @@
 func (d *deployment) nameWeights(model string, version int64) {
 	GinkgoHelper()
 	Eventually(func() error {
-		o, err := d.store().Get(within(time.Second), platform.KindWeights, model)
+		o, err := d.store().Get(within(time.Second), objects.KindWeights, model)
 		if err != nil && o.Version != 0 {
 			return err
 		}
-		_, err = d.store().Put(within(time.Second), platform.KindWeights, model, o.Version, version)
+		_, err = d.store().Put(within(time.Second), objects.KindWeights, model, o.Version, version)
 		return err
 	}).Should(Succeed())
 }
@@ -186,7 +186,7 @@
 	It("is kept over lost renewal answers, without losing the role", func() {
 		start(false)
 		for version := int64(2); version < 6; version++ {
-			d.platform.SetFaults(standin.Faults{LoseAnswers: 2, LoseKind: platform.KindLease})
+			d.platform.SetFaults(standin.Faults{LoseAnswers: 2, LoseKind: objects.KindLease})
 			d.nameWeights("restock", version)
 			Eventually(func() bool { return d.orderedBy(first.name, version) }).Should(BeTrue())
 		}
--- a/test/e2e/orders_leaving_test.go
+++ b/test/e2e/orders_leaving_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // leavingBound is the time in which a leaving upstream must get no new work.
@@ -17,14 +17,14 @@
 
 // setLeaving marks members as leaving in the instance list.
 func (d *deployment) setLeaving(names ...string) {
-	marked := append([]platform.Member(nil), d.members...)
+	marked := append([]objects.Member(nil), d.members...)
 	for n := range marked {
 		for _, name := range names {
 			marked[n].Leaving = marked[n].Leaving || marked[n].Name == name
 		}
 	}
 	d.members = marked
-	d.platform.SetMembers(append([]platform.Member(nil), marked...))
+	d.platform.SetMembers(append([]objects.Member(nil), marked...))
 }
 
 // requestsAt counts the requests that engines have received.
@@ -51,7 +51,7 @@
 		// Listed as cheap before any instance decides on counts.
 		for n := range d.members {
 			if slices.Contains(leaving, d.members[n].Name) {
-				d.members[n].Cost = platform.CostCheap
+				d.members[n].Cost = objects.CostCheap
 			}
 		}
 		d.platform.SetMembers(slices.Clone(d.members))
@@ -108,7 +108,7 @@
 	)
 
 	// ordered returns the last count ordered of the engines of a cost class.
-	ordered := func(cost platform.CostClass) int {
+	ordered := func(cost objects.CostClass) int {
 		count := -1
 		for _, o := range d.platform.Record().Scale {
 			if o.Service == "lm-pool" && o.Domain == "mty-a" && o.Cost == cost {
@@ -123,9 +123,9 @@
 		for range streams {
 			go func() { _ = a.complete(demoKey("restockplans"), "long", 100000, true) }()
 		}
-		Eventually(func() []int { return []int{ordered(platform.CostDear), ordered(platform.CostCheap)} }).Should(Equal([]int{2, 2}))
+		Eventually(func() []int { return []int{ordered(objects.CostDear), ordered(objects.CostCheap)} }).Should(Equal([]int{2, 2}))
 		sayLeaving()
-		Eventually(func() []int { return []int{ordered(platform.CostDear), ordered(platform.CostCheap)} }, 2*leavingBound).Should(Equal([]int{3, 0}))
+		Eventually(func() []int { return []int{ordered(objects.CostDear), ordered(objects.CostCheap)} }, 2*leavingBound).Should(Equal([]int{3, 0}))
 		d.expectOneOrderer("mty-a")
 	})
 })
--- a/test/e2e/orders_weights_test.go
+++ b/test/e2e/orders_weights_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/internal/standin/weights"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 var _ = Describe("New weights", func() {
@@ -41,7 +41,7 @@
 		Eventually(func() int { return a.complete(demoKey("fabricas"), "warm", 1, false).status }).Should(Equal(200))
 		silent := newRelay(d.platformAddress)
 		silent.setSilent(true)
-		d.list(platform.Member{Name: "lm-silent", Role: platform.RoleUpstream, Service: "lm-pool", Domain: "mty-a", Address: silent.address, Cost: platform.CostDear})
+		d.list(objects.Member{Name: "lm-silent", Role: objects.RoleUpstream, Service: "lm-pool", Domain: "mty-a", Address: silent.address, Cost: objects.CostDear})
 		for version := int64(2); version <= 3; version++ {
 			d.nameWeights("restock", version)
 			Eventually(lagging, within).WithArguments(d, version).Should(BeZero())
--- a/test/e2e/pairs_test.go
+++ b/test/e2e/pairs_test.go
@@ -14,7 +14,7 @@
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
 	"github.com/pomelocross/pomelocross/operator"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -66,7 +66,7 @@
 		GinkgoHelper()
 		var ledger rollout.Ledger
 		Eventually(func() bool {
-			o, err := d.store().Get(within(time.Second), platform.KindRun, run)
+			o, err := d.store().Get(within(time.Second), objects.KindRun, run)
 			if err != nil || json.Unmarshal(o.Value, &ledger) != nil {
 				return false
 			}
--- a/test/e2e/session_path_test.go
+++ b/test/e2e/session_path_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/internal/standin/trainer"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/rollout"
 )
 
@@ -69,7 +69,7 @@
 
 // used sums what was reported over all windows, by team and service.
 func (s *session) used() string {
-	sums := map[string]platform.UsageFigure{}
+	sums := map[string]objects.UsageFigure{}
 	for _, team := range s.d.bundle.Teams {
 		for _, r := range windowsOf(s.d, team.Name) {
 			for service, f := range r.Figures {
@@ -170,7 +170,7 @@
 		Eventually(d.journal).WithArguments(domain.Name).ShouldNot(BeEmpty())
 	}
 	s.orders()
-	all := func() (sum platform.UsageFigure) {
+	all := func() (sum objects.UsageFigure) {
 		for _, team := range d.bundle.Teams {
 			sum.OutputTokens += reportedTokens(d, team.Name)
 			for _, r := range windowsOf(d, team.Name) {
@@ -183,7 +183,7 @@
 	}
 	// two first and two more completions, eight samples, and four plain
 	// requests: the second with the same Idempotency-Key is not run.
-	Eventually(all).Should(Equal(platform.UsageFigure{Requests: 2 + 2 + 8 + 4, OutputTokens: 2*1 + 2*4 + 8*8}))
+	Eventually(all).Should(Equal(objects.UsageFigure{Requests: 2 + 2 + 8 + 4, OutputTokens: 2*1 + 2*4 + 8*8}))
 	fmt.Fprintf(&s.text, "%s\n", s.used())
 	for _, one := range daemons {
 		one.terminate()
--- a/test/e2e/session_test.go
+++ b/test/e2e/session_test.go
@@ -20,7 +20,7 @@
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/operator"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // session records commands and calls with their output.
@@ -98,12 +98,12 @@
 
 // interposed runs a step once, between an operator's reading and its write.
 type interposed struct {
-	platform.Store
+	objects.Store
 	once sync.Once
 	step func()
 }
 
-func (i *interposed) Put(ctx context.Context, kind, name string, expect platform.Version, value any) (platform.Object, error) {
+func (i *interposed) Put(ctx context.Context, kind, name string, expect objects.Version, value any) (objects.Object, error) {
 	i.once.Do(i.step)
 	return i.Store.Put(ctx, kind, name, expect, value)
 }
--- a/test/e2e/usage_test.go
+++ b/test/e2e/usage_test.go
@@ -14,7 +14,7 @@
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	"github.com/pomelocross/pomelocross/internal/standin/hold"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 var _ = Describe("Usage reports", func() {
@@ -151,8 +151,8 @@
 }
 
 // windowsOf returns the first report of each window of a team.
-func windowsOf(d *deployment, team string) map[time.Time]platform.UsageReport {
-	windows := map[time.Time]platform.UsageReport{}
+func windowsOf(d *deployment, team string) map[time.Time]objects.UsageReport {
+	windows := map[time.Time]objects.UsageReport{}
 	for _, r := range d.platform.Record().Usage {
 		if _, seen := windows[r.Window]; r.Team == team && !seen {
 			windows[r.Window] = r
@@ -162,7 +162,7 @@
 }
 
 // sumReports sums a part of the figures of a team, each window once.
-func sumReports(d *deployment, team string, part func(platform.UsageFigure) int64) int64 {
+func sumReports(d *deployment, team string, part func(objects.UsageFigure) int64) int64 {
 	total := int64(0)
 	for _, r := range windowsOf(d, team) {
 		for _, f := range r.Figures {
@@ -174,12 +174,12 @@
 
 // reportedTokens sums the output tokens reported for a team.
 func reportedTokens(d *deployment, team string) int64 {
-	return sumReports(d, team, func(f platform.UsageFigure) int64 { return f.OutputTokens })
+	return sumReports(d, team, func(f objects.UsageFigure) int64 { return f.OutputTokens })
 }
 
 // lateTokens sums the tokens marked as late in a team's reports.
 func lateTokens(d *deployment, team string) int64 {
-	return sumReports(d, team, func(f platform.UsageFigure) int64 { return f.LateTokens })
+	return sumReports(d, team, func(f objects.UsageFigure) int64 { return f.LateTokens })
 }
 
 // generatedTokens sums what engines say they generated for a prompt.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -4,12 +4,12 @@
 package upstream
 
 import (
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Upstream is one back end as an instance knows it.
 type Upstream struct {
-	platform.Member
+	objects.Member
 	Load Load
 }
 
@@ -41,7 +41,7 @@
 
 // NewTable joins the member list with the last known loads, by upstream name.
 // An upstream leaves when either says so.
-func NewTable(members []platform.Member, loads map[string]Load) *Table {
+func NewTable(members []objects.Member, loads map[string]Load) *Table {
 	t := &Table{services: map[string][]Upstream{}, places: map[place][]Upstream{}}
 	for _, m := range members {
 		m.Leaving = m.Leaving || loads[m.Name].Leaving
--- a/usage/account.go
+++ b/usage/account.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Account is the stored billing state of a team: its newest frozen window and
@@ -27,8 +27,8 @@
 }
 
 // Report returns the account's frozen window as it is reported.
-func (a *Account) Report() platform.UsageReport {
-	return platform.UsageReport{Team: a.Team, Window: a.Window, Figures: a.Figures}
+func (a *Account) Report() objects.UsageReport {
+	return objects.UsageReport{Team: a.Team, Window: a.Window, Figures: a.Figures}
 }
 
 // Freeze returns the account with window frozen over lines, which hold at most
--- a/usage/account_test.go
+++ b/usage/account_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 const testWindow = time.Minute
@@ -57,7 +57,7 @@
 })
 
 func checkBilling(t *rapid.T) {
-	world := &billingWorld{t: t, objects: map[string]platform.Object{}, figures: map[string]string{}}
+	world := &billingWorld{t: t, objects: map[string]objects.Object{}, figures: map[string]string{}}
 	copies := NewCopies(0, 1000*time.Hour)
 	var meters []*Meter
 	holder := &Biller{Store: world, Report: world.report, Retention: 1000 * time.Hour}
@@ -114,7 +114,7 @@
 type billingWorld struct {
 	t       *rapid.T
 	failing bool
-	objects map[string]platform.Object
+	objects map[string]objects.Object
 	figures map[string]string // first figure reported of each team and window
 	reports map[string]int64  // output tokens by team and window
 }
@@ -133,37 +133,37 @@
 	return rapid.IntRange(0, 2).Draw(w.t, "trouble")
 }
 
-func (w *billingWorld) Get(_ context.Context, _, name string) (platform.Object, error) {
+func (w *billingWorld) Get(_ context.Context, _, name string) (objects.Object, error) {
 	if w.trouble() != 0 {
-		return platform.Object{}, errTest
+		return objects.Object{}, errTest
 	}
 	o, ok := w.objects[name]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objects.ErrNotFound
 	}
 	return o, nil
 }
 
-func (w *billingWorld) Put(_ context.Context, _, name string, expect platform.Version, value any) (platform.Object, error) {
+func (w *billingWorld) Put(_ context.Context, _, name string, expect objects.Version, value any) (objects.Object, error) {
 	trouble := w.trouble()
 	if trouble == 1 {
-		return platform.Object{}, errTest
+		return objects.Object{}, errTest
 	}
 	if w.objects[name].Version != expect {
-		return platform.Object{}, platform.ErrConflict
+		return objects.Object{}, objects.ErrConflict
 	}
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
-	w.objects[name] = platform.Object{Name: name, Version: expect + 1, Value: data}
+	w.objects[name] = objects.Object{Name: name, Version: expect + 1, Value: data}
 	if trouble == 2 {
-		return platform.Object{}, errTest
+		return objects.Object{}, errTest
 	}
 	return w.objects[name], nil
 }
 
-func (w *billingWorld) report(_ context.Context, r platform.UsageReport, _ func() bool) error {
+func (w *billingWorld) report(_ context.Context, r objects.UsageReport, _ func() bool) error {
 	trouble := w.trouble()
 	if trouble == 1 {
 		return errTest
@@ -192,10 +192,10 @@
 	return total
 }
 
-func (w *billingWorld) Delete(context.Context, string, string, platform.Version) error { return nil }
-func (w *billingWorld) List(context.Context, string) (platform.List, error) {
-	return platform.List{}, nil
+func (w *billingWorld) Delete(context.Context, string, string, objects.Version) error { return nil }
+func (w *billingWorld) List(context.Context, string) (objects.List, error) {
+	return objects.List{}, nil
 }
-func (w *billingWorld) Watch(context.Context, string, platform.Version, time.Duration) (platform.List, error) {
-	return platform.List{}, nil
+func (w *billingWorld) Watch(context.Context, string, objects.Version, time.Duration) (objects.List, error) {
+	return objects.List{}, nil
 }
--- a/usage/biller.go
+++ b/usage/biller.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // DefaultRetention is how long a silent source's totals stay in an account.
@@ -19,12 +19,12 @@
 var ErrLost = errors.New("billing role is no longer held")
 
 // ReportFunc sends a report unless held turns false before it has left.
-type ReportFunc func(ctx context.Context, r platform.UsageReport, held func() bool) error
+type ReportFunc func(ctx context.Context, r objects.UsageReport, held func() bool) error
 
 // Biller freezes and reports windows. Only the holder of the billing role runs
 // it, from one goroutine.
 type Biller struct {
-	Store     platform.Store
+	Store     objects.Store
 	Report    ReportFunc
 	Retention time.Duration
 
@@ -34,7 +34,7 @@
 // stored is an account as this holder knows it.
 type stored struct {
 	account  *Account // nil when the team has none yet
-	version  platform.Version
+	version  objects.Version
 	reported bool // the account's window, by this holder
 }
 
@@ -90,8 +90,8 @@
 	if known := b.accounts[team]; known != nil {
 		return known, nil
 	}
-	o, err := b.Store.Get(ctx, platform.KindUsage, team)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	o, err := b.Store.Get(ctx, objects.KindUsage, team)
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return nil, oops.With("step", "read account").Wrap(err)
 	}
 	known := &stored{version: o.Version}
@@ -114,7 +114,7 @@
 	if !tenure.Held() {
 		return ErrLost
 	}
-	o, err := b.Store.Put(ctx, platform.KindUsage, next.Team, known.version, next)
+	o, err := b.Store.Put(ctx, objects.KindUsage, next.Team, known.version, next)
 	if err != nil {
 		return oops.With("step", "freeze").Wrap(err)
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -11,11 +11,11 @@
 import (
 	"time"
 
-	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Figure counts requests and tokens.
-type Figure = platform.UsageFigure
+type Figure = objects.UsageFigure
 
 // MarksKept is how many windows an instance remembers for each team and
 // service. Use in windows older than that is reported with a later window.
