--- /dev/null
+++ b/batch/order.go
@@ -0,0 +1,76 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Standing is what the order of items depends on.
+type Standing struct {
+	Due     time.Time // of the item's batch
+	Desired int       // groups that the trainer waits for
+	Groups  []GroupStanding
+}
+
+// GroupStanding is one group of a batch.
+type GroupStanding struct {
+	Name string
+	Open int // items without an outcome
+	// Cost is the expected number of tokens of its open items.
+	Cost    int
+	Longest int // expected tokens of its longest open item
+	// First is set for groups that the trainer asked for before; it waits for
+	// these whatever others are whole.
+	First bool
+}
+
+// Wanted returns the groups of a batch in the order in which they should be
+// finished, those that the trainer does not wait for last.
+//
+// Load pattern: a step's items come at one moment and exceed the free slots.
+// Groups asked for again go first, then those with the least work left, so that
+// the tenth which nobody waits for is the most costly one.
+func Wanted(s Standing) []GroupStanding {
+	groups := slices.Clone(s.Groups)
+	slices.SortStableFunc(groups, func(a, b GroupStanding) int {
+		return cmp.Or(compareBool(b.First, a.First), cmp.Compare(a.Longest, b.Longest), cmp.Compare(a.Cost, b.Cost))
+	})
+	return groups
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// Candidate is an item that waits for an engine.
+type Candidate struct {
+	Due    time.Time // of its batch
+	Wanted bool      // its group is among those that the trainer waits for
+	First  bool      // its group was asked for before
+	Left   int       // expected tokens left
+	Begun  bool      // it has text from an earlier run
+	Age    time.Duration
+}
+
+// Before orders waiting items.
+//
+// Load pattern: more items than slots, lengths far apart. Items that the trainer
+// waits for go first, those of the earlier due time before others; among them
+// ones that had begun, and then the longest, since the last one to end decides
+// when a group is whole.
+func Before(a, b Candidate) int {
+	return cmp.Or(
+		compareBool(b.Wanted, a.Wanted),
+		a.Due.Compare(b.Due),
+		compareBool(b.First, a.First),
+		compareBool(b.Begun, a.Begun),
+		cmp.Compare(b.Left, a.Left),
+	)
+}
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,294 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/catalog"
+	"github.com/pomelocross/pomelocross/roster"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+// Causes for which a run is cancelled.
+var (
+	errEnded = errors.New("the batch has ended")
+	errLost  = errors.New("another instance runs the batch")
+	errStop  = errors.New("the instance stops")
+	errMoved = errors.New("the item goes on at another engine")
+)
+
+// Options of a Runner.
+type Options struct {
+	Name    string // of the instance
+	Peer    string // IP:port for other instances
+	Domain  string
+	Keeper  *Keeper
+	Roster  *roster.Roster
+	Engines upstream.Forwarder
+	Catalog func() *catalog.Catalog // nil until one is known
+	Clock   clockwork.Clock
+	Log     *zap.Logger
+	// Record is told of each finished sending of an item and its outcome.
+	Record func(outcome string, took time.Duration)
+}
+
+// Runner runs the batches that this instance owns.
+type Runner struct {
+	Options
+	wake chan struct{}
+
+	mu       sync.Mutex // guards all below and every job
+	jobs     map[string]*job
+	kept     *keptTexts
+	stopping bool
+	running  sync.WaitGroup // of sendings
+	writers  sync.WaitGroup // of chunks
+}
+
+// NewRunner returns a Runner without batches.
+func NewRunner(o Options) *Runner {
+	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts()}
+}
+
+const (
+	// dispatchInterval is how often waiting items are offered again when nothing
+	// has changed here, since room at engines also comes from elsewhere.
+	dispatchInterval = 50 * time.Millisecond
+	// watchInterval is how often running items are judged.
+	watchInterval = 100 * time.Millisecond
+)
+
+// Run dispatches until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	dispatch := r.Clock.NewTicker(dispatchInterval)
+	defer dispatch.Stop()
+	judge := r.Clock.NewTicker(watchInterval)
+	defer judge.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		case <-dispatch.Chan():
+		case <-judge.Chan():
+			r.judge()
+			r.retire()
+		}
+		r.dispatch(ctx)
+	}
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// waiting is an item that may be sent.
+type waiting struct {
+	Candidate
+	job   *job
+	state *itemState
+}
+
+// kind is what items that the same engines suit have in common.
+type kind struct {
+	service, model string
+	least          int64 // weight version
+}
+
+// dispatch sends waiting items to engines with room.
+func (r *Runner) dispatch(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping || len(r.jobs) == 0 {
+		return
+	}
+	now, config := r.Clock.Now(), r.Catalog()
+	if config == nil {
+		return
+	}
+	full := map[kind]bool{}
+	for _, w := range r.queue(now) {
+		route, ok := config.Route(w.job.head.Route)
+		if !ok {
+			w.job.finish(Result{ID: w.state.item.ID, State: Dead})
+			continue
+		}
+		r.offer(ctx, w, route, config, full, now)
+	}
+}
+
+// offer sends one item if an engine has room. full remembers needs that none had
+// room for.
+func (r *Runner) offer(ctx context.Context, w waiting, route catalog.Route, config *catalog.Catalog, full map[kind]bool, now time.Time) {
+	service := route.ServiceOf(0)
+	if len(route.Shares) > 1 {
+		service = route.ServiceOf(drawOf(w.state.item.ID))
+	}
+	asked := kind{service, w.state.item.Model, w.job.sub.MinVersion}
+	if full[asked] {
+		return
+	}
+	need := roster.Need{
+		Service: asked.service, Model: asked.model, MinVersion: asked.least, Domain: r.Domain,
+		KVTokens: config.Services[service].KVTokens,
+		Tokens:   w.state.item.Prompt + w.state.item.Expected(),
+		Avoid:    map[string]bool{w.state.avoid: true},
+	}
+	choice, ok := r.Roster.Pick(need, now)
+	if !ok && w.state.avoid != "" {
+		need.Avoid = nil
+		choice, ok = r.Roster.Pick(need, now)
+	}
+	if !ok {
+		full[asked] = true
+		return
+	}
+	r.start(ctx, w, route, choice, need.Tokens, now)
+}
+
+// queue returns all waiting items in the order in which they are offered.
+func (r *Runner) queue(now time.Time) []waiting {
+	var list []waiting
+	for _, j := range r.jobs {
+		if j.open() {
+			list = append(list, j.queue(r.kept, now)...)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b waiting) int { return Before(a.Candidate, b.Candidate) })
+	return list
+}
+
+func (j *job) queue(kept *keptTexts, now time.Time) []waiting {
+	idle := false
+	for _, s := range j.items {
+		idle = idle || s.running == nil
+	}
+	if !idle {
+		return nil
+	}
+	wanted, done := map[string]bool{}, 0
+	first := map[string]bool{}
+	for _, g := range Wanted(j.standing(kept.asked)) {
+		first[g.Name] = g.First
+		if g.Open == 0 {
+			done++
+			continue
+		}
+		wanted[g.Name] = g.First || done < j.sub.Desired
+		done++
+	}
+	var list []waiting
+	for i := range j.sub.Items { // in the order of the submission, for ties
+		s := j.items[j.sub.Items[i].ID]
+		if s == nil || s.running != nil {
+			continue
+		}
+		list = append(list, waiting{job: j, state: s, Candidate: Candidate{
+			Due: j.due, Wanted: wanted[s.item.Group], First: first[s.item.Group],
+			Left: s.item.Expected(), Begun: s.events > 0,
+		}})
+	}
+	return list
+}
+
+// start sends an item. The caller holds mu.
+func (r *Runner) start(ctx context.Context, w waiting, route catalog.Route, to roster.Choice, tokens int, now time.Time) {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	w.state.running = &run{upstream: to.ID, begun: now, sign: now, tokens: tokens, cancel: cancel}
+	r.Roster.Begin(to.ID, tokens)
+	var last *int64
+	if w.state.events > 0 {
+		id := w.state.last
+		last = &id
+	}
+	item := w.state.item
+	f := upstream.Forward{
+		ID: item.ID, Method: "POST", Host: route.Host, Target: item.Path, Header: item.Header,
+		Body: item.Body, Team: w.job.head.Team, LastEvent: last,
+	}
+	r.running.Go(func() {
+		end := r.send(ctx, w, f, to)
+		cancel(nil)
+		r.settle(w, end, route)
+	})
+}
+
+// judge moves running items away from engines that went silent or slow.
+func (r *Runner) judge() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for _, j := range r.jobs {
+		for _, s := range j.items {
+			if s.running != nil {
+				r.judgeRun(j, s, now)
+			}
+		}
+	}
+}
+
+func (r *Runner) judgeRun(j *job, s *itemState, now time.Time) {
+	own, best := r.Roster.Pace(s.running.upstream, now)
+	view := RunView{
+		Begun: s.running.begun, LastSign: s.running.sign, Events: s.running.events,
+		Own: own, Best: best, Moves: s.moves, Free: true, LeftEvents: leftEvents(s),
+	}
+	reason := ShouldMove(view, now)
+	if reason == Stay {
+		return
+	}
+	r.Log.Info("item moves to another engine", zap.String("batch", j.head.ID), zap.String("item", s.item.ID),
+		zap.String("upstream", s.running.upstream), zap.String("reason", string(reason)), zap.Int("events", s.events),
+		zap.Duration("silence", now.Sub(s.running.sign)), zap.Duration("pace", own), zap.Duration("best", best))
+	if reason == Silent {
+		r.Roster.Failed(s.running.upstream, now)
+	}
+	s.moves++
+	s.avoid = s.running.upstream
+	s.running.cancel(errMoved)
+}
+
+// leftEvents estimates the events to come from the tokens that were made an
+// event so far.
+func leftEvents(s *itemState) int {
+	const usual = 64 // tokens an event until more is known; engines give some tens
+	return max(s.events/4, s.item.Expected()/usual-s.events, 1)
+}
+
+// retain is how long an ended batch stays in memory for reads that are still on
+// their way; later ones read the store.
+const retain = 4 * time.Second
+
+// retire forgets jobs that need no memory here any more.
+func (r *Runner) retire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	for id, j := range r.jobs {
+		if (j.ended && j.ledger.Pending() == 0 && now.Sub(j.endedAt) > retain) || j.lost {
+			delete(r.jobs, id)
+		}
+	}
+}
+
+// Open returns how many batches run here.
+func (r *Runner) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, j := range r.jobs {
+		if j.open() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/batch/service.go
@@ -0,0 +1,374 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/pomelocross/pomelocross/objects"
+)
+
+// ErrUnsure means that this instance cannot tell the state of a batch now.
+var ErrUnsure = errors.New("the state of the batch is not known here now")
+
+// Peers calls other instances. An answer of the peer itself that it does not run
+// the batch is ErrNotHere.
+type Peers interface {
+	Read(ctx context.Context, peer string, args ReadArgs) (Page, error)
+	End(ctx context.Context, peer, id string) error
+	Adopt(ctx context.Context, peer, id string) error
+	// Others returns addresses of other instances that may run batches, best
+	// first.
+	Others() []string
+}
+
+// ErrNotHere means that an instance does not run a batch.
+var ErrNotHere = errors.New("the batch does not run here")
+
+// ReadArgs asks for results.
+type ReadArgs struct {
+	ID    string
+	Team  string
+	After int
+	Wait  time.Duration
+}
+
+// Service answers for all batches, wherever they run.
+type Service struct {
+	runner *Runner
+	store  objects.Store
+	keeper *Keeper
+	peers  Peers
+	log    *zap.Logger
+	// dueOf returns when the results of a batch of a route are wanted.
+	dueOf  func(route string) time.Duration
+	claims singleflight.Group
+
+	mu    sync.Mutex // guards views
+	views map[string]*view
+}
+
+// view is what this instance knows of a batch that runs elsewhere or has ended.
+type view struct {
+	head    Stored
+	ledger  *Ledger
+	used    time.Time
+	failing time.Time // since when the owner does not answer; zero when it does
+	grew    time.Time // when results were last seen to come
+}
+
+// maxViews bounds the ended batches whose results are kept for further reads.
+const maxViews = 6
+
+// NewService returns the service over a runner.
+func NewService(r *Runner, store objects.Store, peers Peers, dueOf func(string) time.Duration) *Service {
+	return &Service{runner: r, store: store, keeper: r.Keeper, peers: peers, log: r.Log, dueOf: dueOf, views: map[string]*view{}}
+}
+
+// Submit stores a batch and runs it here. It returns nil for one that was
+// accepted before.
+func (s *Service) Submit(ctx context.Context, sub *Submission, team, route string, now time.Time) error {
+	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: team, Route: route, Submitted: now.UnixMilli()}
+	stored, created, err := s.keeper.Create(ctx, sub, h)
+	if errors.Is(err, ErrUnsettled) {
+		go s.settle(sub.ID)
+	}
+	if err != nil {
+		return err
+	}
+	if stored.Team != team {
+		return oops.In("batch").With("batch", sub.ID).Errorf("the batch belongs to another team")
+	}
+	s.log.Info("batch accepted", zap.String("batch", sub.ID), zap.String("team", team), zap.Int64("step", sub.Step),
+		zap.Int("items", len(sub.Items)), zap.Int64("leastVersion", sub.MinVersion), zap.Bool("again", !created), zap.String("owner", stored.Owner))
+	if created {
+		s.runner.Add(stored, sub, NewLedger(len(sub.Items)), nil, s.dueOf(route))
+	}
+	return nil
+}
+
+// settleWait is how long after an unsettled submission its fate is looked up: a
+// store may carry a write out seconds later.
+const settleWait = 7 * time.Second
+
+// settle runs a batch whose acceptance was not known, if it was stored after all
+// and nobody has taken it on.
+func (s *Service) settle(id string) {
+	for range 2 {
+		s.runner.Clock.Sleep(settleWait / 2)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		h, err := s.keeper.Head(ctx, id)
+		if err == nil && h.Owner == s.runner.Name && !s.runner.Runs(id) && !h.Ended {
+			_, err = s.claim(ctx, id)
+		}
+		cancel()
+		if err != nil && !errors.Is(err, ErrUnknown) {
+			s.log.Warn("an unsettled batch could not be looked up", zap.String("batch", id), zap.Error(err))
+		}
+	}
+}
+
+// Read returns results of a batch of a team.
+func (s *Service) Read(ctx context.Context, args ReadArgs) (Page, error) {
+	page, err := s.runner.Page(ctx, args)
+	if !errors.Is(err, ErrNotHere) {
+		return page, err
+	}
+	v, err := s.viewOf(ctx, args.ID)
+	if err != nil {
+		return Page{}, err
+	}
+	if v.head.Team != args.Team {
+		return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnknown)
+	}
+	if v.head.Ended {
+		return s.readEnded(ctx, v, args)
+	}
+	return s.readOwner(ctx, v, args)
+}
+
+// viewOf returns what is known of a batch, from the store when nothing is.
+func (s *Service) viewOf(ctx context.Context, id string) (*view, error) {
+	s.mu.Lock()
+	v := s.views[id]
+	s.mu.Unlock()
+	if v != nil {
+		return v, nil
+	}
+	return s.refresh(ctx, id)
+}
+
+func (s *Service) refresh(ctx context.Context, id string) (*view, error) {
+	h, err := s.keeper.Head(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.views[id]
+	if v == nil {
+		v = &view{}
+		s.views[id] = v
+	}
+	if v.head.Owner != h.Owner {
+		v.failing = time.Time{}
+	}
+	v.head, v.used = h, s.runner.Clock.Now()
+	s.trim()
+	return v, nil
+}
+
+// trim forgets the views used least lately. The caller holds mu.
+func (s *Service) trim() {
+	for len(s.views) > maxViews {
+		oldest := ""
+		for id, v := range s.views {
+			if oldest == "" || v.used.Before(s.views[oldest].used) {
+				oldest = id
+			}
+		}
+		delete(s.views, oldest)
+	}
+}
+
+// readEnded reads an ended batch from the store.
+func (s *Service) readEnded(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+	ledger, err := s.follow(ctx, v)
+	if err != nil {
+		return Page{}, err
+	}
+	return ledger.Page(args.After), nil
+}
+
+// follow brings the view's results up to what is stored.
+func (s *Service) follow(ctx context.Context, v *view) (*Ledger, error) {
+	s.mu.Lock()
+	head, known := v.head, v.ledger
+	s.mu.Unlock()
+	ledger := NewLedger(head.Items)
+	if known != nil {
+		ledger = known.clone()
+	}
+	before := ledger.Chunks()
+	for {
+		more, err := s.keeper.Follow(ctx, head.ID, ledger)
+		if err != nil {
+			return nil, err
+		}
+		if !more {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.ledger, v.used = ledger, s.runner.Clock.Now()
+	if ledger.Chunks() > before {
+		v.grew = v.used
+	}
+	return ledger, nil
+}
+
+// readOwner asks the batch's owner, and takes its place when it is gone.
+func (s *Service) readOwner(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+	if v.head.Owner == "" || v.head.Owner == s.runner.Name {
+		return s.takeOver(ctx, args, "it has no owner that runs it")
+	}
+	page, err := s.askOwner(ctx, v, args)
+	switch {
+	case err == nil:
+		s.mu.Lock()
+		v.failing, v.used = time.Time{}, s.runner.Clock.Now()
+		s.mu.Unlock()
+		return page, nil
+	case errors.Is(err, ErrNotHere):
+		return s.readMoved(ctx, v.head, args)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return s.takeOver(ctx, args, "its owner refuses connections")
+	}
+	return s.readBehind(ctx, v, args)
+}
+
+// askMargin is how much longer than the caller's wait an owner may take.
+const askMargin = 600 * time.Millisecond
+
+func (s *Service) askOwner(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+askMargin)
+	defer cancel()
+	return s.peers.Read(ctx, v.head.Peer, args)
+}
+
+// readMoved reads a batch whose believed owner does not run it.
+func (s *Service) readMoved(ctx context.Context, before Stored, args ReadArgs) (Page, error) {
+	v, err := s.refresh(ctx, args.ID)
+	if err != nil {
+		return Page{}, err
+	}
+	switch {
+	case v.head.Ended:
+		return s.readEnded(ctx, v, args)
+	case v.head.Owner == before.Owner || v.head.Owner == "" || v.head.Owner == s.runner.Name:
+		return s.takeOver(ctx, args, "its owner does not run it")
+	}
+	return s.askOwner(ctx, v, args)
+}
+
+// deadAfter is how long an owner that does not answer and lists nothing is
+// waited for. A pause of a healthy owner is shorter.
+const deadAfter = 1200 * time.Millisecond
+
+// readBehind reads the store while the owner does not answer, and takes its
+// place when nothing comes from it.
+func (s *Service) readBehind(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+	now := s.runner.Clock.Now()
+	s.mu.Lock()
+	if v.failing.IsZero() {
+		v.failing, v.grew = now, now
+	}
+	s.mu.Unlock()
+	if _, err := s.refresh(ctx, args.ID); err != nil {
+		return Page{}, err
+	}
+	ledger, err := s.follow(ctx, v)
+	if err != nil {
+		return Page{}, err
+	}
+	s.mu.Lock()
+	silent := now.Sub(v.failing) >= deadAfter && now.Sub(v.grew) >= deadAfter
+	s.mu.Unlock()
+	if silent {
+		return s.takeOver(ctx, args, "its owner is silent")
+	}
+	return ledger.Page(args.After), nil
+}
+
+// takeOver claims a batch and reads it here.
+func (s *Service) takeOver(ctx context.Context, args ReadArgs, why string) (Page, error) {
+	s.log.Info("batch is taken over", zap.String("batch", args.ID), zap.String("why", why))
+	if _, err := s.claim(ctx, args.ID); err != nil {
+		return Page{}, err
+	}
+	args.Wait = 0
+	page, err := s.runner.Page(ctx, args)
+	if errors.Is(err, ErrNotHere) {
+		return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnsure)
+	}
+	return page, err
+}
+
+// claim makes this instance a batch's owner and runs it.
+func (s *Service) claim(ctx context.Context, id string) (Stored, error) {
+	claimed, err, _ := s.claims.Do(id, func() (any, error) {
+		h, err := s.keeper.Change(ctx, id, func(h *Head) bool {
+			h.Owner, h.Peer = s.runner.Name, s.runner.Peer
+			return !h.Ended
+		})
+		if err != nil {
+			return h, err
+		}
+		sub, ledger, partials, err := s.keeper.Load(ctx, h)
+		if err != nil {
+			return h, err
+		}
+		s.runner.Add(h, sub, ledger, partials, s.dueOf(h.Route)-min(s.dueOf(h.Route), max(0, h.Age(time.Now()))))
+		return h, nil
+	})
+	h, _ := claimed.(Stored)
+	return h, err
+}
+
+// End ends a batch of a team. It returns nil when the store has it.
+func (s *Service) End(ctx context.Context, id, team string) error {
+	other := false
+	h, err := s.keeper.Change(ctx, id, func(h *Head) bool {
+		other = h.Team != team
+		changes := !other && !h.Ended
+		h.Ended = h.Ended || changes
+		return changes
+	})
+	if err != nil {
+		return err
+	}
+	if other {
+		return oops.In("batch").With("batch", id).Wrap(ErrUnknown)
+	}
+	s.runner.Ended(id)
+	s.mu.Lock()
+	if v := s.views[id]; v != nil {
+		v.head = h
+	}
+	s.mu.Unlock()
+	if h.Owner != "" && h.Owner != s.runner.Name {
+		go s.tellEnd(h)
+	}
+	return nil
+}
+
+// tellEnd tells the owner of an end; it would see it in the store later.
+func (s *Service) tellEnd(h Stored) {
+	ctx, cancel := context.WithTimeout(context.Background(), askMargin)
+	defer cancel()
+	if err := s.peers.End(ctx, h.Peer, h.ID); err != nil {
+		s.log.Info("owner was not told of a batch's end", zap.String("batch", h.ID), zap.String("owner", h.Owner), zap.Error(err))
+	}
+}
+
+// Body returns the body of an item of a team's batch.
+func (s *Service) Body(ctx context.Context, id, team, item string) ([]byte, error) {
+	if body, ok := s.runner.Body(id, team, item); ok {
+		return body, nil
+	}
+	h, err := s.keeper.Head(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if h.Team != team {
+		return nil, oops.In("batch").With("batch", id).Wrap(ErrUnknown)
+	}
+	return s.keeper.Body(ctx, h, item)
+}
--- /dev/null
+++ b/batch/write.go
@@ -0,0 +1,127 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// flushDelay gathers results into one chunk: a store call for each result
+	// would be priced, and trainers read twice a second.
+	flushDelay = 200 * time.Millisecond
+	// writePause is the pause after a chunk that could not be stored.
+	writePause = 250 * time.Millisecond
+)
+
+// Add takes over a batch that this instance owns. It returns false when it runs
+// here already or the runner stops.
+func (r *Runner) Add(h Stored, s *Submission, l *Ledger, partials map[string]Partial, due time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.jobs[h.ID]; r.stopping || (known != nil && !known.lost) {
+		return false
+	}
+	now := r.Clock.Now()
+	kept := func(item *Item) *Partial {
+		if p, ok := partials[item.ID]; ok {
+			return &p
+		}
+		return r.kept.fit(item, s.MinVersion)
+	}
+	j := newJob(h, s, l, kept, now.Add(due), now)
+	r.jobs[h.ID] = j
+	r.writers.Go(func() { r.write(j) })
+	r.signal()
+	return true
+}
+
+// write stores a job's results until there will be no more.
+func (r *Runner) write(j *job) {
+	for range j.flush {
+		r.pauseBeforeChunk(j)
+		for r.writeNext(j) {
+		}
+		if r.written(j) {
+			return
+		}
+	}
+}
+
+// written reports whether no further result of the job will be stored here.
+func (r *Runner) written(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return j.lost || j.ledger.Whole() || (j.ended && j.ledger.Pending() == 0) || (r.stopping && j.ledger.Pending() == 0)
+}
+
+func (r *Runner) pauseBeforeChunk(j *job) {
+	r.mu.Lock()
+	last := len(j.items) == 0 || r.stopping
+	r.mu.Unlock()
+	if !last {
+		r.Clock.Sleep(flushDelay)
+	}
+}
+
+// writeNext stores one chunk and reports whether more is to be stored.
+func (r *Runner) writeNext(j *job) bool {
+	r.mu.Lock()
+	results, n, lost := j.ledger.Next(), j.ledger.Chunks(), j.lost
+	r.mu.Unlock()
+	if len(results) == 0 || lost {
+		return false
+	}
+	sent := r.Clock.Now()
+	written, err := r.Keeper.Append(context.Background(), j.head.ID, n, results)
+	if err != nil {
+		r.Log.Warn("results could not be stored yet", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(results)), zap.Error(err))
+		r.Clock.Sleep(writePause)
+		return true
+	}
+	if !written {
+		return r.followOther(j, n)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.ledger.Apply(results)
+	j.sure = sent
+	j.announce()
+	return j.ledger.Pending() > 0
+}
+
+// followOther applies a chunk that another writer stored first.
+func (r *Runner) followOther(j *job, n int) bool {
+	fresh := NewLedger(0)
+	fresh.chunks = n
+	_, err := r.Keeper.Follow(context.Background(), j.head.ID, fresh)
+	if err != nil {
+		r.Log.Warn("a chunk of another writer could not be read", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Error(err))
+		r.Clock.Sleep(writePause)
+		return true
+	}
+	r.Log.Info("another instance stored results first", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(fresh.stored)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if fresh.chunks > n && j.ledger.Chunks() == n {
+		j.ledger.Apply(fresh.stored)
+		r.dropListed(j)
+		j.announce()
+	}
+	return j.ledger.Pending() > 0
+}
+
+// dropListed ends runs of items that another instance has listed. The caller
+// holds mu.
+func (r *Runner) dropListed(j *job) {
+	for id, s := range j.items {
+		if !j.ledger.Listed(id) {
+			continue
+		}
+		if s.running != nil {
+			s.running.cancel(errLost)
+		}
+		delete(j.items, id)
+	}
+}
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -6,8 +6,8 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/contract"
-	"github.com/pomelocross/pomelocross/operator"
 	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/operator"
 )
 
 // Deployment is what load is run against.
--- a/cmd/pomelocross-standin/main.go
+++ b/cmd/pomelocross-standin/main.go
@@ -104,7 +104,7 @@
 }
 
 func (f *flags) platform() error {
-	s := objects.New()
+	s := platform.New()
 	if f.members != "" {
 		data, err := os.ReadFile(f.members)
 		if err != nil {
--- a/domain/tracker.go
+++ b/domain/tracker.go
@@ -51,7 +51,7 @@
 type Tracker struct {
 	self    objects.Member
 	limits  Limits
-	members []objects.Member  // last reading of the list
+	members []objects.Member   // last reading of the list
 	known   map[string]*record // entry instances other than self
 	own     []string           // names of known in self's domain, sorted; nil when to be made anew
 	changed bool               // a view taken now differs from the last
--- /dev/null
+++ b/fleet/waves.go
@@ -0,0 +1,242 @@
+package fleet
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// WaveEngine is an engine as the planner of weight loads sees it.
+type WaveEngine struct {
+	ID      string
+	Started int64 // tells incarnations apart
+	// Accepted is how many orders it has accepted since its start, as far as known.
+	Accepted int64
+	Models   map[string]int64 // weight versions served
+}
+
+// Load is the decision that an engine shall load a weight version.
+type Load struct {
+	Engine   string
+	Model    string
+	Version  int64
+	Accepted int64 // orders that the engine must have accepted before
+}
+
+// Waves plans the loads of weights of one service whose engines serve several
+// models. Each model has home engines, as many as there are engines for a model
+// when all share alike; only these follow its versions. It does no I/O.
+//
+// Load pattern: several trainers each name a version every few seconds, and a
+// load takes an engine's model away for about a second. Loading all engines for
+// all models would keep the weight store busier than it can be and discard
+// prompts for nothing.
+type Waves struct {
+	homes   map[string]map[string]bool // engines by model
+	engines map[string]*waveState
+	named   map[string]naming
+}
+
+type naming struct {
+	version int64
+	at      time.Time // when the version was first seen
+}
+
+// waveState is what is remembered of one engine.
+type waveState struct {
+	started  int64
+	accepted int64
+	open     Load      // Model is empty when no order is open
+	sent     time.Time // of the open order
+	again    time.Time // no order before
+	failed   int       // orders in a row without effect
+}
+
+const (
+	// loadsPart is the part of a service's engines that may load at once; beyond
+	// it the weight store slows all loads.
+	loadsPart = 0.2
+	// leastLoads is how many may load at once however few engines there are.
+	leastLoads = 2
+	// burstTime is how long a new version waits, so that the items of the step
+	// asked with its naming begin on engines that still serve.
+	burstTime = 400 * time.Millisecond
+	// loadGivenUp is after which an accepted order without effect is forgotten.
+	loadGivenUp = 8 * time.Second
+	// firstAgain is the pause after an order that was not accepted; it doubles.
+	firstAgain = 250 * time.Millisecond
+	// mostAgain bounds the doublings of the pause.
+	mostAgain = 4
+)
+
+// NewWaves returns a planner that has seen nothing.
+func NewWaves() *Waves {
+	return &Waves{homes: map[string]map[string]bool{}, engines: map[string]*waveState{}, named: map[string]naming{}}
+}
+
+// Next returns the loads to order at now. named holds the newest version of each
+// model that has one.
+func (w *Waves) Next(engines []WaveEngine, models []string, named map[string]int64, now time.Time) []Load {
+	w.see(engines, now)
+	w.name(named, now)
+	w.settle(engines, models)
+	behind := w.behind(engines, now)
+	room := max(leastLoads, int(math.Round(loadsPart*float64(len(engines))))) - w.loading()
+	var loads []Load
+	taken := map[string]bool{}
+	for _, l := range behind {
+		if len(loads) >= room {
+			break
+		}
+		if taken[l.Engine] {
+			continue
+		}
+		taken[l.Engine] = true
+		state := w.engines[l.Engine]
+		state.open, state.sent = l, now
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// see takes in the engines' states.
+func (w *Waves) see(engines []WaveEngine, now time.Time) {
+	listed := map[string]bool{}
+	for _, e := range engines {
+		listed[e.ID] = true
+		s := w.engines[e.ID]
+		if s == nil || s.started != e.Started {
+			s = &waveState{started: e.Started}
+			w.engines[e.ID] = s
+		}
+		s.accepted = max(s.accepted, e.Accepted)
+		if s.open.Model != "" && (e.Models[s.open.Model] >= s.open.Version || now.Sub(s.sent) > loadGivenUp) {
+			s.open, s.failed = Load{}, 0
+		}
+	}
+	maps.DeleteFunc(w.engines, func(id string, _ *waveState) bool { return !listed[id] })
+}
+
+func (w *Waves) name(named map[string]int64, now time.Time) {
+	for model, version := range named {
+		if version > w.named[model].version {
+			w.named[model] = naming{version, now}
+		}
+	}
+}
+
+// settle gives each model its home engines. Engines that serve a newer version of
+// a model are taken first, so that a new holder of the role finds the homes that
+// its predecessor had chosen.
+func (w *Waves) settle(engines []WaveEngine, models []string) {
+	if len(models) == 0 {
+		return
+	}
+	each := max(1, len(engines)/len(models))
+	used := map[string]int{}
+	for _, m := range models {
+		homes := w.homes[m]
+		if homes == nil {
+			homes = map[string]bool{}
+			w.homes[m] = homes
+		}
+		maps.DeleteFunc(homes, func(id string, _ bool) bool { return w.engines[id] == nil })
+		for id := range homes {
+			used[id]++
+		}
+	}
+	for _, m := range models {
+		free := slices.DeleteFunc(slices.Clone(engines), func(e WaveEngine) bool { return w.homes[m][e.ID] })
+		slices.SortFunc(free, func(a, b WaveEngine) int {
+			return cmp.Or(cmp.Compare(loaded(b, m), loaded(a, m)), used[a.ID]-used[b.ID], cmp.Compare(mix(a.ID), mix(b.ID)))
+		})
+		for _, e := range free[:min(len(free), max(0, each-len(w.homes[m])))] {
+			w.homes[m][e.ID] = true
+			used[e.ID]++
+		}
+	}
+}
+
+// loaded returns an engine's version of a model, 0 for the first, which all have.
+func loaded(e WaveEngine, model string) int64 {
+	if v := e.Models[model]; v > 1 {
+		return v
+	}
+	return 0
+}
+
+func mix(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash takes every write
+	return h.Sum32()
+}
+
+// behind returns the loads that are due, the most stale engines first.
+func (w *Waves) behind(engines []WaveEngine, now time.Time) []Load {
+	var due []Load
+	gap := map[Load]int64{}
+	for _, e := range engines {
+		state := w.engines[e.ID]
+		if state.open.Model != "" || now.Before(state.again) {
+			continue
+		}
+		for model, n := range w.named {
+			missing := n.version - e.Models[model]
+			fresh := missing == 1 && now.Sub(n.at) < burstTime
+			if !w.homes[model][e.ID] || missing <= 0 || fresh {
+				continue
+			}
+			l := Load{Engine: e.ID, Model: model, Version: n.version, Accepted: state.accepted}
+			gap[l] = missing
+			due = append(due, l)
+		}
+	}
+	slices.SortFunc(due, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(gap[b], gap[a]), w.named[a.Model].at.Compare(w.named[b.Model].at), cmp.Compare(mix(a.Engine), mix(b.Engine)), cmp.Compare(a.Model, b.Model))
+	})
+	return due
+}
+
+func (w *Waves) loading() int {
+	n := 0
+	for _, s := range w.engines {
+		if s.open.Model != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Accepted notes that an engine has accepted an order.
+func (w *Waves) Accepted(l Load) {
+	if s := w.engines[l.Engine]; s != nil && s.open == l {
+		s.accepted++
+	}
+}
+
+// Rejected notes that an order was not accepted, or may not have been. reported is
+// the number of orders that the engine says it has accepted; -1 when unknown.
+func (w *Waves) Rejected(l Load, reported int64, now time.Time) {
+	s := w.engines[l.Engine]
+	if s == nil || s.open != l {
+		return
+	}
+	s.open = Load{}
+	s.again = now.Add(firstAgain << min(s.failed, mostAgain))
+	s.failed++
+	s.accepted = max(s.accepted, reported)
+}
+
+// Open returns the orders without an effect yet and when each was sent.
+func (w *Waves) Open() map[Load]time.Time {
+	open := map[Load]time.Time{}
+	for _, s := range w.engines {
+		if s.open.Model != "" {
+			open[s.open] = s.sent
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/fleet"
+	"github.com/pomelocross/pomelocross/lease"
+	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+// weights holds the newest version of each model that trainers have named.
+type weights struct {
+	mu    sync.Mutex // guards named
+	named map[string]int64
+}
+
+func newWeights() *weights { return &weights{named: map[string]int64{}} }
+
+func (w *weights) name(model string, version int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version <= w.named[model] {
+		return false
+	}
+	w.named[model] = version
+	return true
+}
+
+func (w *weights) newest() map[string]int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	newest := make(map[string]int64, len(w.named))
+	for m, v := range w.named {
+		newest[m] = v
+	}
+	return newest
+}
+
+// seekControl seeks and keeps the control role.
+func (g *Gateway) seekControl(ctx context.Context) {
+	g.keeper.Run(ctx, func(err error) { g.counters.Add("lease", err) })
+}
+
+// orderSpare is how much of the lease must be left when an order is sent: it
+// covers the way to the engine.
+const orderSpare = 400 * time.Millisecond
+
+var errNotHolder = errors.New("the control role is not held")
+
+// holder returns what an order is signed with.
+func (g *Gateway) holder() (platform.Holder, error) {
+	grant, held := g.keeper.Grant(orderSpare)
+	if !held || g.draining.Load() {
+		return platform.Holder{}, errNotHolder
+	}
+	return platform.Holder{Name: g.settings.Name, Epoch: grant.Epoch}, nil
+}
+
+// controlInterval is how often the holder decides.
+const controlInterval = 100 * time.Millisecond
+
+// holdControl does the duties of the control role while it is held.
+func (g *Gateway) holdControl(ctx context.Context) {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	var term *term
+	for {
+		select {
+		case <-ctx.Done():
+			term.end()
+			return
+		case <-ticker.C:
+		}
+		holder, err := g.holder()
+		switch {
+		case err != nil && term != nil:
+			g.log.Info("control role is no longer held", zap.Int64("epoch", term.epoch))
+			term.end()
+			term = nil
+		case err == nil && (term == nil || term.epoch != holder.Epoch):
+			term.end()
+			term = g.begin(ctx, holder.Epoch)
+		}
+		if term != nil {
+			g.decide(term)
+		}
+	}
+}
+
+// term is one holding of the control role.
+type term struct {
+	epoch   int64
+	ctx     context.Context
+	cancel  context.CancelFunc
+	waves   map[string]*fleet.Waves // by service
+	checked map[fleet.Load]time.Time
+	mu      sync.Mutex // guards waves' decisions against answers to orders
+}
+
+func (t *term) end() {
+	if t != nil {
+		t.cancel()
+	}
+}
+
+func (g *Gateway) begin(ctx context.Context, epoch int64) *term {
+	g.log.Info("control role is held", zap.Int64("epoch", epoch))
+	t := &term{epoch: epoch, waves: map[string]*fleet.Waves{}, checked: map[fleet.Load]time.Time{}}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	go g.follow(t.ctx, platform.KindVersions, versionsWait, versionsPause, nil, g.takeVersion)
+	go g.reportLoop(t)
+	return t
+}
+
+const (
+	versionsWait  = 3 * time.Second
+	versionsPause = 200 * time.Millisecond
+	// usageInterval is how often windows are looked for that are over.
+	usageInterval = 500 * time.Millisecond
+)
+
+func (g *Gateway) takeVersion(o objects.Object) {
+	if o.Deleted {
+		return
+	}
+	model, version, err := platform.DecodeWeights(o)
+	if err != nil {
+		g.warn("read a named version", err)
+		return
+	}
+	if g.weights.name(model, version) {
+		g.log.Info("weight version named", zap.String("model", model), zap.Int64("version", version), zap.Int64("revision", int64(o.Version)))
+	}
+}
+
+func (g *Gateway) reportLoop(t *term) {
+	r := &reporter{patience: 20 * time.Second}
+	for t.ctx.Err() == nil {
+		g.reportUsage(t.ctx, r, func() error { return g.keeper.Check(t.epoch, orderSpare) })
+		select {
+		case <-t.ctx.Done():
+		case <-g.clock.After(usageInterval):
+		}
+	}
+}
+
+// decide orders the loads of weights that are due.
+func (g *Gateway) decide(t *term) {
+	c := g.catalog.Load()
+	if c == nil {
+		return
+	}
+	named := g.weights.newest()
+	now := g.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, service := range c.Services {
+		if len(service.Models) == 0 {
+			continue
+		}
+		w := t.waves[service.Name]
+		if w == nil {
+			w = fleet.NewWaves()
+			t.waves[service.Name] = w
+		}
+		for _, l := range w.Next(g.waveEngines(service.Name), service.Models, named, now) {
+			go g.order(t, w, l)
+		}
+		for l, sent := range w.Open() {
+			g.recheck(t, w, l, sent, now)
+		}
+	}
+}
+
+func (g *Gateway) waveEngines(service string) []fleet.WaveEngine {
+	var list []fleet.WaveEngine
+	for _, e := range g.roster.Entries(service) {
+		if e.Ready {
+			list = append(list, fleet.WaveEngine{ID: e.ID, Started: e.Started, Accepted: e.Orders, Models: e.Models})
+		}
+	}
+	return list
+}
+
+// order sends a load to its engine.
+func (g *Gateway) order(t *term, w *fleet.Waves, l fleet.Load) {
+	e, known := g.roster.Entry(l.Engine)
+	holder, err := g.holder()
+	if !known || err != nil || holder.Epoch != t.epoch {
+		g.rejected(t, w, l, -1)
+		return
+	}
+	to := upstream.Target{ID: e.ID, Address: e.Address}
+	done, err := g.engines.Order(t.ctx, to, holder, platform.SwapOrder{Model: l.Model, Version: l.Version, Mode: platform.SwapUnderRuns, Accepted: l.Accepted})
+	g.log.Info("engine ordered to load weights", zap.String("upstream", l.Engine), zap.String("model", l.Model), zap.Int64("version", l.Version),
+		zap.Int64("accepted", l.Accepted), zap.Int64("epoch", holder.Epoch), zap.Bool("done", done), zap.Error(err))
+	switch {
+	case err == nil && done:
+		g.roster.Answered(l.Engine, l.Model, l.Version)
+	case err == nil:
+		g.roster.Blocked(l.Engine, l.Model, g.clock.Now().Add(loadTime))
+		t.mu.Lock()
+		w.Accepted(l)
+		t.mu.Unlock()
+	default:
+		g.ask(t, w, l, to, true)
+	}
+}
+
+func (g *Gateway) rejected(t *term, w *fleet.Waves, l fleet.Load, accepted int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w.Rejected(l, accepted, g.clock.Now())
+}
+
+const (
+	// loadTime is about how long a load takes; the engine's report is asked for
+	// from then on.
+	loadTime = 900 * time.Millisecond
+	// reportInterval is the pause between such questions.
+	reportInterval = 300 * time.Millisecond
+)
+
+// recheck asks an engine whether its load is done. The caller holds t.mu.
+func (g *Gateway) recheck(t *term, w *fleet.Waves, l fleet.Load, sent, now time.Time) {
+	if now.Sub(sent) < loadTime+controlInterval || now.Sub(t.checked[l]) < reportInterval {
+		return
+	}
+	t.checked[l] = now
+	e, known := g.roster.Entry(l.Engine)
+	if !known {
+		return
+	}
+	go g.ask(t, w, l, upstream.Target{ID: e.ID, Address: e.Address}, false)
+}
+
+// ask takes in what an engine reports of itself; failed tells that its order was
+// not accepted as far as known.
+func (g *Gateway) ask(t *term, w *fleet.Waves, l fleet.Load, to upstream.Target, failed bool) {
+	report, err := g.engines.Report(t.ctx, to)
+	if err != nil {
+		if failed {
+			g.rejected(t, w, l, -1)
+		}
+		return
+	}
+	for model, version := range report.Models {
+		g.roster.Answered(to.ID, model, version)
+	}
+	if failed || (!report.Busy && report.Models[l.Model] < l.Version) {
+		g.rejected(t, w, l, report.Accepted)
+	}
+}
+
+// releaseControl gives the role up when no order of this instance can be on its
+// way any more.
+func (g *Gateway) releaseControl(ctx context.Context) {
+	g.clock.Sleep(orderSpare)
+	if err := g.keeper.Release(ctx); err != nil {
+		g.warn("release the control role", err)
+	}
+}
+
+var _ lease.Grant
--- /dev/null
+++ b/gateway/crew.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/batch"
+	"github.com/pomelocross/pomelocross/objects"
+)
+
+// kindInstances holds the instances of the deployment, one object each.
+const kindInstances = "instances"
+
+// mate is the stored form of an instance.
+type mate struct {
+	Peer   string `json:"peer"` // IP:port for other instances
+	Domain string `json:"domain"`
+	Front  bool   `json:"front"` // takes callers
+	Start  string `json:"start"` // unique to the process
+}
+
+// crew is the set of other instances.
+type crew struct {
+	self mate
+	name string
+
+	mu    sync.Mutex // guards mates
+	mates map[string]mate
+}
+
+func newCrew(s *Settings) *crew {
+	return &crew{
+		name: s.Name, mates: map[string]mate{},
+		self: mate{Peer: s.PeerListen, Domain: s.Domain, Front: s.Listen != "", Start: time.Now().Format(time.RFC3339Nano)},
+	}
+}
+
+func (c *crew) take(o objects.Object) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.Deleted {
+		delete(c.mates, o.Name)
+		return nil
+	}
+	var m mate
+	if err := json.Unmarshal(o.Value, &m); err != nil {
+		return oops.In("gateway").With("step", "decode instance", "name", o.Name).Wrap(err)
+	}
+	c.mates[o.Name] = m
+	return nil
+}
+
+// others returns the addresses of other instances that take callers, those of the
+// own domain first.
+func (c *crew) others() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var near, far []string
+	for name, m := range c.mates {
+		switch {
+		case name == c.name || !m.Front || m.Peer == c.self.Peer:
+		case m.Domain == c.self.Domain:
+			near = append(near, m.Peer)
+		default:
+			far = append(far, m.Peer)
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	return append(near, far...)
+}
+
+func (g *Gateway) followCrew(ctx context.Context) {
+	go g.joinCrew(ctx)
+	const wait, pause = 20 * time.Second, time.Second
+	g.follow(ctx, kindInstances, wait, pause, nil, func(o objects.Object) {
+		if err := g.crew.take(o); err != nil {
+			g.log.Warn("an instance's entry cannot be read", zap.Error(err))
+		}
+	})
+}
+
+// joinCrew writes this instance's entry until the store has it.
+func (g *Gateway) joinCrew(ctx context.Context) {
+	for ctx.Err() == nil && !g.draining.Load() {
+		if err := g.writeCrew(ctx); err == nil {
+			return
+		}
+		g.clock.Sleep(maxFollowPause)
+	}
+}
+
+func (g *Gateway) writeCrew(ctx context.Context) error {
+	o, err := g.store.Get(ctx, kindInstances, g.settings.Name)
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
+		return err
+	}
+	_, err = g.store.Put(ctx, kindInstances, g.settings.Name, o.Version, g.crew.self)
+	return err
+}
+
+// leaveCrew removes the entry, so that nobody hands batches to an instance that
+// stops.
+func (g *Gateway) leaveCrew(ctx context.Context) {
+	o, err := g.store.Get(ctx, kindInstances, g.settings.Name)
+	if err == nil {
+		err = g.store.Delete(ctx, kindInstances, g.settings.Name, o.Version)
+	}
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
+		g.log.Info("this instance's entry stays in the store", zap.Error(err))
+	}
+}
+
+// Codes of answers between instances.
+const (
+	codeNotHere = "not_here"
+	codeUnknown = "unknown"
+	codeUnsure  = "unsure"
+)
+
+// ReadReply is the answer to a read between instances.
+type ReadReply struct {
+	Page batch.Page
+	Code string // empty when Page holds
+}
+
+// batchCalls serves other instances.
+type batchCalls struct{ gateway *Gateway }
+
+// Read returns results of a batch that runs here.
+func (b *batchCalls) Read(args batch.ReadArgs, reply *ReadReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
+	defer cancel()
+	page, err := b.gateway.runner.Page(ctx, args)
+	reply.Page = page
+	switch {
+	case err == nil:
+	case errors.Is(err, batch.ErrNotHere):
+		reply.Code = codeNotHere
+	case errors.Is(err, batch.ErrUnknown):
+		reply.Code = codeUnknown
+	default:
+		reply.Code = codeUnsure
+	}
+	return nil
+}
+
+// End notes that a batch's end is stored.
+func (b *batchCalls) End(id string, _ *struct{}) error {
+	b.gateway.runner.Ended(id)
+	return nil
+}
+
+// Adopt runs a batch that its owner gives away.
+func (b *batchCalls) Adopt(id string, _ *struct{}) error {
+	if b.gateway.draining.Load() {
+		return errors.New("this instance stops")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return b.gateway.batches.Adopt(ctx, id)
+}
+
+// peerCalls calls other instances. It implements batch.Peers.
+type peerCalls struct{ gateway *Gateway }
+
+// Read implements batch.Peers.
+func (p *peerCalls) Read(ctx context.Context, peer string, args batch.ReadArgs) (batch.Page, error) {
+	var reply ReadReply
+	if err := p.gateway.dialer.Call(ctx, peer, "Batches.Read", args, &reply); err != nil {
+		return batch.Page{}, err
+	}
+	switch reply.Code {
+	case codeNotHere:
+		return batch.Page{}, batch.ErrNotHere
+	case codeUnknown:
+		return batch.Page{}, batch.ErrUnknown
+	case codeUnsure:
+		return batch.Page{}, batch.ErrUnsure
+	}
+	return reply.Page, nil
+}
+
+// End implements batch.Peers.
+func (p *peerCalls) End(ctx context.Context, peer, id string) error {
+	return p.gateway.dialer.Call(ctx, peer, "Batches.End", id, &struct{}{})
+}
+
+// Adopt implements batch.Peers.
+func (p *peerCalls) Adopt(ctx context.Context, peer, id string) error {
+	return p.gateway.dialer.Call(ctx, peer, "Batches.Adopt", id, &struct{}{})
+}
+
+// Others implements batch.Peers.
+func (p *peerCalls) Others() []string {
+	others := p.gateway.crew.others()
+	if len(others) == 0 {
+		return nil
+	}
+	const asked = 3 // each that is gone costs a timeout of the grace
+	return others[:min(asked, len(others))]
+}
+
+func (g *Gateway) warn(step string, err error) {
+	g.log.Warn("step failed", zap.String("step", step), zap.Error(err))
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/pomelocross/pomelocross/settings"
+)
+
+// Settings configures one instance. Each field's tags give its environment
+// variable, default, flag, description and check.
+type Settings struct {
+	Name        string   `env:"POMELOCROSS_NAME" flag:"name" usage:"name of this instance" validate:"required,hostname_rfc1123"`
+	Domain      string   `env:"POMELOCROSS_DOMAIN" flag:"domain" usage:"failure domain of this instance" validate:"required"`
+	Deployment  string   `env:"POMELOCROSS_DEPLOYMENT" envDefault:"pomelocross" flag:"deployment" usage:"name that instances of one deployment share" validate:"required"`
+	Secret      string   `env:"POMELOCROSS_SECRET" flag:"secret" usage:"secret shared by all instances of the deployment; at least 16 bytes" validate:"min=16" secret:"true"`
+	Listen      string   `env:"POMELOCROSS_LISTEN" flag:"listen" usage:"IP:port for callers; empty where none come" validate:"omitempty,ip_port"`
+	ReadyListen string   `env:"POMELOCROSS_READY_LISTEN" flag:"ready-listen" usage:"IP:port for the balancer's question; empty where there is none" validate:"omitempty,ip_port"`
+	PeerListen  string   `env:"POMELOCROSS_PEER_LISTEN" flag:"peer-listen" usage:"IP:port for other instances" validate:"ip_port"`
+	AdminListen string   `env:"POMELOCROSS_ADMIN_LISTEN" flag:"admin-listen" usage:"IP:port for metrics; empty for none" validate:"omitempty,ip_port"`
+	Peers       []string `env:"POMELOCROSS_PEERS" flag:"peers" usage:"IP:port of other instances to begin with; comma-separated" validate:"dive,ip_port"`
+	Store       string   `env:"POMELOCROSS_STORE" flag:"store" usage:"IP:port of the platform's object store" validate:"ip_port"`
+	Cloud       string   `env:"POMELOCROSS_CLOUD" flag:"cloud" usage:"IP:port of the platform's usage and scaling interface" validate:"omitempty,ip_port"`
+	Control     string   `env:"POMELOCROSS_CONTROL" envDefault:"standby" flag:"control" usage:"how eagerly this instance seeks the control role: first or standby" validate:"oneof=first standby"`
+
+	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not go to and fro" validate:"min=1s"`
+	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the signal to stop until the process is killed" validate:"min=1s"`
+	UsageWindow time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
+	UsageLate   time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after a window's end within which its report is due" validate:"min=1s"`
+	Keep        time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time from its submission for which an ended batch can be read" validate:"min=1s"`
+	MemoryMB    int           `env:"POMELOCROSS_MEMORY_MB" envDefault:"0" flag:"memory-mb" usage:"memory that the process may use, in MB; 0 for no bound" validate:"min=0"`
+	LogLevel    string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
+
+	// Check prints the effective settings and ends.
+	Check bool `env:"-" flag:"check" usage:"check the settings, print them with secrets masked, and end"`
+}
+
+// ParseSettings reads the environment, then args without the program's name.
+func ParseSettings(version string, args []string) (*Settings, error) {
+	s := &Settings{}
+	err := settings.Load(s, settings.Program{
+		Name: "pomelocross-gateway", Description: "Forwards requests, runs batches and holds control roles on a platform.", Version: version,
+	}, args)
+	return s, err
+}
--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,36 @@
+// Package dial opens connections that notice a silent path: the kernel ends one
+// on which sent bytes stay unacknowledged, or whose peer answers no probes.
+package dial
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Dialer returns a dialer that gives up connecting after timeout, and a
+// connection after silence without acknowledgement.
+func Dialer(timeout, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence, Interval: silence / 2, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+}
+
+// Func is Dialer(timeout, silence).DialContext.
+func Func(timeout, silence time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	return Dialer(timeout, silence).DialContext
+}
--- a/notice/disk.go
+++ b/notice/disk.go
@@ -21,7 +21,7 @@
 
 // State is what an instance with a disk keeps over a restart.
 type State struct {
-	Items   []Item            `json:"items"`
+	Items   []Item           `json:"items"`
 	Members []objects.Member `json:"members"`
 }
 
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -14,43 +14,72 @@
 	// Pauses after a failed list or watch, before jitter.
 	followFirstPause = 200 * time.Millisecond
 	followMaxPause   = 10 * time.Second
+	// gapPause is the pause before a new list when history is gone.
+	gapPause = 50 * time.Millisecond
 )
 
-// Follow hands every object of a kind to take, first those that exist, then
+// FollowOptions bound the calls of a Follow and tell of its state.
+type FollowOptions struct {
+	// Wait is how long one watch waits for a change.
+	Wait time.Duration
+	// Pause is the least time between two watches, which bounds the calls for a
+	// kind that changes all the time.
+	Pause time.Duration
+	// MaxPause bounds the pause after failures in a row.
+	MaxPause time.Duration
+	// State is told after each call, nil after one that went well.
+	State func(error)
+	// Listed is told when all that exists was handed out.
+	Listed func()
+}
+
+// Follow is FollowWith the default options.
+func Follow(ctx context.Context, s Store, kind string, take func(Object)) {
+	FollowWith(ctx, s, kind, FollowOptions{Wait: followWait, MaxPause: followMaxPause}, take)
+}
+
+// FollowWith hands every object of a kind to take, first those that exist, then
 // each change in order, until ctx ends. A watch that failed goes on at the
 // version it had reached; after a gap everything is listed again, changes since
 // are handed out, and objects that are gone meanwhile as deleted.
-func Follow(ctx context.Context, s Store, kind string, take func(Object)) {
-	f := follower{store: s, kind: kind, take: take, known: map[string]Version{}}
+func FollowWith(ctx context.Context, s Store, kind string, o FollowOptions, take func(Object)) {
+	f := follower{store: s, kind: kind, take: take, options: o, known: map[string]Version{}}
 	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval, pauses.MaxInterval = followFirstPause, followMaxPause
+	pauses.InitialInterval, pauses.MaxInterval = followFirstPause, o.MaxPause
 	for ctx.Err() == nil {
 		watched := f.listed
 		err := f.step(ctx)
+		if o.State != nil && ctx.Err() == nil {
+			o.State(err)
+		}
 		switch {
+		case errors.Is(err, ErrGap): // listed again soon: what changed meanwhile is not known
+			pause(ctx, gapPause)
 		case err != nil:
 			pause(ctx, pauses.NextBackOff())
 		case watched: // a list alone is no progress: the watch may fail for good
 			pauses.Reset()
+			pause(ctx, o.Pause)
 		}
 	}
 }
 
 // follower is the state of one Follow.
 type follower struct {
-	store  Store
-	kind   string
-	take   func(Object)
-	after  Version
-	listed bool
-	known  map[string]Version // by object name
+	store   Store
+	kind    string
+	take    func(Object)
+	options FollowOptions
+	after   Version
+	listed  bool
+	known   map[string]Version // by object name
 }
 
 func (f *follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
-	changes, err := f.store.Watch(ctx, f.kind, f.after, followWait)
+	changes, err := f.store.Watch(ctx, f.kind, f.after, f.options.Wait)
 	if err != nil {
 		f.listed = !errors.Is(err, ErrGap)
 		return err
@@ -80,6 +109,9 @@
 		f.take(Object{Kind: f.kind, Name: name, Version: all.Version, Deleted: true})
 	}
 	f.after, f.listed = all.Version, true
+	if f.options.Listed != nil {
+		f.options.Listed()
+	}
 	return nil
 }
 
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -38,9 +38,9 @@
 
 // UsageLine is one frozen figure.
 type UsageLine struct {
-	Team    string               `json:"team"`
-	Window  string               `json:"window"` // start, UTC
-	Service string               `json:"service"`
+	Team    string              `json:"team"`
+	Window  string              `json:"window"` // start, UTC
+	Service string              `json:"service"`
 	Figure  objects.UsageFigure `json:"figure"`
 }
 
--- /dev/null
+++ b/roster/pace.go
@@ -0,0 +1,51 @@
+package roster
+
+import "time"
+
+// pace estimates how long an upstream takes for one event of a stream.
+type pace struct {
+	mean time.Duration // zero until an event was seen
+	at   time.Time
+}
+
+const (
+	// paceWeight is the weight of the newest event in the mean: a slowed engine
+	// shows after a handful of events.
+	paceWeight = 0.2
+	// paceKept is how long a mean is believed without new events.
+	paceKept = 3 * time.Second
+)
+
+func (p *pace) observe(perEvent time.Duration, now time.Time) {
+	if p.mean == 0 || now.Sub(p.at) > paceKept {
+		p.mean = perEvent
+	} else {
+		p.mean += time.Duration(paceWeight * float64(perEvent-p.mean))
+	}
+	p.at = now
+}
+
+func (p *pace) value(now time.Time) time.Duration {
+	if p.mean == 0 || now.Sub(p.at) > paceKept {
+		return 0
+	}
+	return p.mean
+}
+
+// Pace returns the believed time an event of an upstream, and the best one among
+// the upstreams of its service; zero where nothing is known.
+func (r *Roster) Pace(id string, now time.Time) (own, best time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[id]
+	if s == nil {
+		return 0, 0
+	}
+	own = s.pace.value(now)
+	for _, other := range r.states {
+		if v := other.pace.value(now); other.Service == s.Service && v > 0 && (best == 0 || v < best) {
+			best = v
+		}
+	}
+	return own, best
+}
--- /dev/null
+++ b/roster/pick.go
@@ -0,0 +1,139 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Need is what a request asks of an upstream.
+type Need struct {
+	Service string
+	Model   string // empty for plain requests
+	// MinVersion is the oldest weight version that may answer.
+	MinVersion int64
+	Tokens     int // memory that the request may take
+	KVTokens   int // memory of one engine; 0 is unbounded
+	Domain     string
+	// Spread allows a request beyond an upstream's slots, which then queues
+	// there. Rollout items wait here instead, where order can still change.
+	Overflow bool
+	// Avoid lists upstreams not to be chosen, such as those tried before.
+	Avoid map[string]bool
+	// Prefer is the upstream that holds the request's shared prompt, if any.
+	Prefer string
+}
+
+// Choice is the picked upstream.
+type Choice struct {
+	Entry
+	// Version is the weight version that it is believed to serve.
+	Version int64
+}
+
+// loadKept is how long the load that other instances put on an upstream is
+// believed after it was reported.
+const loadKept = time.Second
+
+// Pick returns the best upstream for a need: filters first, then the least
+// score, ties by lot. Load pattern: several instances without a shared queue
+// start a step's items at the same moment; believed load of others and the lot
+// keep them from the same upstream.
+func (r *Roster) Pick(n Need, now time.Time) (Choice, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best := r.best(n, now)
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Entry: best.Entry, Version: best.Models[n.Model]}, true
+}
+
+func (r *Roster) best(n Need, now time.Time) *state {
+	var best *state
+	least := 0.0
+	for _, s := range r.states {
+		if !s.fits(n, now) {
+			continue
+		}
+		score := s.score(n, now)
+		if best == nil || score < least {
+			best, least = s, score
+		}
+	}
+	return best
+}
+
+// fits is the filter.
+func (s *state) fits(n Need, now time.Time) bool {
+	switch {
+	case s.Service != n.Service, !s.Ready, n.Avoid[s.ID], now.Before(s.shut):
+		return false
+	case n.Model != "" && s.Models[n.Model] < n.MinVersion:
+		return false
+	case n.Model != "" && now.Before(s.blocks[n.Model]):
+		return false
+	case !n.Overflow && s.Slots > 0 && s.busy(now) >= s.Slots:
+		return false
+	case n.KVTokens > 0 && s.mine > 0 && s.tokens+n.Tokens > n.KVTokens:
+		return false
+	}
+	return true
+}
+
+// busy is the believed number of requests at the upstream.
+func (s *state) busy(now time.Time) int {
+	if now.Sub(s.loadAt) > loadKept {
+		return s.mine
+	}
+	return s.mine + s.others
+}
+
+// Weights of a score, in shares of an upstream's slots.
+const (
+	// otherDomain is what a way to another failure domain costs: a choice in the
+	// own domain wins among upstreams of like load.
+	otherDomain = 0.05
+	// preferred is what a kept shared prompt is worth.
+	preferred = 0.3
+	// lot spreads choices among upstreams of like score.
+	lot = 0.04
+	// slowness weighs the pace against the best one: twice as slow counts as one
+	// more load of all slots.
+	slowness = 1.0
+	// cold is what a start that is not over costs.
+	cold = 0.5
+)
+
+func (s *state) score(n Need, now time.Time) float64 {
+	score := float64(s.busy(now))/float64(max(1, s.Slots)) + lot*rand.Float64()
+	if s.Domain != n.Domain {
+		score += otherDomain
+	}
+	if s.ID == n.Prefer {
+		score -= preferred
+	}
+	if s.Cold > 0 {
+		score += cold
+	}
+	if p := s.pace.value(now); p > 0 {
+		score += slowness * float64(p) / float64(usualPace)
+	}
+	return score
+}
+
+// usualPace is the time an event from which slowness is counted; only ratios
+// between upstreams matter.
+const usualPace = 50 * time.Millisecond
+
+// Room returns how many more requests fit the upstreams that suit a need.
+func (r *Roster) Room(n Need, now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := 0
+	for _, s := range r.states {
+		if s.fits(n, now) {
+			room += max(0, s.Slots-s.busy(now))
+		}
+	}
+	return room
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,23 +54,40 @@
 // lists every fault of both, a line each, named by flag.
 func Parse(version string, args []string) (*Settings, error) {
 	s := &Settings{}
-	faults := environmentFaults(env.Parse(s))
-	parser := flaggy.NewParser("pomelocrossd")
-	parser.Description = "Serves rollouts and order-desk requests for one failure domain."
-	parser.Version = version
-	register(parser, s)
+	err := Load(s, Program{"pomelocrossd", "Serves rollouts and order-desk requests for one failure domain.", version}, args)
+	return s, err
+}
+
+// Program names the daemon whose settings are read.
+type Program struct{ Name, Description, Version string }
+
+// Load reads the environment, then args, into target, a pointer to a struct with
+// the tags that Settings has, and checks it. The error lists every fault.
+func Load(target any, p Program, args []string) error {
+	faults := environmentFaults(env.Parse(target), target)
+	parser := flaggy.NewParser(p.Name)
+	parser.Description = p.Description
+	parser.Version = p.Version
+	register(parser, target)
 	if err := parser.ParseArgs(args); err != nil {
 		faults = append(faults, oops.In("settings").Wrapf(err, "parse flags"))
 	}
-	if len(s.Peers) > 0 {
-		s.Peers = strings.Split(strings.Join(s.Peers, ","), ",")
+	splitLists(target)
+	faults = append(faults, Validate(target))
+	return errors.Join(faults...)
+}
+
+// splitLists splits lists that came as one flag.
+func splitLists(target any) {
+	for _, f := range fields(target) {
+		if list, ok := f.value.Addr().Interface().(*[]string); ok && len(*list) > 0 {
+			*list = strings.Split(strings.Join(*list, ","), ",")
+		}
 	}
-	faults = append(faults, s.Validate())
-	return s, errors.Join(faults...)
 }
 
 // environmentFaults names the flags of variables that could not be read.
-func environmentFaults(err error) []error {
+func environmentFaults(err error, target any) []error {
 	var all env.AggregateError
 	if err == nil {
 		return nil
@@ -83,17 +100,14 @@
 		faults[i] = fault
 		var parse env.ParseError
 		if errors.As(fault, &parse) {
-			faults[i] = fmt.Errorf("--%s: %s cannot be read: %w", flagOf(parse.Name), variableOf(parse.Name), parse.Err)
+			faults[i] = fmt.Errorf("--%s: %s cannot be read: %w", tagOf(target, parse.Name, "flag"), tagOf(target, parse.Name, "env"), parse.Err)
 		}
 	}
 	return faults
 }
 
-func flagOf(name string) string     { return tagOf(name, "flag") }
-func variableOf(name string) string { return tagOf(name, "env") }
-
-func tagOf(name, tag string) string {
-	f, _ := reflect.TypeFor[Settings]().FieldByName(name)
+func tagOf(target any, name, tag string) string {
+	f, _ := reflect.TypeOf(target).Elem().FieldByName(name)
 	return f.Tag.Get(tag)
 }
 
@@ -105,7 +119,7 @@
 
 func (f field) flag() string { return f.Tag.Get("flag") }
 
-func fields(s *Settings) []field {
+func fields(s any) []field {
 	v := reflect.ValueOf(s).Elem()
 	list := make([]field, v.NumField())
 	for i := range list {
@@ -114,7 +128,7 @@
 	return list
 }
 
-func register(parser *flaggy.Parser, s *Settings) {
+func register(parser *flaggy.Parser, s any) {
 	for _, f := range fields(s) {
 		description := f.Tag.Get("usage") + " (" + f.Tag.Get("env") + ")"
 		switch target := f.value.Addr().Interface().(type) {
@@ -122,6 +136,8 @@
 			parser.String(target, "", f.flag(), description)
 		case *bool:
 			parser.Bool(target, "", f.flag(), description)
+		case *float64:
+			parser.Float64(target, "", f.flag(), description)
 		case *int:
 			parser.Int(target, "", f.flag(), description)
 		case *time.Duration:
@@ -132,8 +148,9 @@
 	}
 }
 
-// Validate returns every fault, named by flag.
-func (s *Settings) Validate() error {
+// Validate returns every fault of a struct with the tags that Settings has, named
+// by flag.
+func Validate(s any) error {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return "--" + f.Tag.Get("flag") })
 	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
@@ -176,7 +193,11 @@
 }
 
 // Print writes the effective settings, a line each, with secrets masked.
-func (s *Settings) Print(w io.Writer) {
+func (s *Settings) Print(w io.Writer) { Print(w, s) }
+
+// Print writes a struct with the tags that Settings has, a line each, with
+// secrets masked.
+func Print(w io.Writer, s any) {
 	for _, f := range fields(s) {
 		if f.Tag.Get("env") == "-" {
 			continue
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -64,6 +64,7 @@
 		return nil, oops.In("telemetry").Wrapf(err, "log level")
 	}
 	config := zap.NewProductionConfig()
+	config.OutputPaths = []string{"stdout"}
 	config.Level = zap.NewAtomicLevelAt(level)
 	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
 	config.DisableStacktrace = true
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -25,8 +25,8 @@
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
-	"github.com/pomelocross/pomelocross/operator"
 	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/operator"
 )
 
 const testSecret = "a secret of the test deployment"
--- a/test/e2e/session_test.go
+++ b/test/e2e/session_test.go
@@ -19,8 +19,8 @@
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
 	standin "github.com/pomelocross/pomelocross/internal/standin/platform"
-	"github.com/pomelocross/pomelocross/operator"
 	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/operator"
 )
 
 // session records commands and calls with their output.
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -121,6 +121,13 @@
 	return json.NewDecoder(answer.Body).Decode(out)
 }
 
+// Send sends a prepared request with body once and returns its answer, whose body
+// the caller closes. An error is a *SendError.
+func (c *Client) Send(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
+	sendOnce(r, body)
+	return c.send(ctx, r)
+}
+
 // send sends r and returns its answer. An error is a *SendError.
 func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -8,11 +8,15 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/pomelocross/pomelocross/internal/dial"
 )
 
 const (
-	dialTimeout       = time.Second
-	keepAliveInterval = 15 * time.Second
+	dialTimeout = time.Second
+	// silenceTimeout ends a connection on which sent bytes stay unacknowledged;
+	// ways inside a deployment take milliseconds.
+	silenceTimeout = 2 * time.Second
 )
 
 // SendError is the failure of a request before its answer was whole. NotSent is
@@ -122,7 +126,7 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	dialer := dial.Dialer(dialTimeout, silenceTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			dialled, err := dialer.DialContext(ctx, network, address)
