Orders ask the engine for its count; moves wait for a pace; watches stay within history

Cause: all 161 orders were refused: the registration's number counts its own renewals, not orders. Items moved on their first events, which are slow while prompts are read. Watches of 20 s ran into the end of the store's history. Ruled out: a wrong mode or model (the engine's 409 is for the count alone). Change: the holder asks an engine once for its count and then keeps it; a run needs six events before its pace counts; instances are watched for 6 s.

--- a/batch/own.go
+++ b/batch/own.go
@@ -10,6 +10,8 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/objects"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // sureFor is how long the store's word that nobody else writes results is good
@@ -210,7 +212,7 @@
 func (s *Service) recheck(ctx context.Context) objects.Version {
 	for _, id := range s.runner.openIDs() {
 		if err := s.runner.verify(ctx, id); err != nil {
-			s.log.Warn("a batch could not be checked after a gap", zap.String("batch", id), zap.Error(err))
+			s.log.Warn("a batch could not be checked after a gap", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
 	return 0
@@ -238,7 +240,7 @@
 				continue
 			}
 			if _, err := s.claim(ctx, h.ID); err != nil {
-				s.log.Warn("a batch could not be resumed; its next reader runs it", zap.String("batch", h.ID), zap.Error(err))
+				s.log.Warn("a batch could not be resumed; its next reader runs it", zap.String("batch", h.ID), telemetry.Error(err))
 			}
 		}
 		return
@@ -258,7 +260,7 @@
 func (s *Service) handOver(ctx context.Context, id string, partials map[string]Partial) {
 	if len(partials) > 0 {
 		if err := s.keeper.SaveProgress(ctx, id, partials); err != nil {
-			s.log.Warn("texts of a batch could not be kept; its items run again", zap.String("batch", id), zap.Error(err))
+			s.log.Warn("texts of a batch could not be kept; its items run again", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
 	for _, peer := range s.peers.Others() {
@@ -269,10 +271,10 @@
 			s.log.Info("batch handed over", zap.String("batch", id), zap.String("peer", peer), zap.Int("unfinished", len(partials)))
 			return
 		}
-		s.log.Info("another instance did not adopt a batch", zap.String("batch", id), zap.String("peer", peer), zap.Error(err))
+		s.log.Info("another instance did not adopt a batch", zap.String("batch", id), zap.String("peer", peer), telemetry.Error(err))
 	}
 	if _, err := s.keeper.Change(ctx, id, func(h *Head) bool { h.Owner, h.Peer = "", ""; return !h.Ended }); err != nil {
-		s.log.Warn("batch was not given free; its next reader takes it over", zap.String("batch", id), zap.Error(err))
+		s.log.Warn("batch was not given free; its next reader takes it over", zap.String("batch", id), telemetry.Error(err))
 	}
 }
 
--- a/batch/send.go
+++ b/batch/send.go
@@ -14,6 +14,8 @@
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // ending is how one sending of an item ended.
@@ -152,7 +154,7 @@
 		return endCanceled
 	}
 	r.Roster.Failed(to.ID, r.Clock.Now())
-	r.note(w, to, "item's answer broke off", zap.Error(err))
+	r.note(w, to, "item's answer broke off", telemetry.Error(err))
 	return endBroken
 }
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,6 +12,8 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/objects"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // ErrUnsure means that this instance cannot tell the state of a batch now.
@@ -109,7 +111,7 @@
 		}
 		cancel()
 		if err != nil && !errors.Is(err, ErrUnknown) {
-			s.log.Warn("an unsettled batch could not be looked up", zap.String("batch", id), zap.Error(err))
+			s.log.Warn("an unsettled batch could not be looked up", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
 }
@@ -354,7 +356,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askMargin)
 	defer cancel()
 	if err := s.peers.End(ctx, h.Peer, h.ID); err != nil {
-		s.log.Info("owner was not told of a batch's end", zap.String("batch", h.ID), zap.String("owner", h.Owner), zap.Error(err))
+		s.log.Info("owner was not told of a batch's end", zap.String("batch", h.ID), zap.String("owner", h.Owner), telemetry.Error(err))
 	}
 }
 
--- a/batch/straggler.go
+++ b/batch/straggler.go
@@ -29,6 +29,9 @@
 	// items. Reading a prompt and the text again costs some tens of
 	// milliseconds, so little is needed.
 	slowRatio = 1.7
+	// leastEvents is how many events of a run must be seen before its pace counts:
+	// the first ones are slow while the prompts of others are read.
+	leastEvents = 6
 	// leastGain is the time that a move must save to be worth a prefill.
 	leastGain = 300 * time.Millisecond
 	// maxMoves bounds the moves of one item.
@@ -59,7 +62,7 @@
 	if silence > limit {
 		return Silent
 	}
-	if v.Events == 0 || !v.Free || v.Own == 0 || v.Best == 0 {
+	if v.Events < leastEvents || !v.Free || v.Own == 0 || v.Best == 0 {
 		return Stay
 	}
 	gain := time.Duration(v.LeftEvents) * (v.Own - v.Best)
--- a/batch/write.go
+++ b/batch/write.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 const (
@@ -76,7 +78,7 @@
 	sent := r.Clock.Now()
 	written, err := r.Keeper.Append(context.Background(), j.head.ID, n, results)
 	if err != nil {
-		r.Log.Warn("results could not be stored yet", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(results)), zap.Error(err))
+		r.Log.Warn("results could not be stored yet", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(results)), telemetry.Error(err))
 		r.Clock.Sleep(writePause)
 		return true
 	}
@@ -97,7 +99,7 @@
 	fresh.chunks = n
 	_, err := r.Keeper.Follow(context.Background(), j.head.ID, fresh)
 	if err != nil {
-		r.Log.Warn("a chunk of another writer could not be read", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Error(err))
+		r.Log.Warn("a chunk of another writer could not be read", zap.String("batch", j.head.ID), zap.Int("chunk", n), telemetry.Error(err))
 		r.Clock.Sleep(writePause)
 		return true
 	}
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -12,20 +12,23 @@
 // WaveEngine is an engine as the planner of weight loads sees it.
 type WaveEngine struct {
 	ID      string
-	Started int64 // tells incarnations apart
-	// Accepted is how many orders it has accepted since its start, as far as known.
-	Accepted int64
-	Models   map[string]int64 // weight versions served
+	Started int64            // tells incarnations apart
+	Models  map[string]int64 // weight versions served
 }
 
 // Load is the decision that an engine shall load a weight version.
 type Load struct {
-	Engine   string
-	Model    string
-	Version  int64
-	Accepted int64 // orders that the engine must have accepted before
+	Engine  string
+	Model   string
+	Version int64
+	// Accepted is how many orders the engine must have accepted before; UnknownOrders
+	// when it must be asked first.
+	Accepted int64
 }
 
+// UnknownOrders stands for a number of accepted orders that is not known.
+const UnknownOrders = -1
+
 // Waves plans the loads of weights of one service whose engines serve several
 // models. Each model has home engines, as many as there are engines for a model
 // when all share alike; only these follow its versions. It does no I/O.
@@ -109,10 +112,9 @@
 		listed[e.ID] = true
 		s := w.engines[e.ID]
 		if s == nil || s.started != e.Started {
-			s = &waveState{started: e.Started}
+			s = &waveState{started: e.Started, accepted: UnknownOrders}
 			w.engines[e.ID] = s
 		}
-		s.accepted = max(s.accepted, e.Accepted)
 		if s.open.Model != "" && (e.Models[s.open.Model] >= s.open.Version || now.Sub(s.sent) > loadGivenUp) {
 			s.open, s.failed = Load{}, 0
 		}
@@ -210,15 +212,15 @@
 	return n
 }
 
-// Accepted notes that an engine has accepted an order.
-func (w *Waves) Accepted(l Load) {
+// Accepted notes that an engine has accepted an order after before others.
+func (w *Waves) Accepted(l Load, before int64) {
 	if s := w.engines[l.Engine]; s != nil && s.open == l {
-		s.accepted++
+		s.accepted = before + 1
 	}
 }
 
 // Rejected notes that an order was not accepted, or may not have been. reported is
-// the number of orders that the engine says it has accepted; -1 when unknown.
+// the number of orders that the engine says it has accepted, or UnknownOrders.
 func (w *Waves) Rejected(l Load, reported int64, now time.Time) {
 	s := w.engines[l.Engine]
 	if s == nil || s.open != l {
@@ -227,7 +229,7 @@
 	s.open = Load{}
 	s.again = now.Add(firstAgain << min(s.failed, mostAgain))
 	s.failed++
-	s.accepted = max(s.accepted, reported)
+	s.accepted = reported
 }
 
 // Open returns the orders without an effect yet and when each was sent.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,8 @@
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // maxAnswerBytes bounds an answer, which is kept whole before it is passed on.
@@ -131,7 +133,7 @@
 		w.failed = &r
 	}
 	w.forwarder.Log.Info("sending did not succeed", zap.String("request", w.request.ID), zap.String("route", w.request.Route.Name),
-		zap.String("upstream", r.upstream), zap.Stringer("outcome", r.outcome), zap.Int("sent", w.tally.Sent), zap.Error(r.err))
+		zap.String("upstream", r.upstream), zap.Stringer("outcome", r.outcome), zap.Int("sent", w.tally.Sent), telemetry.Error(r.err))
 	if w.unsent <= maxUnsent && MaySend(w.tally, w.request.Route) && w.send(ctx) {
 		return Answer{}, false
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -13,6 +13,8 @@
 
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // Sink takes a stream for its caller.
@@ -84,7 +86,7 @@
 			unsent++
 		}
 		s.forwarder.Log.Info("stream did not come whole", zap.String("request", s.request.ID), zap.Stringer("outcome", outcome),
-			zap.Int("events", s.events), zap.Int("sent", s.tally.Sent), zap.Error(err))
+			zap.Int("events", s.events), zap.Int("sent", s.tally.Sent), telemetry.Error(err))
 		if errors.Is(err, errSink) || errors.Is(err, errNobody) {
 			break
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,10 +9,11 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/fleet"
-	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // weights holds the newest version of each model that trainers have named.
@@ -183,7 +184,7 @@
 	var list []fleet.WaveEngine
 	for _, e := range g.roster.Entries(service) {
 		if e.Ready {
-			list = append(list, fleet.WaveEngine{ID: e.ID, Started: e.Started, Accepted: e.Orders, Models: e.Models})
+			list = append(list, fleet.WaveEngine{ID: e.ID, Started: e.Started, Models: e.Models})
 		}
 	}
 	return list
@@ -194,20 +195,29 @@
 	e, known := g.roster.Entry(l.Engine)
 	holder, err := g.holder()
 	if !known || err != nil || holder.Epoch != t.epoch {
-		g.rejected(t, w, l, -1)
+		g.rejected(t, w, l, fleet.UnknownOrders)
 		return
 	}
 	to := upstream.Target{ID: e.ID, Address: e.Address}
-	done, err := g.engines.Order(t.ctx, to, holder, platform.SwapOrder{Model: l.Model, Version: l.Version, Mode: platform.SwapUnderRuns, Accepted: l.Accepted})
+	before := l.Accepted
+	if before == fleet.UnknownOrders {
+		report, err := g.engines.Report(t.ctx, to)
+		if err != nil {
+			g.rejected(t, w, l, fleet.UnknownOrders)
+			return
+		}
+		before = report.Accepted
+	}
+	done, err := g.engines.Order(t.ctx, to, holder, platform.SwapOrder{Model: l.Model, Version: l.Version, Mode: platform.SwapUnderRuns, Accepted: before})
 	g.log.Info("engine ordered to load weights", zap.String("upstream", l.Engine), zap.String("model", l.Model), zap.Int64("version", l.Version),
-		zap.Int64("accepted", l.Accepted), zap.Int64("epoch", holder.Epoch), zap.Bool("done", done), zap.Error(err))
+		zap.Int64("accepted", before), zap.Int64("epoch", holder.Epoch), zap.Bool("done", done), telemetry.Error(err))
 	switch {
 	case err == nil && done:
 		g.roster.Answered(l.Engine, l.Model, l.Version)
 	case err == nil:
 		g.roster.Blocked(l.Engine, l.Model, g.clock.Now().Add(loadTime))
 		t.mu.Lock()
-		w.Accepted(l)
+		w.Accepted(l, before)
 		t.mu.Unlock()
 	default:
 		g.ask(t, w, l, to, true)
@@ -247,7 +257,7 @@
 	report, err := g.engines.Report(t.ctx, to)
 	if err != nil {
 		if failed {
-			g.rejected(t, w, l, -1)
+			g.rejected(t, w, l, fleet.UnknownOrders)
 		}
 		return
 	}
@@ -267,5 +277,3 @@
 		g.warn("release the control role", err)
 	}
 }
-
-var _ lease.Grant
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -13,6 +13,8 @@
 
 	"github.com/pomelocross/pomelocross/batch"
 	"github.com/pomelocross/pomelocross/objects"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // kindInstances holds the instances of the deployment, one object each.
@@ -79,10 +81,10 @@
 
 func (g *Gateway) followCrew(ctx context.Context) {
 	go g.joinCrew(ctx)
-	const wait, pause = 20 * time.Second, time.Second
+	const wait, pause = 6 * time.Second, time.Second // well within the store's history
 	g.follow(ctx, kindInstances, wait, pause, nil, func(o objects.Object) {
 		if err := g.crew.take(o); err != nil {
-			g.log.Warn("an instance's entry cannot be read", zap.Error(err))
+			g.log.Warn("an instance's entry cannot be read", telemetry.Error(err))
 		}
 	})
 }
@@ -114,7 +116,7 @@
 		err = g.store.Delete(ctx, kindInstances, g.settings.Name, o.Version)
 	}
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
-		g.log.Info("this instance's entry stays in the store", zap.Error(err))
+		g.log.Info("this instance's entry stays in the store", telemetry.Error(err))
 	}
 }
 
@@ -209,5 +211,5 @@
 }
 
 func (g *Gateway) warn(step string, err error) {
-	g.log.Warn("step failed", zap.String("step", step), zap.Error(err))
+	g.log.Warn("step failed", zap.String("step", step), telemetry.Error(err))
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -10,6 +10,8 @@
 
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 const (
@@ -49,7 +51,7 @@
 	switch {
 	case err != nil && d.lost.IsZero():
 		d.lost = now
-		d.gateway.log.Warn("the store is lost", zap.String("kind", d.what), zap.Error(err))
+		d.gateway.log.Warn("the store is lost", zap.String("kind", d.what), telemetry.Error(err))
 	case err == nil && !d.lost.IsZero():
 		d.gateway.log.Info("the store is regained", zap.String("kind", d.what), zap.Duration("after", now.Sub(d.lost)))
 		d.lost = time.Time{}
@@ -73,7 +75,7 @@
 	}
 	c, err := platform.DecodeCatalog(o)
 	if err != nil {
-		g.log.Error("configuration cannot be read; the one in force stays", zap.Error(err))
+		g.log.Error("configuration cannot be read; the one in force stays", telemetry.Error(err))
 		return
 	}
 	for {
@@ -99,7 +101,7 @@
 	}
 	e, err := platform.DecodeServer(o)
 	if err != nil {
-		g.log.Info("a registration names no upstream", zap.String("name", o.Name), zap.Error(err))
+		g.log.Info("a registration names no upstream", zap.String("name", o.Name), telemetry.Error(err))
 		g.roster.Remove(o.Name)
 		return
 	}
@@ -150,7 +152,7 @@
 		if err == nil || errors.Is(err, objects.ErrNotFound) {
 			return
 		}
-		g.log.Warn("emptied, but the store was not told", zap.Error(err))
+		g.log.Warn("emptied, but the store was not told", telemetry.Error(err))
 		g.clock.Sleep(maxFollowPause)
 	}
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -18,6 +18,8 @@
 	"github.com/pomelocross/pomelocross/forward"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // Bounds on callers' connections where the configuration, which may be larger or
@@ -199,6 +201,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	if answer.Header == nil {
+		g.log.Info("request found no answer", zap.String("request", request.ID), zap.String("route", request.Route.Name), zap.String("team", request.Team),
+			zap.Duration("budget", request.Budget), zap.Duration("timeout", request.Route.Timeout), zap.Int("sent", answer.Tally.Sent),
+			zap.Int("open", answer.Tally.Open), zap.Int("refused", answer.Tally.Refused), zap.Bool("mayHaveRun", answer.Tally.MayRun))
 		g.refuse(w, r, refusal{answer.Status, "no upstream answered", answer.RetryAfter})
 		return
 	}
@@ -206,7 +211,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
 	if _, err := w.Write(answer.Body); err != nil {
-		g.log.Info("answer did not reach its caller", zap.String("request", request.ID), zap.Error(err))
+		g.log.Info("answer did not reach its caller", zap.String("request", request.ID), telemetry.Error(err))
 	}
 }
 
@@ -303,7 +308,7 @@
 	w.Header().Set("Content-Type", kind)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if _, err := w.Write(body); err != nil {
-		g.log.Info("answer did not reach its caller", zap.String("path", r.URL.Path), zap.Error(err))
+		g.log.Info("answer did not reach its caller", zap.String("path", r.URL.Path), telemetry.Error(err))
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,7 @@
 	}
 	go func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
-			g.log.Error("listener ended", zap.String("flag", flag), zap.Error(err))
+			g.log.Error("listener ended", zap.String("flag", flag), telemetry.Error(err))
 		}
 	}()
 	return nil
@@ -221,7 +221,7 @@
 	g.clock.Sleep(unlisted)
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(ctx); err != nil {
-		g.log.Warn("requests were still running at the end of the grace", zap.Error(err))
+		g.log.Warn("requests were still running at the end of the grace", telemetry.Error(err))
 	}
 	parts.Wait()
 	g.publishNow(ctx)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,8 @@
 
 	"github.com/pomelocross/pomelocross/forward"
 	"github.com/pomelocross/pomelocross/upstream"
+
+	"github.com/pomelocross/pomelocross/telemetry"
 )
 
 // serveStream forwards a request that is answered by events, as they come.
@@ -18,7 +20,7 @@
 		return
 	case out.begun:
 		// Only a reset tells that an answer which has begun is not whole.
-		g.log.Info("stream broke off", zap.String("request", request.ID), zap.Int("sent", answer.Tally.Sent), zap.Error(answer.Err))
+		g.log.Info("stream broke off", zap.String("request", request.ID), zap.Int("sent", answer.Tally.Sent), telemetry.Error(answer.Err))
 		panic(http.ErrAbortHandler)
 	case r.Context().Err() != nil:
 		panic(http.ErrAbortHandler)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,7 +25,6 @@
 	// Cold is how much longer it is slow after its start.
 	Cold    time.Duration
 	Started int64 // milliseconds since 1970; tells incarnations apart
-	Orders  int64 // orders accepted since its start
 	Models  map[string]int64
 	Cheap   bool // may be taken away at short notice
 }
