Usage: a new holder decodes stored figures into a value of its own

The second holder decoded the stored figures into the map of its own sum, and decoding keeps entries that the stored ones lack. Ruled out: two frozen objects (the create is conditional and held). Change: stored figures are decoded into a fresh value.

--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -256,7 +256,12 @@
 	}
 	o, err := g.store.Get(ctx, kindReport, name)
 	if err != nil {
-		return f, err
+		return frozen{}, err
+	}
+	// Not into f: decoding into a map that has entries keeps them.
+	var stored frozen
+	if err := json.Unmarshal(o.Value, &stored); err != nil {
+		return frozen{}, oops.In("gateway").With("step", "decode figures", "window", window).Wrap(err)
 	}
-	return f, json.Unmarshal(o.Value, &f)
+	return stored, nil
 }
