Fewer store calls: owners keep ended batches, chunks gather, watches follow the role

Ruled out: stale reads at a tenth of the price; a result that was shown must show everywhere, and a stale head may hide an end. Change: ended batches stay with their owner within an eighth of the memory, others ask it first; results gather 600 ms unless they make whole what the trainer waits for; instances without callers watch seldom; instances are listed, not watched; candidates read the lease less often.

--- a/batch/job.go
+++ b/batch/job.go
@@ -105,6 +105,9 @@
 // open reports whether the job still runs items here.
 func (j *job) open() bool { return !j.ended && !j.lost }
 
+// settled reports whether the job has ended with all its results stored.
+func (j *job) settled() bool { return j.ended && j.ledger.Pending() == 0 }
+
 // announce wakes all that wait for results.
 func (j *job) announce() {
 	close(j.changed)
@@ -145,6 +148,29 @@
 	j.wakeWriter()
 }
 
+// flushNow reports whether pending results make groups whole that the trainer
+// still waits for, as many as it needs.
+func (j *job) flushNow() bool {
+	open := map[string]bool{}   // groups with items without an outcome
+	listed := map[string]bool{} // groups with items that are not listed yet
+	for i := range j.sub.Items {
+		item := &j.sub.Items[i]
+		open[item.Group] = open[item.Group] || !j.ledger.Known(item.ID)
+		listed[item.Group] = listed[item.Group] || !j.ledger.Listed(item.ID)
+	}
+	return countFalse(open) >= j.sub.Desired && countFalse(listed) < j.sub.Desired
+}
+
+func countFalse(m map[string]bool) int {
+	n := 0
+	for _, v := range m {
+		if !v {
+			n++
+		}
+	}
+	return n
+}
+
 // standing returns what the order of the job's items depends on.
 func (j *job) standing(first func(group string) bool) Standing {
 	s := Standing{Due: j.due, Desired: j.sub.Desired}
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -18,6 +18,7 @@
 	total   int
 	stored  []Result
 	chunks  int // stored chunks applied
+	bytes   int // of stored texts
 	listed  map[string]bool
 	pending []Result
 	waiting map[string]bool // ids in pending
@@ -30,7 +31,7 @@
 
 // clone returns a copy of the stored part.
 func (l *Ledger) clone() *Ledger {
-	return &Ledger{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, listed: maps.Clone(l.listed), waiting: map[string]bool{}}
+	return &Ledger{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, bytes: l.bytes, listed: maps.Clone(l.listed), waiting: map[string]bool{}}
 }
 
 // Chunks returns how many stored chunks were applied; it is the number of the
@@ -46,6 +47,7 @@
 		}
 		l.listed[r.ID] = true
 		l.stored = append(l.stored, r)
+		l.bytes += r.size()
 		if l.waiting[r.ID] {
 			delete(l.waiting, r.ID)
 			l.pending = slices.DeleteFunc(l.pending, func(p Result) bool { return p.ID == r.ID })
--- a/batch/own.go
+++ b/batch/own.go
@@ -63,7 +63,9 @@
 	if !j.ended {
 		changed = j.changed
 	}
-	return j.ledger.Page(args.After), changed, r.Clock.Now().Sub(j.sure) < sureFor, nil
+	// The log of an ended batch takes no further owner.
+	sure = j.settled() || r.Clock.Now().Sub(j.sure) < sureFor
+	return j.ledger.Page(args.After), changed, sure, nil
 }
 
 // verify asks the store whether this instance still owns a batch.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -36,6 +36,10 @@
 	Log     *zap.Logger
 	// Record is told of each finished sending of an item and its outcome.
 	Record func(outcome string, took time.Duration)
+	// Keep and KeepBytes bound how long and how many bytes of results of ended
+	// batches stay in memory for reads.
+	Keep      time.Duration
+	KeepBytes int
 }
 
 // Runner runs the batches that this instance owns.
@@ -264,19 +268,30 @@
 	return max(s.events/4, s.item.Expected()/usual-s.events, 1)
 }
 
-// retain is how long an ended batch stays in memory for reads that are still on
-// their way; later ones read the store.
-const retain = 4 * time.Second
-
-// retire forgets jobs that need no memory here any more.
+// retire forgets jobs that need no memory here: lost ones, and the oldest ended
+// ones beyond the bound; later reads of these go to the store.
 func (r *Runner) retire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	var ended []*job
+	bytes := 0
 	for id, j := range r.jobs {
-		if (j.ended && j.ledger.Pending() == 0 && now.Sub(j.endedAt) > retain) || j.lost {
+		switch {
+		case j.lost, j.settled() && now.Sub(j.endedAt) > r.Keep:
 			delete(r.jobs, id)
+		case j.settled():
+			ended = append(ended, j)
+			bytes += j.ledger.bytes
+		}
+	}
+	slices.SortFunc(ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
+	for _, j := range ended {
+		if bytes <= r.KeepBytes {
+			return
 		}
+		bytes -= j.ledger.bytes
+		delete(r.jobs, j.head.ID)
 	}
 }
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -23,6 +23,7 @@
 // the batch is ErrNotHere.
 type Peers interface {
 	Read(ctx context.Context, peer string, args ReadArgs) (Page, error)
+	Body(ctx context.Context, peer string, args BodyArgs) ([]byte, error)
 	End(ctx context.Context, peer, id string) error
 	Adopt(ctx context.Context, peer, id string) error
 	// Others returns addresses of other instances that may run batches, best
@@ -41,6 +42,9 @@
 	Wait  time.Duration
 }
 
+// BodyArgs asks for the body of an item.
+type BodyArgs struct{ ID, Team, Item string }
+
 // Service answers for all batches, wherever they run.
 type Service struct {
 	runner *Runner
@@ -65,8 +69,12 @@
 	grew    time.Time // when results were last seen to come
 }
 
-// maxViews bounds the ended batches whose results are kept for further reads.
-const maxViews = 6
+const (
+	// maxViews bounds the batches of other instances whose heads are remembered.
+	maxViews = 256
+	// maxLedgers bounds those whose results are.
+	maxLedgers = 4
+)
 
 // NewService returns the service over a runner.
 func NewService(r *Runner, store objects.Store, peers Peers, dueOf func(string) time.Duration) *Service {
@@ -166,21 +174,42 @@
 	return v, nil
 }
 
-// trim forgets the views used least lately. The caller holds mu.
+// trim forgets what was used least lately. The caller holds mu.
 func (s *Service) trim() {
 	for len(s.views) > maxViews {
-		oldest := ""
-		for id, v := range s.views {
-			if oldest == "" || v.used.Before(s.views[oldest].used) {
-				oldest = id
-			}
+		delete(s.views, s.oldest(func(*view) bool { return true }))
+	}
+	held := func(v *view) bool { return v.ledger != nil }
+	n := 0
+	for _, v := range s.views {
+		if held(v) {
+			n++
+		}
+	}
+	for ; n > maxLedgers; n-- {
+		s.views[s.oldest(held)].ledger = nil
+	}
+}
+
+// oldest returns the view used least lately among those that count.
+func (s *Service) oldest(counts func(*view) bool) string {
+	oldest := ""
+	for id, v := range s.views {
+		if counts(v) && (oldest == "" || v.used.Before(s.views[oldest].used)) {
+			oldest = id
 		}
-		delete(s.views, oldest)
 	}
+	return oldest
 }
 
-// readEnded reads an ended batch from the store.
+// readEnded reads an ended batch from the instance that ran it, or else from the
+// store.
 func (s *Service) readEnded(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+	if v.ledger == nil && v.head.Peer != "" && v.head.Owner != s.runner.Name {
+		if page, err := s.askOwner(ctx, v, args); err == nil {
+			return page, nil
+		}
+	}
 	ledger, err := s.follow(ctx, v)
 	if err != nil {
 		return Page{}, err
@@ -213,6 +242,7 @@
 	if ledger.Chunks() > before {
 		v.grew = v.used
 	}
+	s.trim()
 	return ledger, nil
 }
 
@@ -365,12 +395,19 @@
 	if body, ok := s.runner.Body(id, team, item); ok {
 		return body, nil
 	}
-	h, err := s.keeper.Head(ctx, id)
+	v, err := s.viewOf(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	if h.Team != team {
+	if v.head.Team != team {
 		return nil, oops.In("batch").With("batch", id).Wrap(ErrUnknown)
 	}
-	return s.keeper.Body(ctx, h, item)
+	if v.head.Peer != "" && v.head.Owner != s.runner.Name {
+		ask, cancel := context.WithTimeout(ctx, askMargin)
+		defer cancel()
+		if body, err := s.peers.Body(ask, v.head.Peer, BodyArgs{id, team, item}); err == nil {
+			return body, nil
+		}
+	}
+	return s.keeper.Body(ctx, v.head, item)
 }
--- a/batch/write.go
+++ b/batch/write.go
@@ -12,7 +12,10 @@
 const (
 	// flushDelay gathers results into one chunk: a store call for each result
 	// would be priced, and trainers read twice a second.
-	flushDelay = 200 * time.Millisecond
+	flushDelay = 600 * time.Millisecond
+	// flushStep is how often a chunk that gathers is looked at: results that the
+	// trainer waits for go at once.
+	flushStep = 50 * time.Millisecond
 	// writePause is the pause after a chunk that could not be stored.
 	writePause = 250 * time.Millisecond
 )
@@ -59,11 +62,14 @@
 }
 
 func (r *Runner) pauseBeforeChunk(j *job) {
-	r.mu.Lock()
-	last := len(j.items) == 0 || r.stopping
-	r.mu.Unlock()
-	if !last {
-		r.Clock.Sleep(flushDelay)
+	for waited := time.Duration(0); waited < flushDelay; waited += flushStep {
+		r.mu.Lock()
+		now := len(j.items) == 0 || r.stopping || j.ended || j.flushNow()
+		r.mu.Unlock()
+		if now {
+			return
+		}
+		r.Clock.Sleep(flushStep)
 	}
 }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -115,7 +115,7 @@
 	g.log.Info("control role is held", zap.Int64("epoch", epoch))
 	t := &term{epoch: epoch, waves: map[string]*fleet.Waves{}, checked: map[fleet.Load]time.Time{}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	go g.follow(t.ctx, platform.KindVersions, versionsWait, versionsPause, nil, g.takeVersion)
+	go g.follow(t.ctx, platform.KindVersions, versionsWait, func() time.Duration { return versionsPause }, nil, g.takeVersion)
 	go g.reportLoop(t)
 	return t
 }
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -44,19 +44,22 @@
 	}
 }
 
-func (c *crew) take(o objects.Object) error {
+// replace takes in the list of instances.
+func (c *crew) replace(list []objects.Object) error {
+	mates := map[string]mate{}
+	var unread error
+	for _, o := range list {
+		var m mate
+		if err := json.Unmarshal(o.Value, &m); err != nil {
+			unread = oops.In("gateway").With("step", "decode instance", "name", o.Name).Wrap(err)
+			continue
+		}
+		mates[o.Name] = m
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o.Deleted {
-		delete(c.mates, o.Name)
-		return nil
-	}
-	var m mate
-	if err := json.Unmarshal(o.Value, &m); err != nil {
-		return oops.In("gateway").With("step", "decode instance", "name", o.Name).Wrap(err)
-	}
-	c.mates[o.Name] = m
-	return nil
+	c.mates = mates
+	return unread
 }
 
 // others returns the addresses of other instances that take callers, those of the
@@ -79,14 +82,28 @@
 	return append(near, far...)
 }
 
-func (g *Gateway) followCrew(ctx context.Context) {
-	go g.joinCrew(ctx)
-	const wait, pause = 6 * time.Second, time.Second // well within the store's history
-	g.follow(ctx, kindInstances, wait, pause, nil, func(o objects.Object) {
-		if err := g.crew.take(o); err != nil {
-			g.log.Warn("an instance's entry cannot be read", telemetry.Error(err))
+// crewInterval is how often the list of instances is read; a stale one costs a
+// timeout at most.
+const crewInterval = 20 * time.Second
+
+// pollCrew keeps the list of instances until ctx ends.
+func (g *Gateway) pollCrew(ctx context.Context) {
+	g.joinCrew(ctx)
+	for ctx.Err() == nil {
+		pause := crewInterval
+		all, err := g.store.List(ctx, kindInstances)
+		if err == nil {
+			err = g.crew.replace(all.Objects)
+		}
+		if err != nil {
+			g.warn("read the instances", err)
+			pause = maxFollowPause
 		}
-	})
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(pause):
+		}
+	}
 }
 
 // joinCrew writes this instance's entry until the store has it.
@@ -154,6 +171,16 @@
 	return nil
 }
 
+// Body returns the body of an item of a batch that runs here or has run.
+func (b *batchCalls) Body(args batch.BodyArgs, reply *[]byte) error {
+	body, ok := b.gateway.runner.Body(args.ID, args.Team, args.Item)
+	if !ok {
+		return batch.ErrNotHere
+	}
+	*reply = body
+	return nil
+}
+
 // End notes that a batch's end is stored.
 func (b *batchCalls) End(id string, _ *struct{}) error {
 	b.gateway.runner.Ended(id)
@@ -190,6 +217,13 @@
 	return reply.Page, nil
 }
 
+// Body implements batch.Peers.
+func (p *peerCalls) Body(ctx context.Context, peer string, args batch.BodyArgs) ([]byte, error) {
+	var body []byte
+	err := p.gateway.dialer.Call(ctx, peer, "Batches.Body", args, &body)
+	return body, err
+}
+
 // End implements batch.Peers.
 func (p *peerCalls) End(ctx context.Context, peer, id string) error {
 	return p.gateway.dialer.Call(ctx, peer, "Batches.End", id, &struct{}{})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,8 +20,11 @@
 	configWait = 2500 * time.Millisecond
 	// serversPause is the least time between two watches of upstreams, which
 	// change all the time; a leaving one must get no new work after two seconds.
-	serversPause = 700 * time.Millisecond
+	serversPause = time.Second
 	serversWait  = 2 * time.Second
+	// idleWait and idlePause are for instances that send nothing to upstreams.
+	idleWait  = 6 * time.Second
+	idlePause = 3 * time.Second
 	// maxFollowPause bounds the pause after failures: what was missed must be
 	// known soon after the store is back.
 	maxFollowPause = 500 * time.Millisecond
@@ -58,16 +61,23 @@
 	}
 }
 
-func (g *Gateway) follow(ctx context.Context, kind string, wait, pause time.Duration, listed func(), take func(objects.Object)) {
+func (g *Gateway) follow(ctx context.Context, kind string, wait time.Duration, pause func() time.Duration, listed func(), take func(objects.Object)) {
 	d := &dependency{gateway: g, what: kind}
 	o := objects.FollowOptions{Wait: wait, Pause: pause, MaxPause: maxFollowPause, State: d.state, Listed: listed}
 	objects.FollowWith(ctx, g.store, kind, o, take)
 }
 
 func (g *Gateway) followCatalog(ctx context.Context) {
-	g.follow(ctx, platform.KindConfig, configWait, 0, nil, g.takeCatalog)
+	wait := configWait
+	if !g.front() {
+		wait = idleWait
+	}
+	g.follow(ctx, platform.KindConfig, wait, nil, nil, g.takeCatalog)
 }
 
+// front reports whether callers come here.
+func (g *Gateway) front() bool { return g.settings.Listen != "" }
+
 // takeCatalog puts a configuration in force unless a newer one is.
 func (g *Gateway) takeCatalog(o objects.Object) {
 	if o.Deleted || o.Name != platform.ConfigName {
@@ -91,7 +101,15 @@
 }
 
 func (g *Gateway) followServers(ctx context.Context) {
-	g.follow(ctx, platform.KindServers, serversWait, serversPause, func() { g.listed.Store(true) }, g.takeServer)
+	g.follow(ctx, platform.KindServers, serversWait, g.serversPause, func() { g.listed.Store(true) }, g.takeServer)
+}
+
+// serversPause is shorter where requests or orders go to upstreams.
+func (g *Gateway) serversPause() time.Duration {
+	if _, err := g.holder(); err == nil || g.front() {
+		return serversPause
+	}
+	return idlePause
 }
 
 func (g *Gateway) takeServer(o objects.Object) {
@@ -136,8 +154,10 @@
 // followRetirements answers at once: a storage instance keeps nothing that is not
 // in the store.
 func (g *Gateway) followRetirements(ctx context.Context) {
-	const wait, pause = 5 * time.Second, 500 * time.Millisecond
-	g.follow(ctx, platform.KindRetirements, wait, pause, nil, func(o objects.Object) {
+	if g.front() {
+		return
+	}
+	g.follow(ctx, platform.KindRetirements, idleWait, nil, nil, func(o objects.Object) {
 		if o.Deleted || o.Name != g.settings.Name {
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Keeper: batch.NewKeeper(g.store, incarnation),
 		Roster: g.roster, Engines: g.engines, Catalog: g.catalog.Load, Clock: g.clock, Log: t.Log, Record: counters.ran,
+		Keep: s.Keep, KeepBytes: keepBytes(s.MemoryMB),
 	})
 	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.dueOf)
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
@@ -93,7 +94,19 @@
 // leaseTiming derives a lease's timing from the time within which the role must
 // not go to and fro: a candidate that waits it out cannot be one of such a pair.
 func leaseTiming(bound time.Duration) lease.Timing {
-	return lease.Timing{Term: bound * 2 / 3, Renew: bound / 5, Margin: bound / 2}
+	return lease.Timing{Term: bound * 2 / 3, Renew: bound / 4, Margin: bound / 2, Seek: bound / 3}
+}
+
+// keptPart of the memory holds results of ended batches.
+const keptPart = 8
+
+// keepBytes returns the bytes for results of ended batches.
+func keepBytes(memoryMB int) int {
+	const usual = 64 // MB, where memory is not bounded
+	if memoryMB == 0 {
+		memoryMB = usual * keptPart
+	}
+	return memoryMB << 20 / keptPart
 }
 
 func (g *Gateway) dueOf(route string) time.Duration {
@@ -137,7 +150,7 @@
 
 func (g *Gateway) loops() []func(context.Context) {
 	return []func(context.Context){
-		g.wall.Run, g.followCatalog, g.followServers, g.followCrew, g.followRetirements,
+		g.wall.Run, g.followCatalog, g.followServers, g.pollCrew, g.followRetirements,
 		g.runner.Run, g.batches.Resume, g.batches.WatchHeads, g.publishTallies, g.seekControl, g.holdControl,
 	}
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -81,8 +82,8 @@
 		if err := k.Attempt(ctx); err != nil && ctx.Err() == nil {
 			failed(err)
 			pause /= retryPart
-		} else if _, held := k.Grant(0); !held && k.standby() {
-			pause *= standbyPeriods
+		} else if _, held := k.Grant(0); !held {
+			pause = k.seekPause()
 		}
 		select {
 		case <-ctx.Done():
@@ -91,6 +92,15 @@
 	}
 }
 
+// seekPause is how long a candidate waits between reads.
+func (k *Keeper) seekPause() time.Duration {
+	pause := cmp.Or(k.timing.Seek, k.timing.Renew)
+	if k.standby() {
+		pause *= standbyPeriods
+	}
+	return pause
+}
+
 // Attempt reads the lease, unless the last write took effect, and writes it
 // when a write is due. A write whose answer was lost is settled by the next
 // read: a stored value that only this attempt can have written extends the term
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -22,9 +22,9 @@
 type FollowOptions struct {
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
-	// Pause is the least time between two watches, which bounds the calls for a
-	// kind that changes all the time.
-	Pause time.Duration
+	// Pause returns the least time between two watches, which bounds the calls for
+	// a kind that changes all the time; nil for none.
+	Pause func() time.Duration
 	// MaxPause bounds the pause after failures in a row.
 	MaxPause time.Duration
 	// State is told after each call, nil after one that went well.
@@ -59,7 +59,9 @@
 			pause(ctx, pauses.NextBackOff())
 		case watched: // a list alone is no progress: the watch may fail for good
 			pauses.Reset()
-			pause(ctx, o.Pause)
+			if o.Pause != nil {
+				pause(ctx, o.Pause())
+			}
 		}
 	}
 }
