Store calls go through other instances while the store cannot be reached

Ruled out: answering from memory; acceptance and positions need the store. Change: objects.Relay sends a call to another instance when the direct way fails; a write that may have taken effect is settled by its caller.

--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
@@ -33,8 +35,42 @@
 	self mate
 	name string
 
-	mu    sync.Mutex // guards mates
-	mates map[string]mate
+	mu     sync.Mutex // guards all below
+	mates  map[string]mate
+	helper string // the instance that relayed a call last
+}
+
+// helped notes that an instance relayed a call.
+func (c *crew) helped(peer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.helper = peer
+}
+
+// rank orders instances to ask for a relayed call.
+func (c *crew) rank(peer string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if peer == c.helper {
+		return 0
+	}
+	return 1
+}
+
+// all returns the addresses of all other instances in an order of this instance's
+// own, so that not all ask the same one.
+func (c *crew) all() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var peers []string
+	for name, m := range c.mates {
+		if name != c.name {
+			peers = append(peers, m.Peer)
+		}
+	}
+	own := func(peer string) uint64 { return xxhash.Sum64String(c.name + peer) }
+	slices.SortFunc(peers, func(a, b string) int { return cmp.Compare(own(a), own(b)) })
+	return peers
 }
 
 func newCrew(s *Settings) *crew {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -37,7 +38,8 @@
 	counters *counters
 	metrics  http.Handler
 
-	store   *platform.Store
+	direct  *platform.Store
+	store   *objects.Relay // over direct
 	cloud   *platform.Cloud
 	engines *platform.Engines
 	roster  *roster.Roster
@@ -69,11 +71,12 @@
 	}
 	g := &Gateway{
 		settings: s, log: t.Log, clock: boottime.New(), wall: boottime.NewWall(), counters: counters, metrics: t.Metrics,
-		store: platform.NewStore(s.Store, counters), cloud: platform.NewCloud(s.Cloud, counters),
+		direct: platform.NewStore(s.Store, counters), cloud: platform.NewCloud(s.Cloud, counters),
 		engines: platform.NewEngines(upstream.NewClient(), counters), roster: roster.New(),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), weights: newWeights(),
 	}
 	g.crew = newCrew(s)
+	g.store = objects.NewRelay(g.direct, g.relay, g.wayChanged, g.clock.Now)
 	g.meter = newMeter(s.UsageWindow)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Engines: g.engines, Clock: g.clock, Log: t.Log,
@@ -88,7 +91,7 @@
 	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.dueOf)
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.keeper.SetStandby(func() bool { return s.Control != "first" })
-	return g, g.peers.Register("Batches", &batchCalls{g})
+	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}))
 }
 
 // leaseTiming derives a lease's timing from the time within which the role must
@@ -255,5 +258,3 @@
 	at := o.at.Load()
 	return at != 0 && now.Sub(time.Unix(0, at)) < d
 }
-
-var _ objects.Store = (*platform.Store)(nil)
--- /dev/null
+++ b/objects/relay.go
@@ -0,0 +1,220 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// RelayCall is a call on the store that another instance makes for this one.
+type RelayCall struct {
+	Verb   string // get, put, delete, list or watch
+	Kind   string
+	Name   string
+	Expect Version // of put and delete; of watch, the version to go on from
+	Value  json.RawMessage
+	Wait   time.Duration // of watch
+}
+
+// RelayReply is its answer.
+type RelayReply struct {
+	Object Object
+	List   List
+	Code   RelayCode
+}
+
+// RelayCode is the outcome of a relayed call.
+type RelayCode string
+
+// The outcomes of a relayed call.
+const (
+	RelayOK       RelayCode = ""
+	RelayNotFound RelayCode = "not_found"
+	RelayConflict RelayCode = "conflict"
+	RelayGap      RelayCode = "gap"
+	RelayRefused  RelayCode = "refused" // surely not done
+	RelayUnknown  RelayCode = "unknown" // may have been done
+)
+
+var relayErrors = map[RelayCode]error{
+	RelayOK: nil, RelayNotFound: ErrNotFound, RelayConflict: ErrConflict, RelayGap: ErrGap, RelayRefused: ErrRefused,
+	RelayUnknown: errors.New("the relaying instance does not know the outcome"),
+}
+
+func relayCodeOf(err error) RelayCode {
+	for code, known := range relayErrors {
+		if known != nil && errors.Is(err, known) {
+			return code
+		}
+	}
+	if err == nil {
+		return RelayOK
+	}
+	if OutcomeOf(err) == NotDone {
+		return RelayRefused
+	}
+	return RelayUnknown
+}
+
+// settles reports whether an error is the store's own word, which another way to
+// the store would not change.
+func settles(err error) bool {
+	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) || errors.Is(err, ErrGap)
+}
+
+// RelayPeers sends calls to other instances. An error means that none has
+// answered; sent tells whether one may have got the call.
+type RelayPeers func(ctx context.Context, c RelayCall) (reply RelayReply, sent bool, err error)
+
+// Relay is a Store that asks other instances to make its calls while it cannot
+// reach the store itself: a store may turn single instances away, or a partition
+// may lie between.
+type Relay struct {
+	direct Store
+	peers  RelayPeers
+	// changed is told when the way to the store changes.
+	changed func(direct bool, cause error)
+	now     func() time.Time
+
+	mu    sync.Mutex // guards all below
+	lost  bool
+	probe time.Time // when the direct way is tried again
+}
+
+// NewRelay returns a Relay.
+func NewRelay(direct Store, peers RelayPeers, changed func(direct bool, cause error), now func() time.Time) *Relay {
+	return &Relay{direct: direct, peers: peers, changed: changed, now: now}
+}
+
+// probeInterval is how often a lost direct way is tried again.
+const probeInterval = time.Second
+
+// preferDirect reports whether a call goes the direct way first. While that way
+// is lost, one call an interval does.
+func (r *Relay) preferDirect() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost {
+		return true
+	}
+	if now := r.now(); now.After(r.probe) {
+		r.probe = now.Add(probeInterval)
+		return true
+	}
+	return false
+}
+
+// note takes in what a direct call says of the direct way.
+func (r *Relay) note(ctx context.Context, err error) {
+	if ctx.Err() != nil && !settles(err) {
+		return // given up by the caller; says nothing of the way
+	}
+	r.mu.Lock()
+	was := r.lost
+	r.lost = !settles(err)
+	if r.lost && !was {
+		r.probe = r.now().Add(probeInterval)
+	}
+	now := r.lost
+	r.mu.Unlock()
+	if was != now && r.changed != nil {
+		r.changed(!now, err)
+	}
+}
+
+// Serve makes a call for another instance, the direct way only.
+func (r *Relay) Serve(ctx context.Context, c RelayCall) RelayReply {
+	r.mu.Lock()
+	lost := r.lost
+	r.mu.Unlock()
+	if lost {
+		return RelayReply{Code: RelayRefused}
+	}
+	reply, err := perform(ctx, r.direct, c)
+	r.note(ctx, err)
+	reply.Code = relayCodeOf(err)
+	return reply
+}
+
+func perform(ctx context.Context, s Store, c RelayCall) (RelayReply, error) {
+	var reply RelayReply
+	var err error
+	switch c.Verb {
+	case "get":
+		reply.Object, err = s.Get(ctx, c.Kind, c.Name)
+	case "put":
+		reply.Object, err = s.Put(ctx, c.Kind, c.Name, c.Expect, c.Value)
+	case "delete":
+		err = s.Delete(ctx, c.Kind, c.Name, c.Expect)
+	case "list":
+		reply.List, err = s.List(ctx, c.Kind)
+	case "watch":
+		reply.List, err = s.Watch(ctx, c.Kind, c.Expect, c.Wait)
+	default:
+		err = oops.In("objects").Errorf("unknown verb %q", c.Verb)
+	}
+	return reply, err
+}
+
+// do makes a call by the way that works. A write whose direct try may have taken
+// effect is not sent another way: its caller settles it.
+func (r *Relay) do(ctx context.Context, c RelayCall) (RelayReply, error) {
+	if r.preferDirect() {
+		reply, err := perform(ctx, r.direct, c)
+		r.note(ctx, err)
+		write := c.Verb == "put" || c.Verb == "delete"
+		if settles(err) || ctx.Err() != nil || (write && OutcomeOf(err) != NotDone) {
+			return reply, err
+		}
+	}
+	reply, sent, err := r.peers(ctx, c)
+	switch {
+	case err == nil && reply.Code == RelayOK:
+		return reply, nil
+	case err == nil:
+		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(relayErrors[reply.Code])
+	case !sent:
+		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(errors.Join(ErrRefused, err))
+	}
+	return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(err)
+}
+
+// Get implements Store.
+func (r *Relay) Get(ctx context.Context, kind, name string) (Object, error) {
+	reply, err := r.do(ctx, RelayCall{Verb: "get", Kind: kind, Name: name})
+	return reply.Object, err
+}
+
+// Put implements Store.
+func (r *Relay) Put(ctx context.Context, kind, name string, expect Version, value any) (Object, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return Object{}, oops.In("objects").With("step", "encode", "kind", kind).Wrap(err)
+	}
+	reply, err := r.do(ctx, RelayCall{Verb: "put", Kind: kind, Name: name, Expect: expect, Value: encoded})
+	return reply.Object, err
+}
+
+// Delete implements Store.
+func (r *Relay) Delete(ctx context.Context, kind, name string, expect Version) error {
+	_, err := r.do(ctx, RelayCall{Verb: "delete", Kind: kind, Name: name, Expect: expect})
+	return err
+}
+
+// List implements Store.
+func (r *Relay) List(ctx context.Context, kind string) (List, error) {
+	reply, err := r.do(ctx, RelayCall{Verb: "list", Kind: kind})
+	return reply.List, err
+}
+
+// Watch implements Store.
+func (r *Relay) Watch(ctx context.Context, kind string, after Version, wait time.Duration) (List, error) {
+	reply, err := r.do(ctx, RelayCall{Verb: "watch", Kind: kind, Expect: after, Wait: wait})
+	return reply.List, err
+}
+
+var _ Store = (*Relay)(nil)
