--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -39,11 +39,13 @@
 type Keeper struct {
 	store objects.Store
 	self  string // incarnation
+	// settle bounds the settling of a write whose answer was lost.
+	settle time.Duration
 }
 
 // NewKeeper returns a Keeper that writes as an incarnation.
 func NewKeeper(store objects.Store, incarnation string) *Keeper {
-	return &Keeper{store: store, self: incarnation}
+	return &Keeper{store: store, self: incarnation, settle: settleTimeout}
 }
 
 // Stored is a head with its version.
@@ -67,7 +69,7 @@
 			return Stored{}, false, err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.settle)
 	defer cancel()
 	w := objects.PutSettled(ctx, k.store, KindHead, s.ID, 0, h)
 	switch {
@@ -143,7 +145,7 @@
 // Change replaces the head of a batch by what change makes of it, until no other
 // writer comes in between. change returns false when nothing is to be written.
 func (k *Keeper) Change(ctx context.Context, id string, change func(*Head) bool) (Stored, error) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.settle)
 	defer cancel()
 	for {
 		s, err := k.Head(ctx, id)
@@ -241,7 +243,7 @@
 // Append stores the next chunk of results. written is false when another writer
 // stored that chunk first, which must be followed.
 func (k *Keeper) Append(ctx context.Context, id string, n int, results []Result) (written bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.settle)
 	defer cancel()
 	w := objects.PutSettled(ctx, k.store, KindChunk, partName(id, n), 0, chunk{By: k.self, Results: results})
 	switch {
--- /dev/null
+++ b/catalog/suite_test.go
@@ -0,0 +1,13 @@
+package catalog
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Catalog")
+}
--- /dev/null
+++ b/gateway/suite_test.go
@@ -0,0 +1,13 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Gateway")
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,180 @@
+package roster
+
+import (
+	"fmt"
+	"time"
+
+	ginkgo "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+var start = time.Unix(1000, 0)
+
+func engine(id string, version int64) Entry {
+	return Entry{ID: id, Service: "lm", Address: "10.0.0.1:80", Domain: "a", Slots: 4, Ready: true, Started: 1, Models: map[string]int64{"m": version}}
+}
+
+func rosterOf(entries ...Entry) *Roster {
+	r := New()
+	for _, e := range entries {
+		r.Put(e)
+	}
+	return r
+}
+
+func picked(r *Roster, n Need) string {
+	c, ok := r.Pick(n, start)
+	if !ok {
+		return ""
+	}
+	return c.ID
+}
+
+var _ = ginkgo.Describe("Pick", func() {
+	need := Need{Service: "lm", Model: "m", MinVersion: 3, Domain: "a"}
+
+	ginkgo.DescribeTable("leaves out upstreams that do not suit", func(change func(*Roster, *Entry), expected string) {
+		r, e := New(), engine("e1", 3)
+		change(r, &e)
+		r.Put(e)
+		Expect(picked(r, need)).To(Equal(expected))
+	},
+		ginkgo.Entry("one that suits", func(*Roster, *Entry) {}, "e1"),
+		ginkgo.Entry("another service", func(_ *Roster, e *Entry) { e.Service = "other" }, ""),
+		ginkgo.Entry("a leaving one", func(_ *Roster, e *Entry) { e.Ready = false }, ""),
+		ginkgo.Entry("older weights", func(_ *Roster, e *Entry) { e.Models = map[string]int64{"m": 2} }, ""),
+		ginkgo.Entry("no such model", func(_ *Roster, e *Entry) { e.Models = nil }, ""),
+	)
+
+	ginkgo.It("waits here once an upstream's slots are taken, unless overflow is allowed", func() {
+		r := rosterOf(engine("e1", 3))
+		for range 4 {
+			r.Begin("e1", 10)
+		}
+		Expect(picked(r, need)).To(BeEmpty())
+		over := need
+		over.Overflow = true
+		Expect(picked(r, over)).To(Equal("e1"))
+		r.End("e1", 10)
+		Expect(picked(r, need)).To(Equal("e1"))
+	})
+
+	ginkgo.It("keeps out of an engine whose memory the request would exceed, but not of an empty one", func() {
+		r := rosterOf(engine("e1", 3))
+		large := need
+		large.Tokens, large.KVTokens = 900, 800
+		Expect(picked(r, large)).To(Equal("e1"))
+		r.Begin("e1", 500)
+		large.Tokens = 400
+		Expect(picked(r, large)).To(BeEmpty())
+		large.Tokens = 300
+		Expect(picked(r, large)).To(Equal("e1"))
+	})
+
+	ginkgo.It("counts what other instances have at an upstream while the report is fresh", func() {
+		r := rosterOf(engine("e1", 3), engine("e2", 3))
+		r.Reported("e1", upstream.Occupancy{Running: 4, Slots: 4}, start)
+		for range 4 {
+			id := picked(r, need)
+			Expect(id).To(Equal("e2"))
+			r.Begin(id, 0)
+		}
+		Expect(picked(r, need)).To(BeEmpty())
+		_, ok := r.Pick(need, start.Add(loadKept+time.Millisecond))
+		Expect(ok).To(BeTrue())
+	})
+
+	ginkgo.It("prefers the own domain among upstreams of like load, not a busier one", func() {
+		far := engine("far", 3)
+		far.Domain = "b"
+		r := rosterOf(engine("near", 3), far)
+		Expect(picked(r, need)).To(Equal("near"))
+		r.Begin("near", 0)
+		Expect(picked(r, need)).To(Equal("far"))
+	})
+
+	ginkgo.It("spreads a burst of several instances over engines that look alike", func() {
+		seen := map[string]int{}
+		for range 200 {
+			r := New()
+			for n := range 10 {
+				r.Put(engine(fmt.Sprint("e", n), 3))
+			}
+			seen[picked(r, need)]++
+		}
+		Expect(len(seen)).To(BeNumerically(">=", 8))
+	})
+
+	ginkgo.It("shuns a slow engine", func() {
+		r := rosterOf(engine("slow", 3), engine("fast", 3))
+		for range 20 {
+			r.Paced("slow", 160*time.Millisecond, start)
+			r.Paced("fast", 40*time.Millisecond, start)
+		}
+		r.Begin("fast", 0)
+		r.Begin("fast", 0)
+		Expect(picked(r, need)).To(Equal("fast"))
+	})
+})
+
+var _ = ginkgo.Describe("Beliefs", func() {
+	need := Need{Service: "lm", Model: "m", Domain: "a"}
+
+	ginkgo.It("leave a failing upstream alone for longer each time, until one success", func() {
+		r := rosterOf(engine("e1", 1))
+		r.Failed("e1", start)
+		Expect(picked(r, need)).To(BeEmpty())
+		_, ok := r.Pick(need, start.Add(firstPause))
+		Expect(ok).To(BeTrue())
+		r.Failed("e1", start)
+		_, ok = r.Pick(need, start.Add(firstPause))
+		Expect(ok).To(BeFalse())
+		r.Succeeded("e1")
+		r.Failed("e1", start)
+		_, ok = r.Pick(need, start.Add(firstPause))
+		Expect(ok).To(BeTrue())
+	})
+
+	ginkgo.It("block one model of an engine that loads its weights", func() {
+		e := engine("e1", 1)
+		e.Models["n"] = 1
+		r := rosterOf(e)
+		r.Blocked("e1", "m", start.Add(time.Second))
+		Expect(picked(r, need)).To(BeEmpty())
+		other := need
+		other.Model = "n"
+		Expect(picked(r, other)).To(Equal("e1"))
+	})
+
+	ginkgo.It("forget failures and loads of an earlier incarnation, not the requests still open", func() {
+		r := rosterOf(engine("e1", 1))
+		r.Failed("e1", start)
+		r.Begin("e1", 100)
+		reborn := engine("e1", 1)
+		reborn.Started = 2
+		r.Put(reborn)
+		Expect(picked(r, need)).To(Equal("e1"))
+		for range 3 {
+			r.Begin("e1", 0)
+		}
+		Expect(picked(r, need)).To(BeEmpty())
+	})
+
+	ginkgo.It("take an engine's word on its weights over the registration", func() {
+		r := rosterOf(engine("e1", 5))
+		r.Answered("e1", "m", 4)
+		Expect(picked(r, Need{Service: "lm", Model: "m", MinVersion: 5})).To(BeEmpty())
+	})
+
+	ginkgo.It("forget a pace that is old", func() {
+		r := rosterOf(engine("e1", 1))
+		r.Paced("e1", 80*time.Millisecond, start)
+		own, best := r.Pace("e1", start)
+		Expect(own).To(Equal(80 * time.Millisecond))
+		Expect(best).To(Equal(80 * time.Millisecond))
+		own, _ = r.Pace("e1", start.Add(paceKept+time.Millisecond))
+		Expect(own).To(BeZero())
+	})
+})
--- /dev/null
+++ b/roster/suite_test.go
@@ -0,0 +1,13 @@
+package roster
+
+import (
+	"testing"
+
+	ginkgo "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRoster(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Roster")
+}
