Loads of weights keep a place for their usual time; instances are told of them

Ruled out: more loads at once (the weight store slows all of them). Change: a load keeps its place for 0.9 s; the holder tells front instances what an engine serves; a new version's loads start at once, but a quarter of a model's homes at a time while the others serve its step. Complete items log their times.

--- a/batch/job.go
+++ b/batch/job.go
@@ -18,6 +18,9 @@
 	failures int  // answers that the engine failed
 	moves    int
 	avoid    string // upstream that it was moved away from
+	added    time.Time
+	waited   time.Duration // until it was first sent
+	sendings int
 }
 
 // run is one sending of an item to an engine.
@@ -30,8 +33,8 @@
 	cancel   context.CancelCauseFunc
 }
 
-func newItemState(item *Item, kept *Partial) *itemState {
-	s := &itemState{item: item, last: -1}
+func newItemState(item *Item, kept *Partial, now time.Time) *itemState {
+	s := &itemState{item: item, last: -1, added: now}
 	if kept != nil {
 		s.text.WriteString(kept.Text)
 		s.events, s.last, s.versions = kept.Events, kept.Last, slices.Clone(kept.Versions)
@@ -96,7 +99,7 @@
 	for i := range s.Items {
 		item := &s.Items[i]
 		if !l.Listed(item.ID) {
-			j.items[item.ID] = newItemState(item, kept(item))
+			j.items[item.ID] = newItemState(item, kept(item), now)
 		}
 	}
 	return j
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -88,7 +88,8 @@
 	}
 }
 
-func (r *Runner) signal() {
+// Signal has waiting items offered again at once.
+func (r *Runner) Signal() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -208,6 +209,10 @@
 func (r *Runner) start(ctx context.Context, w waiting, route catalog.Route, to roster.Choice, tokens int, now time.Time) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	w.state.running = &run{upstream: to.ID, begun: now, sign: now, tokens: tokens, cancel: cancel}
+	if w.state.sendings == 0 {
+		w.state.waited = now.Sub(w.state.added)
+	}
+	w.state.sendings++
 	r.Roster.Begin(to.ID, tokens)
 	var last *int64
 	if w.state.events > 0 {
--- a/batch/send.go
+++ b/batch/send.go
@@ -171,7 +171,7 @@
 func (r *Runner) settle(w waiting, end ending, route catalog.Route) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	defer r.signal()
+	defer r.Signal()
 	s := w.state
 	r.Roster.End(s.running.upstream, s.running.tokens)
 	from := s.running.upstream
@@ -186,6 +186,9 @@
 			s.restart()
 			return
 		}
+		r.Log.Info("item is complete", zap.String("batch", w.job.head.ID), zap.String("item", s.item.ID), zap.String("group", s.item.Group),
+			zap.String("upstream", from), zap.Duration("waited", s.waited), zap.Duration("took", r.Clock.Now().Sub(s.added)),
+			zap.Int("events", s.events), zap.Int("expected", s.item.Expected()), zap.Int("sendings", s.sendings), zap.Int("moves", s.moves), zap.Int64s("versions", s.versions))
 		w.job.finish(s.result())
 	case endRejected:
 		w.job.finish(Result{ID: s.item.ID, State: Dead})
--- a/batch/write.go
+++ b/batch/write.go
@@ -38,7 +38,7 @@
 	j := newJob(h, s, l, kept, now.Add(due), now)
 	r.jobs[h.ID] = j
 	r.writers.Go(func() { r.write(j) })
-	r.signal()
+	r.Signal()
 	return true
 }
 
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -64,9 +64,12 @@
 	loadsPart = 0.2
 	// leastLoads is how many may load at once however few engines there are.
 	leastLoads = 2
-	// burstTime is how long a new version waits, so that the items of the step
-	// asked with its naming begin on engines that still serve.
-	burstTime = 400 * time.Millisecond
+	// homesPart of a model's homes may load at once while the others still serve
+	// what is asked: the items of a step come with the naming of its version.
+	homesPart = 4
+	// loadTime is how long a load keeps a place; a load that takes longer slows
+	// the next ones a little, waiting for its report would slow all.
+	loadTime = 900 * time.Millisecond
 	// loadGivenUp is after which an accepted order without effect is forgotten.
 	loadGivenUp = 8 * time.Second
 	// firstAgain is the pause after an order that was not accepted; it doubles.
@@ -86,21 +89,20 @@
 	w.see(engines, now)
 	w.name(named, now)
 	w.settle(engines, models)
-	behind := w.behind(engines, now)
-	room := max(leastLoads, int(math.Round(loadsPart*float64(len(engines))))) - w.loading()
+	room := max(leastLoads, int(math.Round(loadsPart*float64(len(engines))))) - w.loading(now, "")
 	var loads []Load
 	taken := map[string]bool{}
-	for _, l := range behind {
+	for _, l := range w.behind(engines, now) {
 		if len(loads) >= room {
 			break
 		}
-		if taken[l.Engine] {
+		if taken[l.Engine] || (l.fresh && w.loading(now, l.Model) >= max(1, len(w.homes[l.Model])/homesPart)) {
 			continue
 		}
 		taken[l.Engine] = true
 		state := w.engines[l.Engine]
-		state.open, state.sent = l, now
-		loads = append(loads, l)
+		state.open, state.sent = l.Load, now
+		loads = append(loads, l.Load)
 	}
 	return loads
 }
@@ -176,10 +178,17 @@
 	return h.Sum32()
 }
 
+// dueLoad is a load that an engine is behind with.
+type dueLoad struct {
+	Load
+	missing int64 // versions that the engine is behind
+	named   time.Time
+	fresh   bool // the engine still serves what is asked now
+}
+
 // behind returns the loads that are due, the most stale engines first.
-func (w *Waves) behind(engines []WaveEngine, now time.Time) []Load {
-	var due []Load
-	gap := map[Load]int64{}
+func (w *Waves) behind(engines []WaveEngine, now time.Time) []dueLoad {
+	var due []dueLoad
 	for _, e := range engines {
 		state := w.engines[e.ID]
 		if state.open.Model != "" || now.Before(state.again) {
@@ -187,25 +196,24 @@
 		}
 		for model, n := range w.named {
 			missing := n.version - e.Models[model]
-			fresh := missing == 1 && now.Sub(n.at) < burstTime
-			if !w.homes[model][e.ID] || missing <= 0 || fresh {
+			if !w.homes[model][e.ID] || missing <= 0 {
 				continue
 			}
 			l := Load{Engine: e.ID, Model: model, Version: n.version, Accepted: state.accepted}
-			gap[l] = missing
-			due = append(due, l)
+			due = append(due, dueLoad{Load: l, missing: missing, named: n.at, fresh: missing == 1})
 		}
 	}
-	slices.SortFunc(due, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(gap[b], gap[a]), w.named[a.Model].at.Compare(w.named[b.Model].at), cmp.Compare(mix(a.Engine), mix(b.Engine)), cmp.Compare(a.Model, b.Model))
+	slices.SortFunc(due, func(a, b dueLoad) int {
+		return cmp.Or(cmp.Compare(b.missing, a.missing), a.named.Compare(b.named), cmp.Compare(mix(a.Engine), mix(b.Engine)), cmp.Compare(a.Model, b.Model))
 	})
 	return due
 }
 
-func (w *Waves) loading() int {
+// loading returns how many engines load a model, or any model if it is empty.
+func (w *Waves) loading(now time.Time, model string) int {
 	n := 0
 	for _, s := range w.engines {
-		if s.open.Model != "" {
+		if s.open.Model != "" && (model == "" || s.open.Model == model) && now.Sub(s.sent) < loadTime {
 			n++
 		}
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -213,7 +213,7 @@
 		zap.Int64("accepted", before), zap.Int64("epoch", holder.Epoch), zap.Bool("done", done), telemetry.Error(err))
 	switch {
 	case err == nil && done:
-		g.roster.Answered(l.Engine, l.Model, l.Version)
+		g.loaded(l.Engine, l.Model, l.Version)
 	case err == nil:
 		g.roster.Blocked(l.Engine, l.Model, g.clock.Now().Add(loadTime))
 		t.mu.Lock()
@@ -254,6 +254,7 @@
 // ask takes in what an engine reports of itself; failed tells that its order was
 // not accepted as far as known.
 func (g *Gateway) ask(t *term, w *fleet.Waves, l fleet.Load, to upstream.Target, failed bool) {
+	e, _ := g.roster.Entry(to.ID)
 	report, err := g.engines.Report(t.ctx, to)
 	if err != nil {
 		if failed {
@@ -262,13 +263,58 @@
 		return
 	}
 	for model, version := range report.Models {
-		g.roster.Answered(to.ID, model, version)
+		if version > e.Models[model] {
+			g.loaded(to.ID, model, version)
+		}
 	}
 	if failed || (!report.Busy && report.Models[l.Model] < l.Version) {
 		g.rejected(t, w, l, report.Accepted)
 	}
 }
 
+// loaded takes in that an engine serves a version and tells the instances that
+// send items; registrations say so a second or two later.
+func (g *Gateway) loaded(id, model string, version int64) {
+	g.roster.Answered(id, model, version)
+	e, known := g.roster.Entry(id)
+	if !known {
+		return
+	}
+	news := LoadNews{ID: id, Started: e.Started, Model: model, Version: version}
+	for _, peer := range g.crew.fronts() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+			defer cancel()
+			err := g.dialer.Call(ctx, peer, "Weights.Loaded", news, &struct{}{})
+			g.counters.Add("news", err)
+		}()
+	}
+}
+
+// newsTimeout bounds telling another instance; it learns later by itself.
+const newsTimeout = 300 * time.Millisecond
+
+// LoadNews tells that an engine serves a weight version.
+type LoadNews struct {
+	ID      string
+	Started int64 // the engine's incarnation
+	Model   string
+	Version int64
+}
+
+// weightCalls serves the holder of the control role.
+type weightCalls struct{ gateway *Gateway }
+
+// Loaded takes in that an engine serves a weight version.
+func (w *weightCalls) Loaded(n LoadNews, _ *struct{}) error {
+	e, known := w.gateway.roster.Entry(n.ID)
+	if known && e.Started == n.Started && e.Models[n.Model] < n.Version {
+		w.gateway.roster.Answered(n.ID, n.Model, n.Version)
+		w.gateway.runner.Signal()
+	}
+	return nil
+}
+
 // releaseControl gives the role up when no order of this instance can be on its
 // way any more.
 func (g *Gateway) releaseControl(ctx context.Context) {
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -98,6 +98,19 @@
 	return unread
 }
 
+// fronts returns the addresses of all other instances that take callers.
+func (c *crew) fronts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var peers []string
+	for name, m := range c.mates {
+		if name != c.name && m.Front {
+			peers = append(peers, m.Peer)
+		}
+	}
+	return peers
+}
+
 // others returns the addresses of other instances that take callers, those of the
 // own domain first.
 func (c *crew) others() []string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,8 @@
 	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.dueOf)
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.keeper.SetStandby(func() bool { return s.Control != "first" })
-	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}))
+	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}),
+		g.peers.Register("Weights", &weightCalls{g}))
 }
 
 // leaseTiming derives a lease's timing from the time within which the role must
