--- /dev/null
+++ b/fleet/waves_test.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var waveStart = time.Unix(1000, 0)
+
+func waveFleet(n int, models ...string) []WaveEngine {
+	list := make([]WaveEngine, n)
+	for i := range list {
+		list[i] = WaveEngine{ID: fmt.Sprintf("e%02d", i), Started: 1, Models: map[string]int64{}}
+		for _, m := range models {
+			list[i].Models[m] = 1
+		}
+	}
+	return list
+}
+
+// play runs the planner for a time against engines whose loads take as long as
+// given, and returns the most that loaded at once and the number of loads.
+func play(w *Waves, engines []WaveEngine, models []string, named func(at time.Duration) map[string]int64, span, takes time.Duration) (most, loads int) {
+	type running struct {
+		Load
+		done time.Duration
+	}
+	var open []running
+	for at := time.Duration(0); at < span; at += 100 * time.Millisecond {
+		now := waveStart.Add(at)
+		left := open[:0]
+		for _, r := range open {
+			if r.done > at {
+				left = append(left, r)
+				continue
+			}
+			for i := range engines {
+				if engines[i].ID == r.Engine {
+					engines[i].Models[r.Model] = r.Version
+				}
+			}
+		}
+		open = left
+		for _, l := range w.Next(engines, models, named(at), now) {
+			w.Accepted(l, 0)
+			open = append(open, running{l, at + takes})
+			loads++
+		}
+		most = max(most, len(open))
+	}
+	return most, loads
+}
+
+var _ = Describe("Waves", func() {
+	always := func(named map[string]int64) func(time.Duration) map[string]int64 {
+		return func(time.Duration) map[string]int64 { return named }
+	}
+
+	It("gives each model its share of the engines and loads only these", func() {
+		models := []string{"a", "b", "c"}
+		engines := waveFleet(12, models...)
+		_, loads := play(NewWaves(), engines, models, always(map[string]int64{"a": 2, "b": 2, "c": 2}), 10*time.Second, 900*time.Millisecond)
+		Expect(loads).To(Equal(12))
+		for _, m := range models {
+			n := 0
+			for _, e := range engines {
+				if e.Models[m] == 2 {
+					n++
+				}
+			}
+			Expect(n).To(Equal(4))
+		}
+	})
+
+	It("loads a fifth of the engines at once, at least two", func() {
+		most, _ := play(NewWaves(), waveFleet(12, "a"), []string{"a"}, always(map[string]int64{"a": 3}), 10*time.Second, 900*time.Millisecond)
+		Expect(most).To(Equal(2))
+		most, _ = play(NewWaves(), waveFleet(48, "a"), []string{"a"}, always(map[string]int64{"a": 3}), 10*time.Second, 900*time.Millisecond)
+		Expect(most).To(Equal(10))
+	})
+
+	It("keeps most homes of a model serving while a new version is loaded", func() {
+		models := []string{"a", "b", "c"}
+		w, engines := NewWaves(), waveFleet(12, models...)
+		loads := w.Next(engines, models, map[string]int64{"a": 2}, waveStart)
+		Expect(loads).To(HaveLen(1))
+	})
+
+	It("loads engines that serve nothing of use any more first, and all of them", func() {
+		models := []string{"a"}
+		w, engines := NewWaves(), waveFleet(4, models...)
+		engines[2].Models["a"] = 2
+		engines[3].Models["a"] = 2
+		loads := w.Next(engines, models, map[string]int64{"a": 3}, waveStart)
+		Expect(loads).To(HaveLen(2))
+		for _, l := range loads {
+			Expect(l.Engine).To(BeElementOf("e00", "e01"))
+		}
+	})
+
+	It("brings all homes to a version within the time between two", func() {
+		engines := waveFleet(11, "a")
+		play(NewWaves(), engines, []string{"a"}, always(map[string]int64{"a": 2}), 6*time.Second, 900*time.Millisecond)
+		for _, e := range engines {
+			Expect(e.Models["a"]).To(Equal(int64(2)))
+		}
+	})
+
+	It("finds the homes that its predecessor had chosen", func() {
+		models := []string{"a", "b", "c"}
+		engines := waveFleet(12, models...)
+		play(NewWaves(), engines, models, always(map[string]int64{"a": 2, "b": 2, "c": 2}), 10*time.Second, 900*time.Millisecond)
+		_, loads := play(NewWaves(), engines, models, always(map[string]int64{"a": 2, "b": 2, "c": 2}), 10*time.Second, 900*time.Millisecond)
+		Expect(loads).To(BeZero())
+	})
+
+	It("replaces a home that is gone", func() {
+		engines := waveFleet(4, "a", "b")
+		w := NewWaves()
+		play(w, engines, []string{"a", "b"}, always(map[string]int64{"a": 2}), 5*time.Second, 900*time.Millisecond)
+		var left []WaveEngine
+		for _, e := range engines {
+			if e.Models["a"] == 1 || len(left) == 0 && e.Models["a"] == 2 {
+				left = append(left, e)
+			}
+		}
+		_, loads := play(w, left, []string{"a", "b"}, always(map[string]int64{"a": 2}), 5*time.Second, 900*time.Millisecond)
+		Expect(loads).To(BeNumerically("<=", 1))
+	})
+
+	It("waits longer after each order without effect, and asks a reborn engine for its count", func() {
+		w, engines := NewWaves(), waveFleet(1, "a")
+		named := map[string]int64{"a": 2}
+		first := w.Next(engines, []string{"a"}, named, waveStart)[0]
+		Expect(first.Accepted).To(Equal(int64(UnknownOrders)))
+		w.Rejected(first, 5, waveStart)
+		Expect(w.Next(engines, []string{"a"}, named, waveStart.Add(firstAgain/2))).To(BeEmpty())
+		second := w.Next(engines, []string{"a"}, named, waveStart.Add(firstAgain))[0]
+		Expect(second.Accepted).To(Equal(int64(5)))
+		w.Rejected(second, 5, waveStart)
+		Expect(w.Next(engines, []string{"a"}, named, waveStart.Add(firstAgain))).To(BeEmpty())
+		engines[0].Started = 2
+		third := w.Next(engines, []string{"a"}, named, waveStart.Add(firstAgain))[0]
+		Expect(third.Accepted).To(Equal(int64(UnknownOrders)))
+	})
+})
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,6 +101,7 @@
 	epoch   int64
 	ctx     context.Context
 	cancel  context.CancelFunc
+	listed  atomic.Bool             // the named versions were listed in this term
 	waves   map[string]*fleet.Waves // by service
 	checked map[fleet.Load]time.Time
 	mu      sync.Mutex // guards waves' decisions against answers to orders
@@ -115,7 +117,7 @@
 	g.log.Info("control role is held", zap.Int64("epoch", epoch))
 	t := &term{epoch: epoch, waves: map[string]*fleet.Waves{}, checked: map[fleet.Load]time.Time{}}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	go g.follow(t.ctx, platform.KindVersions, versionsWait, func() time.Duration { return versionsPause }, nil, g.takeVersion)
+	go g.follow(t.ctx, platform.KindVersions, versionsWait, func() time.Duration { return versionsPause }, func() { t.listed.Store(true) }, g.takeVersion)
 	go g.reportLoop(t)
 	return t
 }
@@ -155,7 +157,7 @@
 // decide orders the loads of weights that are due.
 func (g *Gateway) decide(t *term) {
 	c := g.catalog.Load()
-	if c == nil {
+	if c == nil || !t.listed.Load() {
 		return
 	}
 	named := g.weights.newest()
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -37,24 +37,21 @@
 
 	mu     sync.Mutex // guards all below
 	mates  map[string]mate
-	helper string // the instance that relayed a call last
+	helper string // the instance that relays calls; empty for none
 }
 
-// helped notes that an instance relayed a call.
+// helped notes which instance relays calls; empty for none.
 func (c *crew) helped(peer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.helper = peer
 }
 
-// rank orders instances to ask for a relayed call.
-func (c *crew) rank(peer string) int {
+// helping returns the instance that relays calls; empty when none is known.
+func (c *crew) helping() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if peer == c.helper {
-		return 0
-	}
-	return 1
+	return c.helper
 }
 
 // all returns the addresses of all other instances in an order of this instance's
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/rpc"
-	"slices"
 	"syscall"
 	"time"
 
@@ -25,59 +24,84 @@
 	return nil
 }
 
+// Reaches tells whether this instance reaches the store.
+func (s *storeCalls) Reaches(_ struct{}, reaches *bool) error {
+	*reaches = s.gateway.store.Reaches()
+	return nil
+}
+
 const (
 	// relayTimeout bounds a relayed call beyond the wait of a watch.
 	relayTimeout = 1300 * time.Millisecond
-	// relayTries bounds the instances that are asked for one call.
-	relayTries = 3
+	// findTimeout bounds the search for an instance that reaches the store.
+	findTimeout = 300 * time.Millisecond
+	// mostAsked bounds the instances that are asked at once whether they do.
+	mostAsked = 8
 )
 
-// relay asks other instances to make a call, the last one that could first.
+var errNoRelay = errors.New("no other instance reaches the store")
+
+// relay has another instance make a call.
 func (g *Gateway) relay(ctx context.Context, c objects.RelayCall) (objects.RelayReply, bool, error) {
-	err, sent := errors.New("no other instance is known"), false
-	var last objects.RelayReply
-	answered := false
-	for n, peer := range g.relayPeers() {
-		if n == relayTries || ctx.Err() != nil {
-			break
-		}
-		var reply objects.RelayReply
-		err = g.relayTo(ctx, peer, c, &reply)
-		if err == nil {
-			last, answered = reply, true
-			if reply.Code != objects.RelayRefused {
-				g.crew.helped(peer)
-				return reply, true, nil
-			}
-			continue
-		}
-		var refused rpc.ServerError
-		if !errors.As(err, &refused) && !errors.Is(err, syscall.ECONNREFUSED) && c.Verb != "get" && c.Verb != "list" && c.Verb != "watch" {
-			return objects.RelayReply{}, true, err // a write may have got there
+	helper := g.crew.helping()
+	if helper == "" {
+		if helper = g.findHelper(ctx); helper == "" {
+			return objects.RelayReply{}, false, errNoRelay
 		}
+		g.crew.helped(helper)
 	}
-	if answered {
-		return last, sent, nil
+	var reply objects.RelayReply
+	bounded, cancel := context.WithTimeout(ctx, c.Wait+relayTimeout)
+	defer cancel()
+	err := g.dialer.Call(bounded, helper, "Store.Call", c, &reply)
+	if err != nil || reply.Code == objects.RelayRefused {
+		g.crew.helped("") // another one is looked for with the next call
 	}
-	return objects.RelayReply{}, sent, err
+	var refused rpc.ServerError
+	sent := err == nil || !errors.As(err, &refused) && !errors.Is(err, syscall.ECONNREFUSED)
+	return reply, sent, err
 }
 
-func (g *Gateway) relayTo(ctx context.Context, peer string, c objects.RelayCall, reply *objects.RelayReply) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+relayTimeout)
+// findHelper returns the first instance to say that it reaches the store.
+func (g *Gateway) findHelper(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	return g.dialer.Call(ctx, peer, "Store.Call", c, reply)
+	peers := g.relayPeers()
+	peers = peers[:min(len(peers), mostAsked)]
+	found := make(chan string, len(peers))
+	for _, peer := range peers {
+		go func() {
+			var reaches bool
+			if g.dialer.Call(ctx, peer, "Store.Reaches", struct{}{}, &reaches) != nil || !reaches {
+				peer = "" // silence or a no; the search tells when it finds none
+			}
+			found <- peer
+		}()
+	}
+	for range peers {
+		select {
+		case peer := <-found:
+			if peer != "" {
+				return peer
+			}
+		case <-ctx.Done():
+			return ""
+		}
+	}
+	return ""
 }
 
-// relayPeers returns the instances to ask, best first.
+// relayPeers returns the instances that may relay.
 func (g *Gateway) relayPeers() []string {
-	peers := append(g.crew.all(), g.settings.Peers...)
-	slices.SortStableFunc(peers, func(a, b string) int { return g.crew.rank(a) - g.crew.rank(b) })
 	seen := map[string]bool{g.settings.PeerListen: true}
-	return slices.DeleteFunc(peers, func(p string) bool {
-		known := seen[p]
-		seen[p] = true
-		return known
-	})
+	var peers []string
+	for _, p := range append(g.crew.all(), g.settings.Peers...) {
+		if !seen[p] {
+			seen[p] = true
+			peers = append(peers, p)
+		}
+	}
+	return peers
 }
 
 // wayChanged logs how the store is reached.
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -14,8 +14,6 @@
 	// Pauses after a failed list or watch, before jitter.
 	followFirstPause = 200 * time.Millisecond
 	followMaxPause   = 10 * time.Second
-	// gapPause is the pause before a new list when history is gone.
-	gapPause = 50 * time.Millisecond
 )
 
 // FollowOptions bound the calls of a Follow and tell of its state.
@@ -53,8 +51,6 @@
 			o.State(err)
 		}
 		switch {
-		case errors.Is(err, ErrGap): // listed again soon: what changed meanwhile is not known
-			pause(ctx, gapPause)
 		case err != nil:
 			pause(ctx, pauses.NextBackOff())
 		case watched: // a list alone is no progress: the watch may fail for good
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -80,14 +80,51 @@
 	changed func(direct bool, cause error)
 	now     func() time.Time
 
-	mu    sync.Mutex // guards all below
-	lost  bool
-	probe time.Time // when the direct way is tried again
+	mu       sync.Mutex // guards all below
+	lost     bool
+	probe    time.Time     // when the direct way is tried again
+	patience time.Duration // how long a direct call may take beyond its wait
+	// way ends when the direct way is lost, and all direct calls with it: a watch
+	// would otherwise wait on a way that another call has found broken.
+	way  context.Context
+	lose context.CancelFunc
 }
 
 // NewRelay returns a Relay.
 func NewRelay(direct Store, peers RelayPeers, changed func(direct bool, cause error), now func() time.Time) *Relay {
-	return &Relay{direct: direct, peers: peers, changed: changed, now: now}
+	r := &Relay{direct: direct, peers: peers, changed: changed, now: now, patience: leastPatience}
+	r.way, r.lose = context.WithCancel(context.Background())
+	return r
+}
+
+// Bounds of the time that a direct call may take. A store that answers in
+// milliseconds and is a hundred times as slow on a bad day stays below the first;
+// each call that is not answered in time lengthens it, for one slower still.
+const (
+	leastPatience = 600 * time.Millisecond
+	mostPatience  = 2500 * time.Millisecond
+	patienceStep  = 300 * time.Millisecond
+)
+
+// perform makes a direct call within the patience that experience has given.
+func (r *Relay) perform(ctx context.Context, c RelayCall) (RelayReply, error) {
+	r.mu.Lock()
+	patience, way := r.patience, r.way
+	r.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, c.Wait+patience)
+	defer cancel()
+	defer context.AfterFunc(way, cancel)()
+	reply, err := perform(bounded, r.direct, c)
+	late := errors.Is(bounded.Err(), context.DeadlineExceeded) && ctx.Err() == nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case late:
+		r.patience = min(mostPatience, r.patience+patienceStep)
+	case settles(err):
+		r.patience = max(leastPatience, r.patience-patienceStep/4)
+	}
+	return reply, err
 }
 
 // probeInterval is how often a lost direct way is tried again.
@@ -116,8 +153,12 @@
 	r.mu.Lock()
 	was := r.lost
 	r.lost = !settles(err)
-	if r.lost && !was {
+	switch {
+	case r.lost && !was:
 		r.probe = r.now().Add(probeInterval)
+		r.lose()
+	case was && !r.lost:
+		r.way, r.lose = context.WithCancel(context.Background())
 	}
 	now := r.lost
 	r.mu.Unlock()
@@ -126,15 +167,19 @@
 	}
 }
 
+// Reaches reports whether the direct way works, as far as known.
+func (r *Relay) Reaches() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost
+}
+
 // Serve makes a call for another instance, the direct way only.
 func (r *Relay) Serve(ctx context.Context, c RelayCall) RelayReply {
-	r.mu.Lock()
-	lost := r.lost
-	r.mu.Unlock()
-	if lost {
+	if !r.Reaches() {
 		return RelayReply{Code: RelayRefused}
 	}
-	reply, err := perform(ctx, r.direct, c)
+	reply, err := r.perform(ctx, c)
 	r.note(ctx, err)
 	reply.Code = relayCodeOf(err)
 	return reply
@@ -164,7 +209,7 @@
 // effect is not sent another way: its caller settles it.
 func (r *Relay) do(ctx context.Context, c RelayCall) (RelayReply, error) {
 	if r.preferDirect() {
-		reply, err := perform(ctx, r.direct, c)
+		reply, err := r.perform(ctx, c)
 		r.note(ctx, err)
 		write := c.Verb == "put" || c.Verb == "delete"
 		if settles(err) || ctx.Err() != nil || (write && OutcomeOf(err) != NotDone) {
