Relay: a lost way is probed on its own; a cut watch does not lose it; tests of the path

Change: a lost way is probed by a short read of its own each half second, then each second; a failed watch has the way tried before it counts as lost.

--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -128,15 +128,20 @@
 	return append(near, far...)
 }
 
-// crewInterval is how often the list of instances is read; a stale one costs a
-// timeout at most.
-const crewInterval = 20 * time.Second
+// The list of instances is read more often after the start, when others start
+// too; a stale list costs a timeout at most.
+const (
+	firstCrewInterval = time.Second
+	crewInterval      = 20 * time.Second
+)
 
 // pollCrew keeps the list of instances until ctx ends.
 func (g *Gateway) pollCrew(ctx context.Context) {
 	g.joinCrew(ctx)
+	interval := firstCrewInterval / 2
 	for ctx.Err() == nil {
-		pause := crewInterval
+		interval = min(crewInterval, 2*interval)
+		pause := interval
 		all, err := g.store.List(ctx, kindInstances)
 		if err == nil {
 			err = g.crew.replace(all.Objects)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,7 @@
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), weights: newWeights(),
 	}
 	g.crew = newCrew(s)
-	g.store = objects.NewRelay(g.direct, g.relay, g.wayChanged, g.clock.Now)
+	g.store = objects.NewRelay(g.direct, g.relay, g.wayChanged)
 	g.meter = newMeter(s.UsageWindow)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Engines: g.engines, Clock: g.clock, Log: t.Log,
@@ -215,14 +215,8 @@
 	}
 }
 
-// Parts of the grace that a stop may take.
-const (
-	// unlisted is how long the balancer takes to send no new callers: it asks
-	// once a second and believes the second miss.
-	unlisted = 2500 * time.Millisecond
-	// lastPart of the grace is kept for what must be written at the end.
-	lastPart = 1500 * time.Millisecond
-)
+// lastPart of the grace is kept for what must be written at the end of a stop.
+const lastPart = 1500 * time.Millisecond
 
 // stop hands batches over, keeps serving until the balancer sends nobody, then
 // finishes what runs.
@@ -235,7 +229,7 @@
 	parts.Go(func() { g.leaveCrew(ctx) })
 	parts.Go(func() { g.batches.Handover(ctx) })
 	parts.Go(func() { g.releaseControl(ctx) })
-	g.clock.Sleep(unlisted)
+	g.clock.Sleep(g.settings.DrainGrace)
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(ctx); err != nil {
 		g.log.Warn("requests were still running at the end of the grace", telemetry.Error(err))
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/metric/noop"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/platform/standin"
+	"github.com/pomelocross/pomelocross/telemetry"
+)
+
+const (
+	host  = "desk.example"
+	key   = "key-of-north"
+	other = "key-of-south"
+	model = "m0"
+)
+
+// deployment is a platform of stand-ins with gateways on it.
+type deployment struct {
+	store   *standin.Store
+	cloud   *standin.Cloud
+	engines []*standin.Engine
+	desk    *standin.Engine
+	front   []string // addresses for callers
+
+	storeAddress, cloudAddress string
+	version                    int64
+}
+
+func serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func newDeployment(engines, events int) *deployment {
+	d := &deployment{store: standin.NewStore(), cloud: &standin.Cloud{}}
+	d.storeAddress, d.cloudAddress = serve(d.store), serve(d.cloud)
+	for n := range engines {
+		e := &standin.Engine{ID: fmt.Sprint("engine-", n), Service: "lm", Slots: 8, Events: events, Pace: 5 * time.Millisecond}
+		e.Serve(model, 1)
+		d.engines = append(d.engines, e)
+		d.store.Set("servers", e.ID, e.Register(serve(e), "a", "ready"))
+	}
+	d.desk = &standin.Engine{ID: "desk-0", Service: "desk", Slots: 8}
+	d.store.Set("servers", d.desk.ID, d.desk.Register(serve(d.desk), "a", "ready"))
+	d.configure(nil)
+	return d
+}
+
+// door is a way to the store that a test can shut for one instance.
+type door struct {
+	to   http.Handler
+	shut atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.shut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	d.to.ServeHTTP(w, r)
+}
+
+// configure writes a configuration, changed as a test likes.
+func (d *deployment) configure(change func(c map[string]any)) {
+	d.version++
+	c := map[string]any{
+		"Version": d.version,
+		"Routes": []map[string]any{
+			{"Name": "desk", "Host": host, "Prefix": "/kits/", "Type": "safe", "TimeoutMs": 2000, "GoalMs": 150, "Service": "desk", "Attempts": 2},
+			{"Name": "lots", "Host": host, "Prefix": "/train/", "Type": "rollout", "Service": "lm", "Attempts": 3, "MaxQueueS": 40, "DueMs": 7500},
+			{"Name": "chat", "Host": host, "Prefix": "/chat/", "Type": "stream", "Service": "lm", "Attempts": 3, "TimeoutMs": 5000, "Resumable": true},
+		},
+		"Services": []map[string]any{{"Name": "desk"}, {"Name": "lm", "Engine": map[string]any{"Slots": 8, "Models": []map[string]any{{"Name": model}}}}},
+		"Tenants":  []map[string]any{{"Name": "north", "ApiKeys": []string{key}}, {"Name": "south", "ApiKeys": []string{other}}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20},
+	}
+	if change != nil {
+		change(c)
+	}
+	d.store.Set("config", "main", c)
+}
+
+// member is a running gateway.
+type member struct {
+	*Gateway
+	front string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a gateway until the test ends.
+func (d *deployment) start(name string, change func(*Settings)) *member {
+	s := &Settings{
+		Name: name, Domain: "a", Deployment: "test", Secret: "0123456789abcdef", Listen: freeAddress(), ReadyListen: freeAddress(),
+		PeerListen: freeAddress(), Store: d.storeAddress, Cloud: d.cloudAddress, Control: "first", LeaseBound: time.Second,
+		Grace: 4 * time.Second, DrainGrace: 50 * time.Millisecond, UsageWindow: time.Second, UsageLate: 4 * time.Second, Keep: time.Minute, LogLevel: "info",
+	}
+	if change != nil {
+		change(s)
+	}
+	g, err := New(s, &telemetry.Telemetry{Log: zap.NewNop(), Meter: noop.Meter{}, Metrics: http.NotFoundHandler()})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{Gateway: g, front: s.Listen, stop: cancel, done: make(chan error, 1)}
+	go func() { m.done <- g.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(m.done).WithTimeout(10 * time.Second).Should(Receive())
+	})
+	Eventually(func() int { return status("GET", s.ReadyListen, "/readyz", "", nil) }).WithTimeout(5 * time.Second).Should(Equal(http.StatusOK))
+	return m
+}
+
+// answer is a whole answer to a caller.
+type answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+func call(method, address, path, key string, body []byte, headers ...string) (answer, error) {
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	r.Host = host
+	r.Header.Set("X-Pomelocross-Request-Id", fmt.Sprintf("r%d", time.Now().UnixNano()))
+	if key != "" {
+		r.Header.Set("X-Api-Key", key)
+	}
+	for n := 0; n+1 < len(headers); n += 2 {
+		r.Header.Set(headers[n], headers[n+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	a, err := client.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer a.Body.Close()
+	read, err := io.ReadAll(a.Body)
+	return answer{a.StatusCode, a.Header, read}, err
+}
+
+func status(method, address, path, key string, body []byte, headers ...string) int {
+	a, err := call(method, address, path, key, body, headers...)
+	if err != nil {
+		return 0
+	}
+	return a.Status
+}
+
+// lot makes a batch of groups of two items.
+func lot(items, least int) []byte {
+	body := map[string]any{"Step": 1, "Model": model, "MinVersion": least, "Desired": items / 2}
+	var list []map[string]any
+	for n := range items {
+		list = append(list, map[string]any{
+			"Id": fmt.Sprint("item-", n), "Path": fmt.Sprint("/train/x/", n), "Body": []byte("prompt"), "NumTokens": 100, "Group": fmt.Sprint("g", n/2),
+			"Headers": map[string]string{"X-Pomelocross-Model": model, "X-Pomelocross-Tokens": "20,80"},
+		})
+	}
+	body["Items"] = list
+	encoded, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+func submit(address, id string, body []byte) int {
+	return status("POST", address, "/train/"+id, key, body, "X-Pomelocross-Request-Id", id)
+}
+
+// page is the part of a page of results that tests look at.
+type page struct {
+	Total     int
+	NextToken int
+	Results   []struct {
+		Id       string
+		State    string
+		Output   string
+		Versions []int64
+	}
+}
+
+func read(address, id string, after int) (page, int) {
+	a, err := call("GET", address, fmt.Sprintf("/lots/%s?After=%d", id, after), key, nil, "X-Pomelocross-Wait-Ms", "300")
+	var p page
+	if err == nil && a.Status == http.StatusOK {
+		Expect(json.Unmarshal(a.Body, &p)).To(Succeed())
+	}
+	return p, a.Status
+}
+
+// results reads a batch from its start until it has so many results.
+func results(address, id string, count int) map[string]string {
+	var got page
+	Eventually(func() int {
+		got, _ = read(address, id, 0)
+		return len(got.Results)
+	}).WithTimeout(15 * time.Second).Should(Equal(count))
+	texts := map[string]string{}
+	for _, r := range got.Results {
+		Expect(texts).NotTo(HaveKey(r.Id))
+		texts[r.Id] = r.Output
+	}
+	return texts
+}
+
+// expectWhole checks that a batch has every item's whole text once.
+func expectWhole(texts map[string]string, items, events int) {
+	for n := range items {
+		id := fmt.Sprint("item-", n)
+		Expect(texts).To(HaveKeyWithValue(id, standin.Text(id, events)))
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -24,6 +24,7 @@
 
 	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not go to and fro" validate:"min=1s"`
 	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the signal to stop until the process is killed" validate:"min=1s"`
+	DrainGrace  time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time that a planned stop still takes new requests after readiness fails; the balancer asks once a second and believes the second miss" validate:"min=0"`
 	UsageWindow time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
 	UsageLate   time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after a window's end within which its report is due" validate:"min=1s"`
 	Keep        time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time from its submission for which an ended batch can be read" validate:"min=1s"`
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -78,11 +78,9 @@
 	peers  RelayPeers
 	// changed is told when the way to the store changes.
 	changed func(direct bool, cause error)
-	now     func() time.Time
 
 	mu       sync.Mutex // guards all below
 	lost     bool
-	probe    time.Time     // when the direct way is tried again
 	patience time.Duration // how long a direct call may take beyond its wait
 	// way ends when the direct way is lost, and all direct calls with it: a watch
 	// would otherwise wait on a way that another call has found broken.
@@ -91,8 +89,8 @@
 }
 
 // NewRelay returns a Relay.
-func NewRelay(direct Store, peers RelayPeers, changed func(direct bool, cause error), now func() time.Time) *Relay {
-	r := &Relay{direct: direct, peers: peers, changed: changed, now: now, patience: leastPatience}
+func NewRelay(direct Store, peers RelayPeers, changed func(direct bool, cause error)) *Relay {
+	r := &Relay{direct: direct, peers: peers, changed: changed, patience: leastPatience}
 	r.way, r.lose = context.WithCancel(context.Background())
 	return r
 }
@@ -128,21 +126,52 @@
 }
 
 // probeInterval is how often a lost direct way is tried again.
-const probeInterval = time.Second
+const probeInterval = 500 * time.Millisecond
 
-// preferDirect reports whether a call goes the direct way first. While that way
-// is lost, one call an interval does.
-func (r *Relay) preferDirect() bool {
+// What a lost way is tried with; the store's word that there is none will do.
+const (
+	probeKind = "probes"
+	probeName = "none"
+)
+
+// probe tries the direct way until it works.
+func (r *Relay) probe() {
+	for pause := probeInterval; !r.Reaches(); pause = 2 * probeInterval {
+		time.Sleep(pause)
+		if r.works() {
+			r.note(context.Background(), nil)
+		}
+	}
+}
+
+// works tries the direct way once.
+func (r *Relay) works() bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.lost {
-		return true
+	patience := r.patience
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := r.direct.Get(ctx, probeKind, probeName)
+	return settles(err)
+}
+
+// suspect tries the direct way after a watch on it has failed, which the store
+// may cut at any time.
+func (r *Relay) suspect(cause error) {
+	if r.Reaches() && !r.works() {
+		r.note(context.Background(), cause)
 	}
-	if now := r.now(); now.After(r.probe) {
-		r.probe = now.Add(probeInterval)
-		return true
+}
+
+// heard takes in what came of a direct call.
+func (r *Relay) heard(ctx context.Context, c RelayCall, err error) {
+	if c.Verb == "watch" && !settles(err) {
+		if ctx.Err() == nil {
+			go r.suspect(err)
+		}
+		return
 	}
-	return false
+	r.note(ctx, err)
 }
 
 // note takes in what a direct call says of the direct way.
@@ -155,8 +184,8 @@
 	r.lost = !settles(err)
 	switch {
 	case r.lost && !was:
-		r.probe = r.now().Add(probeInterval)
 		r.lose()
+		go r.probe()
 	case was && !r.lost:
 		r.way, r.lose = context.WithCancel(context.Background())
 	}
@@ -180,7 +209,7 @@
 		return RelayReply{Code: RelayRefused}
 	}
 	reply, err := r.perform(ctx, c)
-	r.note(ctx, err)
+	r.heard(ctx, c, err)
 	reply.Code = relayCodeOf(err)
 	return reply
 }
@@ -208,9 +237,9 @@
 // do makes a call by the way that works. A write whose direct try may have taken
 // effect is not sent another way: its caller settles it.
 func (r *Relay) do(ctx context.Context, c RelayCall) (RelayReply, error) {
-	if r.preferDirect() {
+	if r.Reaches() {
 		reply, err := r.perform(ctx, c)
-		r.note(ctx, err)
+		r.heard(ctx, c, err)
 		write := c.Verb == "put" || c.Verb == "delete"
 		if settles(err) || ctx.Err() != nil || (write && OutcomeOf(err) != NotDone) {
 			return reply, err
--- a/objects/relay_test.go
+++ b/objects/relay_test.go
@@ -61,24 +61,26 @@
 	return g.Store.Put(ctx, kind, name, expect, value)
 }
 
+func (g *gate) Watch(ctx context.Context, kind string, after objects.Version, wait time.Duration) (objects.List, error) {
+	return objects.List{}, errors.New("the watch was cut")
+}
+
 var _ = Describe("Relay", func() {
 	var (
 		store        *memstore.Store
 		way, peerWay *gate
 		relay, peer  *objects.Relay
 		changes      []bool
-		now          time.Time
 	)
 
 	BeforeEach(func() {
-		store, changes, now = memstore.New(), nil, time.Unix(1000, 0)
+		store, changes = memstore.New(), nil
 		way, peerWay = &gate{Store: store}, &gate{Store: store}
-		clock := func() time.Time { return now }
-		peer = objects.NewRelay(peerWay, nil, nil, clock)
+		peer = objects.NewRelay(peerWay, nil, nil)
 		toPeer := func(ctx context.Context, c objects.RelayCall) (objects.RelayReply, bool, error) {
 			return peer.Serve(ctx, c), true, nil
 		}
-		relay = objects.NewRelay(way, toPeer, func(direct bool, _ error) { changes = append(changes, direct) }, clock)
+		relay = objects.NewRelay(way, toPeer, func(direct bool, _ error) { changes = append(changes, direct) })
 	})
 
 	It("goes the direct way while it works", func(ctx SpecContext) {
@@ -93,13 +95,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		_, err = relay.Get(ctx, "k", "n")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(way.count()).To(Equal(1))
+		Expect(store.Writes()).To(HaveLen(1))
 		way.set(nil, false)
-		now = now.Add(2 * time.Second)
-		_, err = relay.Get(ctx, "k", "n")
-		Expect(err).NotTo(HaveOccurred())
+		Eventually(relay.Reaches).WithTimeout(3 * time.Second).Should(BeTrue())
 		Expect(changes).To(Equal([]bool{false, true}))
-		Expect(relay.Reaches()).To(BeTrue())
 	})
 
 	It("hands on what the store says through another instance", func(ctx SpecContext) {
@@ -127,16 +126,31 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("does not take a watch that the store cut for a lost way", func(ctx SpecContext) {
+		_, err := relay.Watch(ctx, "k", 1, time.Millisecond)
+		Expect(err).To(HaveOccurred())
+		Consistently(relay.Reaches, "200ms").Should(BeTrue())
+	})
+
+	It("recovers by itself, without a call of its users", func(ctx SpecContext) {
+		way.set(objects.ErrRefused, false)
+		peerWay.set(objects.ErrRefused, false)
+		_, err := relay.Get(ctx, "k", "n")
+		Expect(err).To(HaveOccurred())
+		Expect(relay.Reaches()).To(BeFalse())
+		way.set(nil, false)
+		Eventually(relay.Reaches).WithTimeout(3 * time.Second).Should(BeTrue())
+	})
+
 	It("gives no false promise when nobody reaches the store", func(ctx SpecContext) {
 		way.set(objects.ErrRefused, false)
 		peerWay.set(objects.ErrRefused, false)
 		_, err := relay.Put(ctx, "k", "n", 0, "v")
 		Expect(objects.OutcomeOf(err)).To(Equal(objects.NotDone))
 		peerWay.set(errors.New("connection reset"), false)
-		now = now.Add(2 * time.Second)
 		peerOf := objects.NewRelay(way, func(ctx context.Context, c objects.RelayCall) (objects.RelayReply, bool, error) {
 			return objects.RelayReply{}, true, errors.New("connection reset")
-		}, nil, func() time.Time { return now })
+		}, nil)
 		_, err = peerOf.Put(ctx, "k", "n", 0, "v")
 		Expect(objects.OutcomeOf(err)).To(Equal(objects.Unknown))
 	})
