--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/pomelocross/pomelocross/settings"
@@ -43,3 +45,13 @@
 	}, args)
 	return s, err
 }
+
+// DocumentSettings writes the settings as the page docs/SETTINGS-gateway.md.
+func DocumentSettings(w io.Writer) {
+	fmt.Fprint(w, "# Settings of the gateway\n\n"+
+		"Flags of `pomelocross-gateway`, each with its environment variable. Flags win. All\n"+
+		"faults are reported at once, and nothing starts; `--check` prints the effective\n"+
+		"settings with secrets masked and ends. `deploy/system.toml` fills the variables.\n"+
+		"This page is generated from the code: `UPDATE=1 go test ./gateway`.\n\n")
+	settings.Table(w, &Settings{})
+}
--- /dev/null
+++ b/gateway/settings_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"bytes"
+	"os"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/settings"
+)
+
+var _ = Describe("Settings", func() {
+	const page = "../docs/SETTINGS-gateway.md"
+	valid := []string{"--name", "entry-1", "--domain", "mty-a", "--secret", "0123456789abcdef", "--peer-listen", "127.0.0.1:1", "--store", "127.0.0.1:2"}
+
+	It("are described by the committed page", func() {
+		var b bytes.Buffer
+		DocumentSettings(&b)
+		if os.Getenv("UPDATE") != "" {
+			Expect(os.WriteFile(page, b.Bytes(), 0o644)).To(Succeed())
+		}
+		committed, err := os.ReadFile(page)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(committed)).To(Equal(b.String()))
+	})
+
+	It("are taken from flags and variables, with secrets masked", func() {
+		GinkgoT().Setenv("POMELOCROSS_PEERS", "127.0.0.1:3,127.0.0.1:4")
+		GinkgoT().Setenv("POMELOCROSS_LISTEN", "")
+		s, err := ParseSettings("test", valid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Peers).To(Equal([]string{"127.0.0.1:3", "127.0.0.1:4"}))
+		var b bytes.Buffer
+		settings.Print(&b, s)
+		Expect(b.String()).To(ContainSubstring("secret=********"))
+		Expect(b.String()).NotTo(ContainSubstring("0123456789abcdef"))
+	})
+
+	DescribeTable("name the flag of each fault", func(args []string, fault string) {
+		_, err := ParseSettings("test", append(append([]string{}, valid...), args...))
+		Expect(err).To(MatchError(ContainSubstring(fault)))
+	},
+		Entry("an address without a port", []string{"--listen", "10.0.0.1"}, "--listen: must be an IP number"),
+		Entry("a short secret", []string{"--secret", "short"}, "--secret: must be at least 16 characters"),
+		Entry("an unknown eagerness", []string{"--control", "always"}, "--control: must be one of"),
+		Entry("a bound below its least", []string{"--lease-bound", "10ms"}, "--lease-bound: must be at least 1s"),
+	)
+})
--- a/settings/document.go
+++ b/settings/document.go
@@ -14,9 +14,15 @@
 		"Flags of `pomelocrossd`, each with its environment variable. Flags win. All\n"+
 		"faults are reported at once, and nothing starts; `--check` prints the effective\n"+
 		"settings with secrets masked and ends. This page is generated from the code:\n"+
-		"`UPDATE=1 go test ./settings`.\n\n"+
-		"| flag | variable | default | check | meaning |\n|---|---|---|---|---|\n")
-	for _, f := range fields(&Settings{}) {
+		"`UPDATE=1 go test ./settings`.\n\n")
+	Table(w, &Settings{})
+}
+
+// Table writes the settings of a struct with the tags that Settings has, a row
+// each.
+func Table(w io.Writer, s any) {
+	fmt.Fprint(w, "| flag | variable | default | check | meaning |\n|---|---|---|---|---|\n")
+	for _, f := range fields(s) {
 		variable := f.Tag.Get("env")
 		if variable == "-" {
 			variable = ""
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -63,17 +64,25 @@
 	if err != nil {
 		return nil, oops.In("telemetry").Wrapf(err, "log level")
 	}
-	config := zap.NewProductionConfig()
-	config.OutputPaths = []string{"stdout"}
-	config.Level = zap.NewAtomicLevelAt(level)
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	log, err := config.Build(zap.Fields(zap.String("instance", o.Instance)))
-	if err != nil {
-		return nil, oops.In("telemetry").Wrapf(err, "build logger")
-	}
-	return log, nil
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(newCore(encoding, newWriter(os.Stdout), level)).With(zap.String("instance", o.Instance)), nil
+}
+
+// Of the lines with one message in a second, the first ones are kept and then one
+// in so many, which bounds the volume under load.
+const (
+	keptLines = 200
+	keptOneIn = 50
+)
+
+// newCore returns a core that samples lines below warnings; errors and warnings
+// keep their place.
+func newCore(encoding zapcore.EncoderConfig, to zapcore.WriteSyncer, level zapcore.Level) zapcore.Core {
+	encoder := zapcore.NewJSONEncoder(encoding)
+	urgent := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l >= zapcore.WarnLevel }))
+	usual := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel }))
+	return zapcore.NewTee(urgent, zapcore.NewSamplerWithOptions(usual, time.Second, keptLines, keptOneIn))
 }
 
 func (t *Telemetry) startMetrics(o Options) error {
