Batches: only a head that the store showed as ended and ours makes the log final

Ruled out: a lost chunk (all were in the store), the owner's word of 0.7 s. Change: a head with another owner makes the job lost even if the batch has ended; the end told by another instance makes nothing final.

--- a/batch/job.go
+++ b/batch/job.go
@@ -81,7 +81,9 @@
 	ended  bool
 	lost   bool // another instance runs it
 	// sure is when the store last confirmed that no other instance writes results.
-	sure    time.Time
+	sure time.Time
+	// final says that the store showed the batch as ended and ours.
+	final   bool
 	changed chan struct{} // closed and replaced when results were stored or the job ends
 	flush   chan struct{} // wakes the writer of chunks
 	endedAt time.Time
--- a/batch/own.go
+++ b/batch/own.go
@@ -63,8 +63,8 @@
 	if !j.ended {
 		changed = j.changed
 	}
-	// The log of an ended batch takes no further owner.
-	sure = j.settled() || r.Clock.Now().Sub(j.sure) < sureFor
+	// The log of a batch that ended while it was ours takes no further owner.
+	sure = (j.final && j.settled()) || r.Clock.Now().Sub(j.sure) < sureFor
 	return j.ledger.Page(args.After), changed, sure, nil
 }
 
@@ -88,7 +88,7 @@
 		return
 	}
 	j.head = h
-	if h.Owner != r.Name && !h.Ended {
+	if h.Owner != r.Name {
 		r.Log.Info("batch is run by another instance", zap.String("batch", h.ID), zap.String("owner", h.Owner))
 		j.lost = true
 		j.stop(errLost)
@@ -96,13 +96,13 @@
 		j.wakeWriter()
 		return
 	}
-	j.sure = asOf
+	j.sure, j.final = asOf, h.Ended
 	if h.Ended {
 		j.end(r.Clock.Now())
 	}
 }
 
-// Ended notes that a batch's end is stored.
+// Ended notes that a batch's end is stored, by the word of another instance.
 func (r *Runner) Ended(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/batch/own_test.go
@@ -0,0 +1,88 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/catalog"
+	"github.com/pomelocross/pomelocross/internal/memstore"
+	"github.com/pomelocross/pomelocross/roster"
+)
+
+// idle returns a service over a store that runs nothing, as one of an instance
+// whose engines are all away.
+func idle(store *memstore.Store, name string) *Service {
+	r := NewRunner(Options{
+		Name: name, Peer: name, Keeper: NewKeeper(store, name), Roster: roster.New(), Catalog: func() *catalog.Catalog { return nil },
+		Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Keep: time.Minute, KeepBytes: 1 << 20,
+	})
+	return NewService(r, store, nobody{}, func(string) time.Duration { return time.Second })
+}
+
+// nobody are peers that do not answer.
+type nobody struct{}
+
+func (nobody) Read(ctx context.Context, _ string, _ ReadArgs) (Page, error) {
+	return Page{}, context.DeadlineExceeded
+}
+func (nobody) Body(context.Context, string, BodyArgs) ([]byte, error) {
+	return nil, context.DeadlineExceeded
+}
+func (nobody) End(context.Context, string, string) error   { return context.DeadlineExceeded }
+func (nobody) Adopt(context.Context, string, string) error { return context.DeadlineExceeded }
+func (nobody) Others() []string                            { return nil }
+
+var _ = Describe("An owner that was replaced while it was cut off", func() {
+	var a, b *Service
+	read := ReadArgs{ID: "l", Team: "t", After: 1}
+
+	BeforeEach(func(ctx SpecContext) {
+		store := memstore.New()
+		a, b = idle(store, "a"), idle(store, "b")
+		Expect(a.Submit(ctx, submission("l", 4), "t", "r", time.Now())).To(Succeed())
+		_, err := a.keeper.Append(ctx, "l", 0, named("l-0"))
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.jobs["l"].ledger.Apply(named("l-0"))
+		_, err = b.claim(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = b.keeper.Append(ctx, "l", 1, named("l-1", "l-2"))
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.jobs["l"].sure = time.Now().Add(-sureFor) // the takeover took longer than that
+	})
+
+	It("shows no empty page where the other has listed results, once it learns of the batch's end", func(ctx SpecContext) {
+		Expect(b.End(ctx, "l", "t")).To(Succeed())
+		h, err := a.keeper.Head(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.headSeen(h, time.Now())
+		page, err := a.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(Equal(named("l-1", "l-2")))
+	})
+
+	It("nor when it is only told of the end by another instance", func(ctx SpecContext) {
+		Expect(b.End(ctx, "l", "t")).To(Succeed())
+		a.runner.Ended("l")
+		page, err := a.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(Equal(named("l-1", "l-2")))
+	})
+
+	It("nor when it ends the batch itself", func(ctx SpecContext) {
+		Expect(a.End(ctx, "l", "t")).To(Succeed())
+		page, err := a.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(Equal(named("l-1", "l-2")))
+	})
+
+	It("nor while the batch is open and its word has aged", func(ctx SpecContext) {
+		page, err := a.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(Equal(named("l-1", "l-2")))
+	})
+})
