Batches: an empty page is checked against the log's end; texts of long items are stored

Besides, a successor made long items again from their start (5 s of text lost at a zone cut), and items were moved from a slow engine although no faster one had room. Ruled out: fencing the log by the head (one call changes one object).

--- a/batch/job.go
+++ b/batch/job.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // itemState is an item without a result, as its owner sees it.
@@ -26,6 +28,7 @@
 // run is one sending of an item to an engine.
 type run struct {
 	upstream string
+	service  string
 	begun    time.Time
 	sign     time.Time // of the newest event, or begun
 	events   int
@@ -80,13 +83,16 @@
 	due    time.Time             // when the results are wanted
 	ended  bool
 	lost   bool // another instance runs it
-	// sure is when the store last confirmed that no other instance writes results.
-	sure time.Time
-	// final says that the store showed the batch as ended and ours.
-	final   bool
+	// sure is when the store last confirmed that it has no results but those in
+	// ledger.
+	sure    time.Time
 	changed chan struct{} // closed and replaced when results were stored or the job ends
 	flush   chan struct{} // wakes the writer of chunks
 	endedAt time.Time
+	// saved is the version of the stored texts of unfinished items, savedAt when
+	// they were stored.
+	saved   objects.Version
+	savedAt time.Time
 }
 
 func newJob(h Stored, s *Submission, l *Ledger, kept func(*Item) *Partial, due, now time.Time) *job {
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -255,17 +257,36 @@
 	return false, oops.In("batch").With("step", "store chunk", "batch", id, "chunk", n).Wrap(w.Err)
 }
 
-// SaveProgress keeps the texts of unfinished items for the next owner.
-func (k *Keeper) SaveProgress(ctx context.Context, id string, partials map[string]Partial) error {
-	o, err := k.store.Get(ctx, KindProgress, id)
-	if err != nil && !errors.Is(err, objects.ErrNotFound) {
-		return oops.In("batch").With("step", "read progress", "batch", id).Wrap(err)
+// SaveProgress keeps the texts of unfinished items for the next owner. expect is
+// the version of those kept before; 0 when it is not known.
+func (k *Keeper) SaveProgress(ctx context.Context, id string, expect objects.Version, partials map[string]Partial) (objects.Version, error) {
+	if expect == 0 {
+		o, err := k.store.Get(ctx, KindProgress, id)
+		if err != nil && !errors.Is(err, objects.ErrNotFound) {
+			return 0, oops.In("batch").With("step", "read progress", "batch", id).Wrap(err)
+		}
+		expect = o.Version
 	}
-	_, err = k.store.Put(ctx, KindProgress, id, o.Version, partials)
+	o, err := k.store.Put(ctx, KindProgress, id, expect, trimmed(partials))
 	if err != nil {
-		return oops.In("batch").With("step", "store progress", "batch", id).Wrap(err)
+		return 0, oops.In("batch").With("step", "store progress", "batch", id).Wrap(err)
+	}
+	return o.Version, nil
+}
+
+// trimmed returns the longest texts that a stored value holds.
+func trimmed(partials map[string]Partial) map[string]Partial {
+	ids := slices.Collect(maps.Keys(partials))
+	slices.SortFunc(ids, func(a, b string) int { return len(partials[b].Text) - len(partials[a].Text) })
+	kept, size := map[string]Partial{}, 0
+	for _, id := range ids {
+		size += len(partials[id].Text) + 128
+		if size > maxChunkBytes {
+			break
+		}
+		kept[id] = partials[id]
 	}
-	return nil
+	return kept
 }
 
 func (k *Keeper) progress(ctx context.Context, id string) (map[string]Partial, error) {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pomelocross/pomelocross/internal/memstore"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 func submission(id string, items int) *Submission {
@@ -95,8 +96,12 @@
 		h, _, err := k.Create(ctx, submission("l", 2), Head{})
 		Expect(err).NotTo(HaveOccurred())
 		kept := map[string]Partial{"l-1": {Last: 4, Events: 5, Text: "so far", Versions: []int64{2, 3}}}
-		Expect(k.SaveProgress(ctx, "l", kept)).To(Succeed())
-		Expect(k.SaveProgress(ctx, "l", kept)).To(Succeed())
+		version, err := k.SaveProgress(ctx, "l", 0, map[string]Partial{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = k.SaveProgress(ctx, "l", version, kept)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = k.SaveProgress(ctx, "l", version, kept)
+		Expect(err).To(MatchError(objects.ErrConflict))
 		_, _, partials, err := k.Load(ctx, h)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(partials).To(Equal(kept))
--- a/batch/own.go
+++ b/batch/own.go
@@ -14,13 +14,12 @@
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
-// sureFor is how long the store's word that nobody else writes results is good
-// for. It stays below the time within which what one instance has shown must
+// sureFor is how long the store's word that it has no further results is good for. It stays below the time within which what one instance has shown must
 // show at all.
 const sureFor = 700 * time.Millisecond
 
 // Page returns results of a batch that runs here, or ErrNotHere. An empty page
-// is given only while it is sure that no other instance has listed results.
+// is given only while it is sure that the store has no further results.
 func (r *Runner) Page(ctx context.Context, args ReadArgs) (Page, error) {
 	deadline := r.Clock.Now().Add(args.Wait)
 	for {
@@ -63,24 +62,44 @@
 	if !j.ended {
 		changed = j.changed
 	}
-	// The log of a batch that ended while it was ours takes no further owner.
-	sure = (j.final && j.settled()) || r.Clock.Now().Sub(j.sure) < sureFor
-	return j.ledger.Page(args.After), changed, sure, nil
+	return j.ledger.Page(args.After), changed, r.Clock.Now().Sub(j.sure) < sureFor, nil
 }
 
-// verify asks the store whether this instance still owns a batch.
+// verify reads the store for results that another instance has listed behind the
+// known ones. Who owns the batch does not tell: one that was replaced may still
+// store what it had.
 func (r *Runner) verify(ctx context.Context, id string) error {
-	sent := r.Clock.Now()
-	h, err := r.Keeper.Head(ctx, id)
-	if err != nil {
-		return oops.In("batch").With("step", "verify", "batch", id).Wrap(errors.Join(ErrUnsure, err))
+	for {
+		r.mu.Lock()
+		j := r.jobs[id]
+		if j == nil || j.lost {
+			r.mu.Unlock()
+			return nil
+		}
+		n, sent := j.ledger.Chunks(), r.Clock.Now()
+		r.mu.Unlock()
+		more, err := r.followOther(ctx, j, n)
+		if err != nil {
+			return oops.In("batch").With("step", "verify", "batch", id).Wrap(errors.Join(ErrUnsure, err))
+		}
+		if !more {
+			r.confirm(j, n, sent)
+			return nil
+		}
 	}
-	r.headSeen(h, sent)
-	return nil
 }
 
-// headSeen takes in the stored head of a batch as of a time.
-func (r *Runner) headSeen(h Stored, asOf time.Time) {
+// confirm notes that the store had no more than n chunks at a time.
+func (r *Runner) confirm(j *job, n int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.ledger.Chunks() == n && at.After(j.sure) {
+		j.sure = at
+	}
+}
+
+// headSeen takes in the stored head of a batch.
+func (r *Runner) headSeen(h Stored) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[h.ID]
@@ -96,7 +115,6 @@
 		j.wakeWriter()
 		return
 	}
-	j.sure, j.final = asOf, h.Ended
 	if h.Ended {
 		j.end(r.Clock.Now())
 	}
@@ -201,10 +219,9 @@
 	if err != nil {
 		return after // the store's client tells of it
 	}
-	now := s.runner.Clock.Now()
 	for _, o := range changes.Objects {
 		if h, err := decodeHead(o); err == nil && !o.Deleted {
-			s.runner.headSeen(h, now)
+			s.runner.headSeen(h)
 		}
 	}
 	return changes.Version
@@ -213,9 +230,12 @@
 // recheck reads every head after a gap in the history.
 func (s *Service) recheck(ctx context.Context) objects.Version {
 	for _, id := range s.runner.openIDs() {
-		if err := s.runner.verify(ctx, id); err != nil {
+		h, err := s.keeper.Head(ctx, id)
+		if err != nil {
 			s.log.Warn("a batch could not be checked after a gap", zap.String("batch", id), telemetry.Error(err))
+			continue
 		}
+		s.runner.headSeen(h)
 	}
 	return 0
 }
@@ -261,7 +281,7 @@
 
 func (s *Service) handOver(ctx context.Context, id string, partials map[string]Partial) {
 	if len(partials) > 0 {
-		if err := s.keeper.SaveProgress(ctx, id, partials); err != nil {
+		if _, err := s.keeper.SaveProgress(ctx, id, 0, partials); err != nil {
 			s.log.Warn("texts of a batch could not be kept; its items run again", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
--- a/batch/own_test.go
+++ b/batch/own_test.go
@@ -59,7 +59,7 @@
 		Expect(b.End(ctx, "l", "t")).To(Succeed())
 		h, err := a.keeper.Head(ctx, "l")
 		Expect(err).NotTo(HaveOccurred())
-		a.runner.headSeen(h, time.Now())
+		a.runner.headSeen(h)
 		page, err := a.Read(ctx, read)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Results).To(Equal(named("l-1", "l-2")))
@@ -80,6 +80,22 @@
 		Expect(page.Results).To(Equal(named("l-1", "l-2")))
 	})
 
+	It("and its successor shows what it still lists, before and after the end", func(ctx SpecContext) {
+		b.runner.jobs["l"].ledger.Apply(named("l-1", "l-2"))
+		last := ReadArgs{ID: "l", Team: "t", After: 3}
+		b.runner.jobs["l"].sure = time.Now().Add(-sureFor)
+		page, err := b.Read(ctx, last)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(BeEmpty())
+		Expect(b.End(ctx, "l", "t")).To(Succeed())
+		_, err = a.keeper.Append(ctx, "l", 2, named("l-3"))
+		Expect(err).NotTo(HaveOccurred())
+		b.runner.jobs["l"].sure = time.Now().Add(-sureFor)
+		page, err = b.Read(ctx, last)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results).To(Equal(named("l-3")))
+	})
+
 	It("nor while the batch is open and its word has aged", func(ctx SpecContext) {
 		page, err := a.Read(ctx, read)
 		Expect(err).NotTo(HaveOccurred())
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -142,12 +142,8 @@
 	if full[asked] {
 		return
 	}
-	need := roster.Need{
-		Service: asked.service, Model: asked.model, MinVersion: asked.least, Domain: r.Domain,
-		KVTokens: config.Services[service].KVTokens,
-		Tokens:   w.state.item.Prompt + w.state.item.Expected(),
-		Avoid:    map[string]bool{w.state.avoid: true},
-	}
+	need := r.need(w.job, w.state, config.Services[service])
+	need.Avoid = map[string]bool{w.state.avoid: true}
 	choice, ok := r.Roster.Pick(need, now)
 	if !ok && w.state.avoid != "" {
 		need.Avoid = nil
@@ -160,6 +156,14 @@
 	r.start(ctx, w, route, choice, need.Tokens, now)
 }
 
+// need returns what an item asks of an engine.
+func (r *Runner) need(j *job, s *itemState, service catalog.Service) roster.Need {
+	return roster.Need{
+		Service: service.Name, Model: s.item.Model, MinVersion: j.sub.MinVersion, Domain: r.Domain,
+		KVTokens: service.KVTokens, Tokens: s.item.Prompt + s.item.Expected(),
+	}
+}
+
 // queue returns all waiting items in the order in which they are offered.
 func (r *Runner) queue(now time.Time) []waiting {
 	var list []waiting
@@ -208,7 +212,7 @@
 // start sends an item. The caller holds mu.
 func (r *Runner) start(ctx context.Context, w waiting, route catalog.Route, to roster.Choice, tokens int, now time.Time) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	w.state.running = &run{upstream: to.ID, begun: now, sign: now, tokens: tokens, cancel: cancel}
+	w.state.running = &run{upstream: to.ID, service: to.Service, begun: now, sign: now, tokens: tokens, cancel: cancel}
 	if w.state.sendings == 0 {
 		w.state.waited = now.Sub(w.state.added)
 	}
@@ -249,7 +253,10 @@
 	own, best := r.Roster.Pace(s.running.upstream, now)
 	view := RunView{
 		Begun: s.running.begun, LastSign: s.running.sign, Events: s.running.events,
-		Own: own, Best: best, Moves: s.moves, Free: true, LeftEvents: leftEvents(s),
+		Own: own, Best: best, Moves: s.moves, LeftEvents: leftEvents(s),
+	}
+	if config := r.Catalog(); config != nil {
+		view.Free = r.Roster.Faster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
 	}
 	reason := ShouldMove(view, now)
 	if reason == Stay {
--- a/batch/service.go
+++ b/batch/service.go
@@ -369,7 +369,7 @@
 	if other {
 		return oops.In("batch").With("batch", id).Wrap(ErrUnknown)
 	}
-	s.runner.headSeen(h, s.runner.Clock.Now())
+	s.runner.headSeen(h)
 	s.mu.Lock()
 	if v := s.views[id]; v != nil {
 		v.head = h
--- a/batch/straggler.go
+++ b/batch/straggler.go
@@ -12,7 +12,7 @@
 	Own, Best time.Duration
 	// LeftEvents is the expected number of events to come.
 	LeftEvents int
-	Free       bool // another engine has room
+	Free       bool // an engine that is faster by slowRatio has room
 	Moves      int  // times the item was moved already
 }
 
--- a/batch/write.go
+++ b/batch/write.go
@@ -89,35 +89,41 @@
 		return true
 	}
 	if !written {
-		return r.followOther(j, n)
+		if _, err := r.followOther(context.Background(), j, n); err != nil {
+			r.Log.Warn("a chunk of another writer could not be read", zap.String("batch", j.head.ID), zap.Int("chunk", n), telemetry.Error(err))
+			r.Clock.Sleep(writePause)
+		}
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.ledger.Apply(results)
+	if j.ledger.Chunks() == n { // else a reader has found the chunk first
+		j.ledger.Apply(results)
+	}
 	j.sure = sent
 	j.announce()
 	return j.ledger.Pending() > 0
 }
 
-// followOther applies a chunk that another writer stored first.
-func (r *Runner) followOther(j *job, n int) bool {
+// followOther applies chunk n if another writer has stored it, and reports whether
+// one has.
+func (r *Runner) followOther(ctx context.Context, j *job, n int) (bool, error) {
 	fresh := NewLedger(0)
 	fresh.chunks = n
-	_, err := r.Keeper.Follow(context.Background(), j.head.ID, fresh)
-	if err != nil {
-		r.Log.Warn("a chunk of another writer could not be read", zap.String("batch", j.head.ID), zap.Int("chunk", n), telemetry.Error(err))
-		r.Clock.Sleep(writePause)
-		return true
+	found, err := r.Keeper.Follow(ctx, j.head.ID, fresh)
+	if err != nil || !found {
+		return false, err
 	}
-	r.Log.Info("another instance stored results first", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(fresh.stored)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if fresh.chunks > n && j.ledger.Chunks() == n {
-		j.ledger.Apply(fresh.stored)
-		r.dropListed(j)
-		j.announce()
+	if j.ledger.Chunks() != n {
+		return true, nil // applied meanwhile
 	}
-	return j.ledger.Pending() > 0
+	r.Log.Info("results were found stored that were not listed here", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(fresh.stored)))
+	j.ledger.Apply(fresh.stored)
+	r.dropListed(j)
+	j.announce()
+	return true, nil
 }
 
 // dropListed ends runs of items that another instance has listed. The caller
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 func (g *Gateway) loops() []func(context.Context) {
 	return []func(context.Context){
 		g.wall.Run, g.followCatalog, g.followServers, g.pollCrew, g.followRetirements,
-		g.runner.Run, g.batches.Resume, g.batches.WatchHeads, g.publishTallies, g.seekControl, g.holdControl,
+		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.publishTallies, g.seekControl, g.holdControl,
 	}
 }
 
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -125,6 +125,24 @@
 // between upstreams matter.
 const usualPace = 50 * time.Millisecond
 
+// Faster reports whether an upstream that suits a need has room and is believed
+// faster than one by a ratio.
+func (r *Roster) Faster(n Need, than string, ratio float64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slow := r.states[than]
+	if slow == nil {
+		return true
+	}
+	limit := float64(slow.pace.value(now)) / ratio
+	for _, s := range r.states {
+		if s.ID != than && s.fits(n, now) && float64(s.pace.value(now)) < limit {
+			return true
+		}
+	}
+	return false
+}
+
 // Room returns how many more requests fit the upstreams that suit a need.
 func (r *Roster) Room(n Need, now time.Time) int {
 	r.mu.Lock()
