One source in each failure domain follows registrations and configuration for all

Ruled out: longer pauses of watches (a leaving engine must get no work after 2 s); election of the source (all agree on an order of names; an instance whose source does not answer asks the store itself). Ended batches are read from the store by the instance that ran them. The version of stored counts is remembered.

--- a/batch/service.go
+++ b/batch/service.go
@@ -72,8 +72,8 @@
 const (
 	// maxViews bounds the batches of other instances whose heads are remembered.
 	maxViews = 256
-	// maxLedgers bounds those whose results are.
-	maxLedgers = 4
+	// maxLedgers bounds those whose results are: a step's texts take a megabyte or two.
+	maxLedgers = 6
 )
 
 // NewService returns the service over a runner.
@@ -143,6 +143,28 @@
 	return s.readOwner(ctx, v, args)
 }
 
+// ReadHere returns results for another instance: of a batch that runs here, or of
+// an ended one that this instance ran, from the store if need be, so that only one
+// instance reads it there. Else it returns ErrNotHere.
+func (s *Service) ReadHere(ctx context.Context, args ReadArgs) (Page, error) {
+	page, err := s.runner.Page(ctx, args)
+	if !errors.Is(err, ErrNotHere) {
+		return page, err
+	}
+	v, err := s.viewOf(ctx, args.ID)
+	if err != nil {
+		return Page{}, err
+	}
+	if !v.head.Ended || v.head.Owner != s.runner.Name || v.head.Team != args.Team {
+		return Page{}, ErrNotHere
+	}
+	ledger, err := s.follow(ctx, v)
+	if err != nil {
+		return Page{}, err
+	}
+	return ledger.Page(args.After), nil
+}
+
 // viewOf returns what is known of a batch, from the store when nothing is.
 func (s *Service) viewOf(ctx context.Context, id string) (*view, error) {
 	s.mu.Lock()
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -95,6 +95,35 @@
 	return unread
 }
 
+// domain returns the addresses of the own domain's instances, this one included,
+// in an order that all agree on.
+func (c *crew) domain() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := []string{c.name}
+	for name, m := range c.mates {
+		if name != c.name && m.Domain == c.self.Domain {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	peers := make([]string, len(names))
+	for n, name := range names {
+		peers[n] = c.mates[name].Peer
+		if name == c.name {
+			peers[n] = c.self.Peer
+		}
+	}
+	return peers
+}
+
+// known reports whether the list of instances was read.
+func (c *crew) known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.mates) > 0
+}
+
 // fronts returns the addresses of all other instances that take callers.
 func (c *crew) fronts() []string {
 	c.mu.Lock()
@@ -208,7 +237,7 @@
 func (b *batchCalls) Read(args batch.ReadArgs, reply *ReadReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
 	defer cancel()
-	page, err := b.gateway.runner.Page(ctx, args)
+	page, err := b.gateway.batches.ReadHere(ctx, args)
 	reply.Page = page
 	switch {
 	case err == nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,10 @@
 	dialer  *link.Dialer
 	peers   *link.Server
 	crew    *crew
+	feed    *feed
+	// background lives as long as the instance runs.
+	background context.Context
+	end        context.CancelFunc
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	listed   atomic.Bool // upstreams were listed since the start
@@ -76,7 +80,9 @@
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), weights: newWeights(),
 	}
 	g.crew = newCrew(s)
+	g.background, g.end = context.WithCancel(context.Background())
 	g.store = objects.NewRelay(g.direct, g.relay, g.wayChanged)
+	g.feed = newFeed(g)
 	g.meter = newMeter(s.UsageWindow)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Engines: g.engines, Clock: g.clock, Log: t.Log,
@@ -92,7 +98,7 @@
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.keeper.SetStandby(func() bool { return s.Control != "first" })
 	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}),
-		g.peers.Register("Weights", &weightCalls{g}))
+		g.peers.Register("Weights", &weightCalls{g}), g.peers.Register("Feed", &feedCalls{g}))
 }
 
 // leaseTiming derives a lease's timing from the time within which the role must
@@ -134,17 +140,15 @@
 	if err != nil {
 		return err
 	}
-	control, stop := context.WithCancel(context.Background())
-	defer stop()
 	var background sync.WaitGroup
 	for _, loop := range g.loops() {
-		background.Go(func() { loop(control) })
+		background.Go(func() { loop(g.background) })
 	}
 	g.log.Info("started", zap.String("domain", g.settings.Domain), zap.String("listen", g.settings.Listen),
 		zap.String("peer", g.settings.PeerListen), zap.String("control", g.settings.Control))
 	<-ctx.Done()
 	g.stop(front)
-	stop()
+	g.end()
 	background.Wait()
 	g.peers.Close()
 	g.dialer.Close()
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -38,6 +38,23 @@
 	mu      sync.Mutex // guards all below
 	windows map[int64]map[string]int64
 	changed bool
+	known   objects.Version // of the stored counts; 0 when there are none as far as known
+}
+
+// version returns the version of the stored counts.
+func (m *meter) version() objects.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
+// stored notes the version of the stored counts, unless the write failed.
+func (m *meter) stored(v objects.Version, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil {
+		m.known = v
+	}
 }
 
 func newMeter(length time.Duration) *meter {
@@ -131,6 +148,7 @@
 				return
 			}
 			g.meter.restore(t, g.wall.Now())
+			g.meter.stored(o.Version, nil)
 			return
 		}
 		g.clock.Sleep(maxFollowPause)
@@ -149,18 +167,21 @@
 	}
 }
 
+// storeTally writes the counts; the version of the last write is known mostly.
 func (g *Gateway) storeTally(ctx context.Context, t tally) error {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	for {
-		o, err := g.store.Get(ctx, kindTally, g.settings.Name)
-		if err != nil && !errors.Is(err, objects.ErrNotFound) {
+		o, err := g.store.Put(ctx, kindTally, g.settings.Name, g.meter.version(), t)
+		if !errors.Is(err, objects.ErrConflict) {
+			g.meter.stored(o.Version, err)
 			return err
 		}
-		_, err = g.store.Put(ctx, kindTally, g.settings.Name, o.Version, t)
-		if !errors.Is(err, objects.ErrConflict) {
+		o, err = g.store.Get(ctx, kindTally, g.settings.Name)
+		if err != nil && !errors.Is(err, objects.ErrNotFound) {
 			return err
 		}
+		g.meter.stored(o.Version, nil)
 	}
 }
 
--- /dev/null
+++ b/objects/cache.go
@@ -0,0 +1,187 @@
+package objects
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// keptEvents bounds the changes of a kind that a Cache remembers.
+const keptEvents = 1024
+
+// Cache follows kinds of a store for several readers, so that the store is watched
+// once for all of them. Its versions are the store's, so a reader may go on at the
+// store itself. Readers see changes in the store's order, never older than what
+// they have seen.
+type Cache struct {
+	store Store
+	now   func() time.Time
+	// stale is the age of the store's last word from which nothing is answered.
+	stale time.Duration
+
+	mu    sync.Mutex // guards all below
+	kinds map[string]*cached
+	heard time.Time // when the store last answered any follower
+}
+
+// cached is one kind.
+type cached struct {
+	objects map[string]Object
+	events  []Object
+	from    Version // changes after this version are in events
+	asOf    Version
+	listed  bool
+	changed chan struct{} // closed and replaced when events come
+}
+
+// NewCache returns a Cache that follows nothing yet.
+func NewCache(store Store, stale time.Duration, now func() time.Time) *Cache {
+	return &Cache{store: store, now: now, stale: stale, kinds: map[string]*cached{}}
+}
+
+// CacheKind says how a kind is followed.
+type CacheKind struct {
+	Kind  string
+	Wait  time.Duration // of one watch
+	Pause time.Duration // between two
+	// Same reports whether a change says nothing new; such changes are not handed on.
+	Same func(before, after Object) bool
+}
+
+// Follow follows a kind until ctx ends; state is told of each call.
+func (c *Cache) Follow(ctx context.Context, k CacheKind, state func(error)) {
+	c.mu.Lock()
+	c.kinds[k.Kind] = &cached{objects: map[string]Object{}, changed: make(chan struct{})}
+	c.mu.Unlock()
+	defer c.forget(k.Kind)
+	FollowWith(ctx, c.store, k.Kind, FollowOptions{
+		Wait: k.Wait, MaxPause: cachePause, Pause: func() time.Duration { return k.Pause },
+		State: func(err error) {
+			if settles(err) {
+				c.hear()
+			}
+			state(err)
+		},
+		Progress: func(v Version) { c.progress(k.Kind, v) },
+	}, func(o Object) { c.take(k, o) })
+}
+
+func (c *Cache) forget(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.kinds, name)
+}
+
+// cachePause bounds the pause after failures.
+const cachePause = 500 * time.Millisecond
+
+func (c *Cache) hear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = c.now()
+}
+
+func (c *Cache) take(k CacheKind, o Object) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := c.kinds[k.Kind]
+	if kind == nil {
+		return
+	}
+	before, known := kind.objects[o.Name]
+	if o.Deleted {
+		delete(kind.objects, o.Name)
+	} else {
+		kind.objects[o.Name] = o
+	}
+	if known && !o.Deleted && k.Same != nil && k.Same(before, o) {
+		return
+	}
+	kind.events = append(kind.events, o)
+	if drop := len(kind.events) - keptEvents; drop > 0 {
+		kind.from = kind.events[drop-1].Version
+		kind.events = append([]Object(nil), kind.events[drop:]...)
+	}
+}
+
+// progress notes that all changes up to a version were taken.
+func (c *Cache) progress(name string, v Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := c.kinds[name]
+	if kind == nil {
+		return
+	}
+	if !kind.listed {
+		kind.listed, kind.from, kind.events = true, v, nil
+	}
+	kind.asOf = max(kind.asOf, v)
+	close(kind.changed)
+	kind.changed = make(chan struct{})
+}
+
+// Fresh reports whether the store has answered lately.
+func (c *Cache) Fresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh()
+}
+
+func (c *Cache) fresh() bool { return c.now().Sub(c.heard) < c.stale }
+
+// List returns what exists of a kind, or ErrRefused while that is not known.
+func (c *Cache) List(name string) (List, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := c.kinds[name]
+	if kind == nil || !kind.listed || !c.fresh() {
+		return List{}, oops.In("objects").With("step", "cached list", "kind", name).Wrap(ErrRefused)
+	}
+	l := List{Version: kind.asOf}
+	for _, o := range kind.objects {
+		l.Objects = append(l.Objects, o)
+	}
+	return l, nil
+}
+
+// staleCheck is how often a waiting reader looks whether the store still answers.
+const staleCheck = 200 * time.Millisecond
+
+// Watch waits for changes of a kind after a version, as Store.Watch does. It
+// returns ErrRefused when the store has not answered for a while.
+func (c *Cache) Watch(ctx context.Context, name string, after Version, wait time.Duration) (List, error) {
+	deadline := c.now().Add(wait)
+	for {
+		l, changed, err := c.since(name, after)
+		if err != nil || len(l.Objects) > 0 || !c.now().Before(deadline) {
+			return l, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(staleCheck):
+		case <-ctx.Done():
+			return List{Version: after}, ctx.Err()
+		}
+	}
+}
+
+func (c *Cache) since(name string, after Version) (List, chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := c.kinds[name]
+	if kind == nil || !kind.listed || !c.fresh() {
+		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrRefused)
+	}
+	if after < kind.from {
+		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrGap)
+	}
+	l := List{Version: max(after, kind.asOf)}
+	for _, o := range kind.events {
+		if o.Version > after {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	return l, kind.changed, nil
+}
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -27,6 +27,8 @@
 	MaxPause time.Duration
 	// State is told after each call, nil after one that went well.
 	State func(error)
+	// Progress is told the version up to which all was handed out.
+	Progress func(Version)
 	// Listed is told when all that exists was handed out.
 	Listed func()
 }
@@ -86,6 +88,7 @@
 		f.hand(o)
 	}
 	f.after = max(f.after, changes.Version)
+	f.progress()
 	return nil
 }
 
@@ -107,12 +110,19 @@
 		f.take(Object{Kind: f.kind, Name: name, Version: all.Version, Deleted: true})
 	}
 	f.after, f.listed = all.Version, true
+	f.progress()
 	if f.options.Listed != nil {
 		f.options.Listed()
 	}
 	return nil
 }
 
+func (f *follower) progress() {
+	if f.options.Progress != nil {
+		f.options.Progress(f.after)
+	}
+}
+
 // hand passes a change on, once.
 func (f *follower) hand(o Object) {
 	if f.known[o.Name] >= o.Version {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,6 +5,8 @@
 package roster
 
 import (
+	"maps"
+	"reflect"
 	"sync"
 	"time"
 
@@ -29,6 +31,14 @@
 	Cheap   bool // may be taken away at short notice
 }
 
+// Same reports whether two registrations say the same.
+func Same(a, b Entry) bool {
+	left, right := a.Models, b.Models
+	a.Models, b.Models = nil, nil
+	a.Leaves, b.Leaves = a.Leaves.Round(time.Second), b.Leaves.Round(time.Second)
+	return maps.Equal(left, right) && reflect.DeepEqual(a, b)
+}
+
 // state is what is believed of one upstream.
 type state struct {
 	Entry
