Stale reads of what never changes, three seekers of the control role

Ruled out: stale reads of the log's end or of a head that decides an end. Change: parts and chunks, which never change, and heads that only tell whom to ask are read stale at a tenth of the price, anew when not found; the first three of the eager instances seek the control role, the others seldom.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -124,6 +124,16 @@
 
 func partName(id string, n int) string { return fmt.Sprintf("%s.%04d", id, n) }
 
+// Locate returns a head that may be some seconds old, which tells whom to ask.
+func (k *Keeper) Locate(ctx context.Context, id string) (Stored, error) {
+	if stale, ok := k.store.(objects.StaleReader); ok {
+		if o, err := stale.GetStale(ctx, KindHead, id); err == nil {
+			return decodeHead(o)
+		}
+	}
+	return k.Head(ctx, id)
+}
+
 // Head returns the head of a batch.
 func (k *Keeper) Head(ctx context.Context, id string) (Stored, error) {
 	o, err := k.store.Get(ctx, KindHead, id)
@@ -174,14 +184,8 @@
 		return nil, nil, nil, err
 	}
 	ledger := NewLedger(len(whole.Items))
-	for {
-		more, err := k.Follow(ctx, h.ID, ledger)
-		if err != nil {
-			return nil, nil, nil, err
-		}
-		if !more {
-			break
-		}
+	if err := k.CatchUp(ctx, h.ID, ledger); err != nil {
+		return nil, nil, nil, err
 	}
 	partials, err := k.progress(ctx, h.ID)
 	return whole, ledger, partials, err
@@ -190,7 +194,7 @@
 func (k *Keeper) submission(ctx context.Context, h Stored) (*Submission, error) {
 	var whole *Submission
 	for n := range h.Parts {
-		o, err := k.store.Get(ctx, KindPart, partName(h.ID, n))
+		o, err := objects.GetLasting(ctx, k.store, KindPart, partName(h.ID, n))
 		if err != nil {
 			return nil, oops.In("batch").With("step", "read part", "batch", h.ID, "part", n).Wrap(err)
 		}
@@ -225,9 +229,25 @@
 }
 
 // Follow applies the next stored chunk to a ledger and reports whether there was
-// one.
+// one as of now.
 func (k *Keeper) Follow(ctx context.Context, id string, l *Ledger) (bool, error) {
-	o, err := k.store.Get(ctx, KindChunk, partName(id, l.Chunks()))
+	return k.follow(ctx, id, l, k.store.Get)
+}
+
+// CatchUp applies all stored chunks behind the known ones.
+func (k *Keeper) CatchUp(ctx context.Context, id string, l *Ledger) error {
+	lasting := func(ctx context.Context, kind, name string) (objects.Object, error) {
+		return objects.GetLasting(ctx, k.store, kind, name)
+	}
+	for {
+		if more, err := k.follow(ctx, id, l, lasting); err != nil || !more {
+			return err
+		}
+	}
+}
+
+func (k *Keeper) follow(ctx context.Context, id string, l *Ledger, get func(context.Context, string, string) (objects.Object, error)) (bool, error) {
+	o, err := get(ctx, KindChunk, partName(id, l.Chunks()))
 	if errors.Is(err, objects.ErrNotFound) {
 		return false, nil
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -165,7 +165,8 @@
 	return ledger.Page(args.After), nil
 }
 
-// viewOf returns what is known of a batch, from the store when nothing is.
+// viewOf returns what is known of a batch, from the store when nothing is. What
+// follows from it is asked of the owner or read anew.
 func (s *Service) viewOf(ctx context.Context, id string) (*view, error) {
 	s.mu.Lock()
 	v := s.views[id]
@@ -173,14 +174,24 @@
 	if v != nil {
 		return v, nil
 	}
-	return s.refresh(ctx, id)
+	h, err := s.keeper.Locate(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return s.see(id, h), nil
 }
 
+// refresh reads a batch's head as it is now.
 func (s *Service) refresh(ctx context.Context, id string) (*view, error) {
 	h, err := s.keeper.Head(ctx, id)
 	if err != nil {
 		return nil, err
 	}
+	return s.see(id, h), nil
+}
+
+// see takes in a head.
+func (s *Service) see(id string, h Stored) *view {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.views[id]
@@ -191,9 +202,12 @@
 	if v.head.Owner != h.Owner {
 		v.failing = time.Time{}
 	}
-	v.head, v.used = h, s.runner.Clock.Now()
+	if h.Version >= v.head.Version {
+		v.head = h
+	}
+	v.used = s.runner.Clock.Now()
 	s.trim()
-	return v, nil
+	return v
 }
 
 // trim forgets what was used least lately. The caller holds mu.
@@ -249,14 +263,8 @@
 		ledger = known.clone()
 	}
 	before := ledger.Chunks()
-	for {
-		more, err := s.keeper.Follow(ctx, head.ID, ledger)
-		if err != nil {
-			return nil, err
-		}
-		if !more {
-			break
-		}
+	if err := s.keeper.CatchUp(ctx, head.ID, ledger); err != nil {
+		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -27,6 +27,7 @@
 	Peer   string `json:"peer"` // IP:port for other instances
 	Domain string `json:"domain"`
 	Front  bool   `json:"front"` // takes callers
+	First  bool   `json:"first"` // seeks the control role before others
 	Start  string `json:"start"` // unique to the process
 }
 
@@ -73,7 +74,7 @@
 func newCrew(s *Settings) *crew {
 	return &crew{
 		name: s.Name, mates: map[string]mate{},
-		self: mate{Peer: s.PeerListen, Domain: s.Domain, Front: s.Listen != "", Start: time.Now().Format(time.RFC3339Nano)},
+		self: mate{Peer: s.PeerListen, Domain: s.Domain, Front: s.Listen != "", First: s.Control == "first", Start: time.Now().Format(time.RFC3339Nano)},
 	}
 }
 
@@ -95,6 +96,24 @@
 	return unread
 }
 
+// mostSeekers bounds the instances that seek the control role eagerly: each reads
+// its lease about once a second.
+const mostSeekers = 3
+
+// seeks reports whether this instance is among those that seek the control role
+// eagerly. All agree on the order; those behind seek it too, but seldom.
+func (c *crew) seeks() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := 0
+	for name, m := range c.mates {
+		if m.First && xxhash.Sum64String(name) < xxhash.Sum64String(c.name) {
+			before++
+		}
+	}
+	return c.self.First && before < mostSeekers
+}
+
 // domain returns the addresses of the own domain's instances, this one included,
 // in an order that all agree on.
 func (c *crew) domain() []string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 	})
 	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.dueOf)
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
-	g.keeper.SetStandby(func() bool { return s.Control != "first" })
+	g.keeper.SetStandby(func() bool { return !g.crew.seeks() })
 	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}),
 		g.peers.Register("Weights", &weightCalls{g}), g.peers.Register("Feed", &feedCalls{g}))
 }
--- a/objects/platform.go
+++ b/objects/platform.go
@@ -130,6 +130,25 @@
 	Epoch   int64     `json:"epoch"`
 }
 
+// StaleReader is a Store that gives objects as they were some seconds ago, at a
+// lower price.
+type StaleReader interface {
+	// GetStale returns an object that may be seconds old, or ErrNotFound for one
+	// that may exist by now.
+	GetStale(ctx context.Context, kind, name string) (Object, error)
+}
+
+// GetLasting returns an object that never changes once it exists: a stale reading
+// will do if there is one.
+func GetLasting(ctx context.Context, s Store, kind, name string) (Object, error) {
+	if stale, ok := s.(StaleReader); ok {
+		if o, err := stale.GetStale(ctx, kind, name); err == nil {
+			return o, nil
+		}
+	}
+	return s.Get(ctx, kind, name)
+}
+
 // Directory is the instance list.
 type Directory interface {
 	Members(ctx context.Context) ([]Member, error)
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -263,6 +263,21 @@
 	return reply.Object, err
 }
 
+// GetStale implements StaleReader. Where that is not possible it is Get.
+func (r *Relay) GetStale(ctx context.Context, kind, name string) (Object, error) {
+	stale, ok := r.direct.(StaleReader)
+	if !ok || !r.Reaches() {
+		return r.Get(ctx, kind, name)
+	}
+	bounded, cancel := context.WithTimeout(ctx, leastPatience)
+	defer cancel()
+	o, err := stale.GetStale(bounded, kind, name)
+	if settles(err) {
+		return o, err
+	}
+	return r.Get(ctx, kind, name)
+}
+
 // Put implements Store.
 func (r *Relay) Put(ctx context.Context, kind, name string, expect Version, value any) (Object, error) {
 	encoded, err := json.Marshal(value)
