--- a/gateway/control.go
+++ b/gateway/control.go
@@ -119,6 +119,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	go g.follow(t.ctx, platform.KindVersions, versionsWait, func() time.Duration { return versionsPause }, func() { t.listed.Store(true) }, g.takeVersion)
 	go g.reportLoop(t)
+
 	return t
 }
 
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -30,7 +30,22 @@
 	}
 }
 
-// Func is Dialer(timeout, silence).DialContext.
+// Func connects as Dialer does. Closing a connection resets it: what the kernel
+// still holds is dropped, so that a request which was given up on a broken path does
+// not arrive when the path heals, long after its lease or its caller.
 func Func(timeout, silence time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	return Dialer(timeout, silence).DialContext
+	dialer := Dialer(timeout, silence)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
 }
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -126,10 +126,10 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := dial.Dialer(dialTimeout, silenceTimeout)
+	connect := dial.Func(dialTimeout, silenceTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			dialled, err := dialer.DialContext(ctx, network, address)
+			dialled, err := connect(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
