Batches end by age and are erased; answered requests leave a line

Cause: a batch that nobody ends would have run and stayed in the store for ever; a route's age limit had no effect; a request that was answered left no line; the refusal of a batch did not say why. Ruled out: expiry in the store, which has none for objects of the system.

--- a/batch/job.go
+++ b/batch/job.go
@@ -76,13 +76,14 @@
 
 // job is a batch that this instance runs. The runner's lock guards it.
 type job struct {
-	head   Stored
-	sub    *Submission
-	ledger *Ledger
-	items  map[string]*itemState // without a result
-	due    time.Time             // when the results are wanted
-	ended  bool
-	lost   bool // another instance runs it
+	head    Stored
+	sub     *Submission
+	ledger  *Ledger
+	items   map[string]*itemState // without a result
+	due     time.Time             // when the results are wanted
+	expires time.Time             // when items may be given up
+	ended   bool
+	lost    bool // another instance runs it
 	// sure is when the store last confirmed that it has no results but those in
 	// ledger.
 	sure    time.Time
@@ -95,9 +96,15 @@
 	savedAt time.Time
 }
 
-func newJob(h Stored, s *Submission, l *Ledger, kept func(*Item) *Partial, due, now time.Time) *job {
+// Limits bound a batch in time, from now on.
+type Limits struct {
+	Due    time.Duration // until its results are wanted
+	MaxAge time.Duration // until its items may be given up
+}
+
+func newJob(h Stored, s *Submission, l *Ledger, kept func(*Item) *Partial, limits Limits, now time.Time) *job {
 	j := &job{
-		head: h, sub: s, ledger: l, items: map[string]*itemState{}, due: due, ended: h.Ended,
+		head: h, sub: s, ledger: l, items: map[string]*itemState{}, due: now.Add(limits.Due), expires: now.Add(limits.MaxAge), ended: h.Ended,
 		sure: now, changed: make(chan struct{}), flush: make(chan struct{}, 1),
 	}
 	if j.ended {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -125,7 +125,6 @@
 type writer struct {
 	keeper *Keeper
 	ledger *Ledger
-	shown  []Result // positions that callers have read here
 }
 
 func (w *writer) write(ctx context.Context) {
--- a/batch/own_test.go
+++ b/batch/own_test.go
@@ -21,7 +21,7 @@
 		Name: name, Peer: name, Keeper: NewKeeper(store, name), Roster: roster.New(), Catalog: func() *catalog.Catalog { return nil },
 		Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Keep: time.Minute, KeepBytes: 1 << 20,
 	})
-	return NewService(r, store, nobody{}, func(string) time.Duration { return time.Second })
+	return NewService(r, store, nobody{}, func(string) Limits { return Limits{Due: time.Second, MaxAge: time.Minute} })
 }
 
 // nobody are peers that do not answer.
@@ -102,3 +102,27 @@
 		Expect(page.Results).To(Equal(named("l-1", "l-2")))
 	})
 })
+
+var _ = Describe("Batches that nobody ends", func() {
+	It("have their waiting items given up once these are too old, and leave the memory and the store", func(ctx SpecContext) {
+		store := memstore.New()
+		a := idle(store, "a")
+		a.limitsOf = func(string) Limits { return Limits{} }
+		a.runner.Keep = 50 * time.Millisecond
+		Expect(a.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		a.runner.retire()
+		Eventually(func() int { page, _ := a.Read(ctx, ReadArgs{ID: "l", Team: "t"}); return len(page.Results) }).Should(Equal(2))
+		page, err := a.Read(ctx, ReadArgs{ID: "l", Team: "t"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results[0].State).To(Equal(Dead))
+		time.Sleep(60 * time.Millisecond)
+		a.runner.retire()
+		Expect(a.runner.jobs).To(BeEmpty())
+		Expect(a.sweep(ctx, time.Now())).To(Succeed())
+		Expect(store.Names(KindHead)).To(HaveLen(1), "it is not old enough yet")
+		Expect(a.sweep(ctx, time.Now().Add(sweepSlack+time.Second))).To(Succeed())
+		for _, kind := range []string{KindHead, KindPart, KindChunk, KindProgress} {
+			Expect(store.Names(kind)).To(BeEmpty())
+		}
+	})
+})
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -280,8 +280,8 @@
 	return max(s.events/4, s.item.Expected()/usual-s.events, 1)
 }
 
-// retire forgets jobs that need no memory here: lost ones, and the oldest ended
-// ones beyond the bound; later reads of these go to the store.
+// retire forgets jobs that need no memory here: lost ones, those past their time,
+// and the oldest ended ones beyond the bound; later reads of these go to the store.
 func (r *Runner) retire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -290,11 +290,13 @@
 	bytes := 0
 	for id, j := range r.jobs {
 		switch {
-		case j.lost, j.settled() && now.Sub(j.endedAt) > r.Keep:
+		case j.lost, j.settled() && now.Sub(j.endedAt) > r.Keep, j.ledger.Whole() && now.After(j.expires.Add(r.Keep)):
 			delete(r.jobs, id)
 		case j.settled():
 			ended = append(ended, j)
 			bytes += j.ledger.bytes
+		case now.After(j.expires):
+			r.giveUp(j)
 		}
 	}
 	slices.SortFunc(ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
@@ -307,6 +309,17 @@
 	}
 }
 
+// giveUp lists items as dead that wait beyond the age that their route allows. The
+// caller holds mu.
+func (r *Runner) giveUp(j *job) {
+	for id, s := range j.items {
+		if s.running == nil {
+			r.Log.Info("item is given up for its age", zap.String("batch", j.head.ID), zap.String("item", id), zap.Int("sendings", s.sendings))
+			j.finish(Result{ID: id, State: Dead})
+		}
+	}
+}
+
 // Open returns how many batches run here.
 func (r *Runner) Open() int {
 	r.mu.Lock()
--- a/batch/service.go
+++ b/batch/service.go
@@ -52,9 +52,9 @@
 	keeper *Keeper
 	peers  Peers
 	log    *zap.Logger
-	// dueOf returns when the results of a batch of a route are wanted.
-	dueOf  func(route string) time.Duration
-	claims singleflight.Group
+	// limitsOf returns the limits of a new batch of a route.
+	limitsOf func(route string) Limits
+	claims   singleflight.Group
 
 	mu    sync.Mutex // guards views
 	views map[string]*view
@@ -77,8 +77,8 @@
 )
 
 // NewService returns the service over a runner.
-func NewService(r *Runner, store objects.Store, peers Peers, dueOf func(string) time.Duration) *Service {
-	return &Service{runner: r, store: store, keeper: r.Keeper, peers: peers, log: r.Log, dueOf: dueOf, views: map[string]*view{}}
+func NewService(r *Runner, store objects.Store, peers Peers, limitsOf func(string) Limits) *Service {
+	return &Service{runner: r, store: store, keeper: r.Keeper, peers: peers, log: r.Log, limitsOf: limitsOf, views: map[string]*view{}}
 }
 
 // Submit stores a batch and runs it here. It returns nil for one that was
@@ -98,7 +98,7 @@
 	s.log.Info("batch accepted", zap.String("batch", sub.ID), zap.String("team", team), zap.Int64("step", sub.Step),
 		zap.Int("items", len(sub.Items)), zap.Int64("leastVersion", sub.MinVersion), zap.Bool("again", !created), zap.String("owner", stored.Owner))
 	if created {
-		s.runner.Add(stored, sub, NewLedger(len(sub.Items)), nil, s.dueOf(route))
+		s.runner.Add(stored, sub, NewLedger(len(sub.Items)), nil, s.limitsOf(route))
 	}
 	return nil
 }
@@ -363,6 +363,13 @@
 	return page, err
 }
 
+// after returns the limits of a batch of an age. An age that the clocks of two
+// machines make negative counts as none.
+func (l Limits) after(age time.Duration) Limits {
+	age = max(0, age)
+	return Limits{Due: max(0, l.Due-age), MaxAge: max(0, l.MaxAge-age)}
+}
+
 // claim makes this instance a batch's owner and runs it.
 func (s *Service) claim(ctx context.Context, id string) (Stored, error) {
 	claimed, err, _ := s.claims.Do(id, func() (any, error) {
@@ -377,7 +384,7 @@
 		if err != nil {
 			return h, err
 		}
-		s.runner.Add(h, sub, ledger, partials, s.dueOf(h.Route)-min(s.dueOf(h.Route), max(0, h.Age(time.Now()))))
+		s.runner.Add(h, sub, ledger, partials, s.limitsOf(h.Route).after(h.Age(time.Now())))
 		return h, nil
 	})
 	h, _ := claimed.(Stored)
--- a/batch/write.go
+++ b/batch/write.go
@@ -22,7 +22,7 @@
 
 // Add takes over a batch that this instance owns. It returns false when it runs
 // here already or the runner stops.
-func (r *Runner) Add(h Stored, s *Submission, l *Ledger, partials map[string]Partial, due time.Duration) bool {
+func (r *Runner) Add(h Stored, s *Submission, l *Ledger, partials map[string]Partial, limits Limits) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if known := r.jobs[h.ID]; r.stopping || (known != nil && !known.lost) {
@@ -35,7 +35,7 @@
 		}
 		return r.kept.fit(item, s.MinVersion)
 	}
-	j := newJob(h, s, l, kept, now.Add(due), now)
+	j := newJob(h, s, l, kept, limits, now)
 	r.jobs[h.ID] = j
 	r.writers.Go(func() { r.write(j) })
 	r.Signal()
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -170,13 +170,3 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
-
-// Allows reports whether the route may go to a service.
-func (r Route) Allows(service string) bool {
-	for _, s := range r.Shares {
-		if s.Service == service && s.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -45,12 +45,6 @@
 		Entry("the first", 0.0, "a"), Entry("its end", 0.899, "a"), Entry("the second", 0.9, "b"), Entry("the last", 0.9999, "b"),
 	)
 
-	It("allows only services with weight", func() {
-		r := Route{Shares: []Share{{"a", 1}, {"b", 0}}}
-		Expect(r.Allows("a")).To(BeTrue())
-		Expect(r.Allows("b")).To(BeFalse())
-	})
-
 	DescribeTable("tells what may run twice", func(r Route, repeatable bool) {
 		Expect(r.Repeatable()).To(Equal(repeatable))
 	},
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -47,8 +47,7 @@
 // mux from cleaning the paths of requests that are only passed on.
 func batchPathsOr(mux *http.ServeMux, routed http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if handler, pattern := mux.Handler(r); pattern != "" && strings.Contains(pattern, "{batch}") {
-			_ = handler
+		if _, pattern := mux.Handler(r); strings.Contains(pattern, "{batch}") {
 			mux.ServeHTTP(w, r)
 			return
 		}
@@ -207,6 +206,8 @@
 		g.refuse(w, r, refusal{answer.Status, "no upstream answered", answer.RetryAfter})
 		return
 	}
+	g.log.Info("request answered", zap.String("request", request.ID), zap.String("route", request.Route.Name), zap.String("team", request.Team),
+		zap.Int("status", answer.Status), zap.String("upstream", answer.From), zap.Int("sent", answer.Tally.Sent), zap.Int64("config", g.configVersion()))
 	copyHeader(w.Header(), answer.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
@@ -264,7 +265,7 @@
 	case errors.Is(err, batch.ErrUnknown):
 		return refusal{status: http.StatusNotFound, why: "the id belongs to another team's batch"}
 	}
-	return refusal{http.StatusServiceUnavailable, "the batch could not be stored", comeBack()}
+	return refusal{http.StatusServiceUnavailable, "the batch could not be stored: " + err.Error(), comeBack()}
 }
 
 // withTeam authenticates calls on batches.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -94,7 +95,7 @@
 		Roster: g.roster, Engines: g.engines, Catalog: g.catalog.Load, Clock: g.clock, Log: t.Log, Record: counters.ran,
 		Keep: s.Keep, KeepBytes: keepBytes(s.MemoryMB),
 	})
-	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.dueOf)
+	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.limitsOf)
 	g.keeper = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.keeper.SetStandby(func() bool { return !g.crew.seeks() })
 	return g, errors.Join(g.peers.Register("Batches", &batchCalls{g}), g.peers.Register("Store", &storeCalls{g}),
@@ -119,17 +120,20 @@
 	return memoryMB << 20 / keptPart
 }
 
-func (g *Gateway) dueOf(route string) time.Duration {
-	const usual = 10 * time.Second // for a batch whose route is gone
+// limitsOf returns the limits of batches of a route.
+func (g *Gateway) limitsOf(route string) batch.Limits {
+	limits := batch.Limits{Due: 10 * time.Second, MaxAge: time.Minute} // of a route that is gone
 	c := g.catalog.Load()
 	if c == nil {
-		return usual
+		return limits
 	}
 	r, ok := c.Route(route)
-	if !ok || r.Due == 0 {
-		return usual
+	if !ok {
+		return limits
 	}
-	return r.Due
+	// An age is taken by clocks of two machines, which may differ by seconds.
+	const slack = 10 * time.Second
+	return batch.Limits{Due: cmp.Or(r.Due, limits.Due), MaxAge: cmp.Or(r.MaxAge, limits.MaxAge) + slack}
 }
 
 func (g *Gateway) began(team string, at time.Time) { g.meter.count(team, g.wall.At(at)) }
@@ -159,7 +163,7 @@
 func (g *Gateway) loops() []func(context.Context) {
 	return []func(context.Context){
 		g.wall.Run, g.followCatalog, g.followServers, g.pollCrew, g.followRetirements,
-		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.publishTallies, g.seekControl, g.holdControl,
+		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.publishTallies, g.seekControl, g.holdControl,
 	}
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,7 +35,6 @@
 	cloud   *standin.Cloud
 	engines []*standin.Engine
 	desk    *standin.Engine
-	front   []string // addresses for callers
 
 	storeAddress, cloudAddress string
 	version                    int64
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -142,16 +142,3 @@
 	}
 	return false
 }
-
-// Room returns how many more requests fit the upstreams that suit a need.
-func (r *Roster) Room(n Need, now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	room := 0
-	for _, s := range r.states {
-		if s.fits(n, now) {
-			room += max(0, s.Slots-s.busy(now))
-		}
-	}
-	return room
-}
