--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -81,14 +81,18 @@
 	})
 
 	It("that must not run twice is sent once when its answer is lost, and promises nothing", func(ctx SpecContext) {
-		f := &fakes{answer: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) { return nil, errReset }}
+		f := &fakes{answer: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
+			return nil, errReset
+		}}
 		answer := newForwarder(f, 3).Do(ctx, request(unsafe))
 		Expect(answer.Status).To(Equal(http.StatusBadGateway))
 		Expect(f.count()).To(Equal(1))
 	})
 
 	It("that every upstream refuses comes back at once with when to return", func(ctx SpecContext) {
-		f := &fakes{answer: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) { return refusal(), nil }}
+		f := &fakes{answer: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
+			return refusal(), nil
+		}}
 		begun := time.Now()
 		answer := newForwarder(f, 3).Do(ctx, request(unsafe))
 		Expect(answer.Status).To(Equal(http.StatusServiceUnavailable))
@@ -125,7 +129,9 @@
 	})
 
 	DescribeTable("never takes an answer that is not its own and whole", func(ctx SpecContext, reply func(id string) *upstream.Reply) {
-		f := &fakes{answer: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) { return reply(r.ID), nil }}
+		f := &fakes{answer: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
+			return reply(r.ID), nil
+		}}
 		answer := newForwarder(f, 2).Do(ctx, request(safe))
 		Expect(answer.Status).To(Equal(http.StatusBadGateway))
 		Expect(answer.Body).To(BeEmpty())
@@ -173,10 +179,14 @@
 		counted := 0
 		forwarder := newForwarder(f, 2)
 		forwarder.Began = func(string, time.Time) { counted++ }
-		f.answer = func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) { return refusal(), nil }
+		f.answer = func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
+			return refusal(), nil
+		}
 		forwarder.Do(ctx, request(safe))
 		Expect(counted).To(BeZero())
-		f.answer = func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) { return nil, errReset }
+		f.answer = func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
+			return nil, errReset
+		}
 		forwarder = newForwarder(f, 2)
 		forwarder.Began = func(string, time.Time) { counted++ }
 		forwarder.Do(ctx, request(safe))
