Batches: only an owner that the store still names is replaced

Change: a refused connection and silence have the head read anew first; heads of views are read under their lock; the soak's upstreams renew their registrations.

--- a/batch/own_test.go
+++ b/batch/own_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,6 +25,13 @@
 	return NewService(r, store, nobody{}, func(string) Limits { return Limits{Due: time.Second, MaxAge: time.Minute} })
 }
 
+// refusing are peers that are gone.
+type refusing struct{ nobody }
+
+func (refusing) Read(context.Context, string, ReadArgs) (Page, error) {
+	return Page{}, syscall.ECONNREFUSED
+}
+
 // nobody are peers that do not answer.
 type nobody struct{}
 
@@ -126,3 +134,32 @@
 		}
 	})
 })
+
+var _ = Describe("A reader with an old belief of the owner", func() {
+	It("does not take a batch from the owner that the store names by now", func(ctx SpecContext) {
+		store := memstore.New()
+		gone, owner, reader := idle(store, "gone"), idle(store, "owner"), idle(store, "reader")
+		Expect(gone.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		_, err := reader.viewOf(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = owner.claim(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		for _, peers := range []Peers{refusing{}, nobody{}} {
+			reader.peers = peers
+			_, _ = reader.Read(ctx, ReadArgs{ID: "l", Team: "t"}) // what it answers is not the matter
+			h, err := owner.keeper.Head(ctx, "l")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(h.Owner).To(Equal("owner"))
+		}
+	})
+
+	It("takes it from one that is gone", func(ctx SpecContext) {
+		store := memstore.New()
+		gone, reader := idle(store, "gone"), idle(store, "reader")
+		Expect(gone.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		reader.peers = refusing{}
+		_, err := reader.Read(ctx, ReadArgs{ID: "l", Team: "t"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reader.runner.Runs("l")).To(BeTrue())
+	})
+})
--- a/batch/service.go
+++ b/batch/service.go
@@ -134,15 +134,23 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if v.head.Team != args.Team {
+	h := s.headOf(v)
+	if h.Team != args.Team {
 		return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnknown)
 	}
-	if v.head.Ended {
+	if h.Ended {
 		return s.readEnded(ctx, v, args)
 	}
 	return s.readOwner(ctx, v, args)
 }
 
+// headOf returns a view's head.
+func (s *Service) headOf(v *view) Stored {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return v.head
+}
+
 // ReadHere returns results for another instance: of a batch that runs here, or of
 // an ended one that this instance ran, from the store if need be, so that only one
 // instance reads it there. Else it returns ErrNotHere.
@@ -155,7 +163,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if !v.head.Ended || v.head.Owner != s.runner.Name || v.head.Team != args.Team {
+	if h := s.headOf(v); !h.Ended || h.Owner != s.runner.Name || h.Team != args.Team {
 		return Page{}, ErrNotHere
 	}
 	ledger, err := s.follow(ctx, v)
@@ -241,8 +249,11 @@
 // readEnded reads an ended batch from the instance that ran it, or else from the
 // store.
 func (s *Service) readEnded(ctx context.Context, v *view, args ReadArgs) (Page, error) {
-	if v.ledger == nil && v.head.Peer != "" && v.head.Owner != s.runner.Name {
-		if page, err := s.askOwner(ctx, v, args); err == nil {
+	s.mu.Lock()
+	h, fresh := v.head, v.ledger == nil
+	s.mu.Unlock()
+	if fresh && h.Peer != "" && h.Owner != s.runner.Name {
+		if page, err := s.askOwner(ctx, h, args); err == nil {
 			return page, nil
 		}
 	}
@@ -278,46 +289,47 @@
 
 // readOwner asks the batch's owner, and takes its place when it is gone.
 func (s *Service) readOwner(ctx context.Context, v *view, args ReadArgs) (Page, error) {
-	if v.head.Owner == "" || v.head.Owner == s.runner.Name {
+	h := s.headOf(v)
+	if h.Owner == "" || h.Owner == s.runner.Name {
 		return s.takeOver(ctx, args, "it has no owner that runs it")
 	}
-	page, err := s.askOwner(ctx, v, args)
+	page, err := s.askOwner(ctx, h, args)
 	switch {
 	case err == nil:
 		s.mu.Lock()
 		v.failing, v.used = time.Time{}, s.runner.Clock.Now()
 		s.mu.Unlock()
 		return page, nil
-	case errors.Is(err, ErrNotHere):
-		return s.readMoved(ctx, v.head, args)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return s.takeOver(ctx, args, "its owner refuses connections")
+	case errors.Is(err, ErrNotHere), errors.Is(err, syscall.ECONNREFUSED):
+		return s.readMoved(ctx, h, args, err)
 	}
-	return s.readBehind(ctx, v, args)
+	return s.readBehind(ctx, v, h, args)
 }
 
 // askMargin is how much longer than the caller's wait an owner may take.
 const askMargin = 600 * time.Millisecond
 
-func (s *Service) askOwner(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+func (s *Service) askOwner(ctx context.Context, h Stored, args ReadArgs) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+askMargin)
 	defer cancel()
-	return s.peers.Read(ctx, v.head.Peer, args)
+	return s.peers.Read(ctx, h.Peer, args)
 }
 
-// readMoved reads a batch whose believed owner does not run it.
-func (s *Service) readMoved(ctx context.Context, before Stored, args ReadArgs) (Page, error) {
+// readMoved reads a batch whose believed owner does not run it. What was believed may
+// be old: only an owner that the store still names is replaced.
+func (s *Service) readMoved(ctx context.Context, before Stored, args ReadArgs, cause error) (Page, error) {
 	v, err := s.refresh(ctx, args.ID)
 	if err != nil {
 		return Page{}, err
 	}
+	h := s.headOf(v)
 	switch {
-	case v.head.Ended:
+	case h.Ended:
 		return s.readEnded(ctx, v, args)
-	case v.head.Owner == before.Owner || v.head.Owner == "" || v.head.Owner == s.runner.Name:
-		return s.takeOver(ctx, args, "its owner does not run it")
+	case h.Owner == before.Owner || h.Owner == "" || h.Owner == s.runner.Name:
+		return s.takeOver(ctx, args, "its owner is gone: "+cause.Error())
 	}
-	return s.askOwner(ctx, v, args)
+	return s.askOwner(ctx, h, args)
 }
 
 // deadAfter is how long an owner that does not answer and lists nothing is
@@ -326,7 +338,7 @@
 
 // readBehind reads the store while the owner does not answer, and takes its
 // place when nothing comes from it.
-func (s *Service) readBehind(ctx context.Context, v *view, args ReadArgs) (Page, error) {
+func (s *Service) readBehind(ctx context.Context, v *view, before Stored, args ReadArgs) (Page, error) {
 	now := s.runner.Clock.Now()
 	s.mu.Lock()
 	if v.failing.IsZero() {
@@ -336,6 +348,9 @@
 	if _, err := s.refresh(ctx, args.ID); err != nil {
 		return Page{}, err
 	}
+	if h := s.headOf(v); h.Owner != before.Owner && h.Owner != s.runner.Name && h.Owner != "" {
+		return s.askOwner(ctx, h, args)
+	}
 	ledger, err := s.follow(ctx, v)
 	if err != nil {
 		return Page{}, err
@@ -436,15 +451,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if v.head.Team != team {
+	h := s.headOf(v)
+	if h.Team != team {
 		return nil, oops.In("batch").With("batch", id).Wrap(ErrUnknown)
 	}
-	if v.head.Peer != "" && v.head.Owner != s.runner.Name {
+	if h.Peer != "" && h.Owner != s.runner.Name {
 		ask, cancel := context.WithTimeout(ctx, askMargin)
 		defer cancel()
-		if body, err := s.peers.Body(ask, v.head.Peer, BodyArgs{id, team, item}); err == nil {
+		if body, err := s.peers.Body(ask, h.Peer, BodyArgs{id, team, item}); err == nil {
 			return body, nil
 		}
 	}
-	return s.keeper.Body(ctx, v.head, item)
+	return s.keeper.Body(ctx, h, item)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -131,10 +131,22 @@
 	return w
 }
 
+// renewal is how often upstreams renew their registrations.
+const renewal = 400 * time.Millisecond
+
+// register serves an upstream behind a path and renews its registration.
 func (w *world) register(e *standin.Engine) {
 	p := newProxy(serve(e))
 	w.paths = append(w.paths, p)
-	w.store.Set("servers", e.ID, e.Register(p.address, "a", "ready"))
+	renew := func() { w.store.Set("servers", e.ID, e.Register(p.address, "a", "ready")) }
+	renew()
+	ticker := time.NewTicker(renewal)
+	DeferCleanup(ticker.Stop)
+	go func() {
+		for range ticker.C {
+			renew()
+		}
+	}()
 }
 
 func (w *world) newGateway(n int, binary, store, cloud string) *gateway {
