--- /dev/null
+++ b/batch/heads.go
@@ -0,0 +1,77 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/telemetry"
+)
+
+const (
+	// headsWait is how long a watch of heads waits for a change.
+	headsWait = 3 * time.Second
+	// headsPause is the least time between two watches, which bounds the calls;
+	// an end must reach the engines within seconds.
+	headsPause = 700 * time.Millisecond
+	// idlePause is how often an instance without batches looks for new ones.
+	idlePause = 100 * time.Millisecond
+)
+
+// WatchHeads follows ends and changes of owner of the batches that run here,
+// until ctx ends.
+func (s *Service) WatchHeads(ctx context.Context) {
+	var after objects.Version
+	for ctx.Err() == nil {
+		oldest, busy := s.runner.oldest()
+		if !busy {
+			after = 0
+			s.sleep(ctx, idlePause)
+			continue
+		}
+		if after == 0 {
+			after = oldest
+		}
+		after = s.watchOnce(ctx, after)
+		s.sleep(ctx, headsPause)
+	}
+}
+
+func (s *Service) watchOnce(ctx context.Context, after objects.Version) objects.Version {
+	changes, err := s.store.Watch(ctx, KindHead, after, headsWait)
+	if errors.Is(err, objects.ErrGap) {
+		return s.recheck(ctx)
+	}
+	if err != nil {
+		return after // the store's client tells of it
+	}
+	for _, o := range changes.Objects {
+		if h, err := decodeHead(o); err == nil && !o.Deleted {
+			s.runner.headSeen(h)
+		}
+	}
+	return changes.Version
+}
+
+// recheck reads every head after a gap in the history.
+func (s *Service) recheck(ctx context.Context) objects.Version {
+	for _, id := range s.runner.openIDs() {
+		h, err := s.keeper.Head(ctx, id)
+		if err != nil {
+			s.log.Warn("a batch could not be checked after a gap", zap.String("batch", id), telemetry.Error(err))
+			continue
+		}
+		s.runner.headSeen(h)
+	}
+	return 0
+}
+
+func (s *Service) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-s.runner.Clock.After(d):
+	}
+}
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -13,7 +13,6 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
-	"github.com/pomelocross/pomelocross/batch"
 	"github.com/pomelocross/pomelocross/objects"
 
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -236,113 +235,7 @@
 	}
 }
 
-// Codes of answers between instances.
-const (
-	codeNotHere = "not_here"
-	codeUnknown = "unknown"
-	codeUnsure  = "unsure"
-)
-
-// ReadReply is the answer to a read between instances.
-type ReadReply struct {
-	Page batch.Page
-	Code string // empty when Page holds
-}
-
-// batchCalls serves other instances.
-type batchCalls struct{ gateway *Gateway }
-
-// Read returns results of a batch that runs here.
-func (b *batchCalls) Read(args batch.ReadArgs, reply *ReadReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
-	defer cancel()
-	page, err := b.gateway.batches.ReadHere(ctx, args)
-	reply.Page = page
-	switch {
-	case err == nil:
-	case errors.Is(err, batch.ErrNotHere):
-		reply.Code = codeNotHere
-	case errors.Is(err, batch.ErrUnknown):
-		reply.Code = codeUnknown
-	default:
-		reply.Code = codeUnsure
-	}
-	return nil
-}
-
-// Body returns the body of an item of a batch that runs here or has run.
-func (b *batchCalls) Body(args batch.BodyArgs, reply *[]byte) error {
-	body, ok := b.gateway.runner.Body(args.ID, args.Team, args.Item)
-	if !ok {
-		return batch.ErrNotHere
-	}
-	*reply = body
-	return nil
-}
-
-// End notes that a batch's end is stored.
-func (b *batchCalls) End(id string, _ *struct{}) error {
-	b.gateway.runner.Ended(id)
-	return nil
-}
-
-// Adopt runs a batch that its owner gives away.
-func (b *batchCalls) Adopt(id string, _ *struct{}) error {
-	if b.gateway.draining.Load() {
-		return errors.New("this instance stops")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	return b.gateway.batches.Adopt(ctx, id)
-}
-
-// peerCalls calls other instances. It implements batch.Peers.
-type peerCalls struct{ gateway *Gateway }
-
-// Read implements batch.Peers.
-func (p *peerCalls) Read(ctx context.Context, peer string, args batch.ReadArgs) (batch.Page, error) {
-	var reply ReadReply
-	if err := p.gateway.dialer.Call(ctx, peer, "Batches.Read", args, &reply); err != nil {
-		return batch.Page{}, err
-	}
-	switch reply.Code {
-	case codeNotHere:
-		return batch.Page{}, batch.ErrNotHere
-	case codeUnknown:
-		return batch.Page{}, batch.ErrUnknown
-	case codeUnsure:
-		return batch.Page{}, batch.ErrUnsure
-	}
-	return reply.Page, nil
-}
-
-// Body implements batch.Peers.
-func (p *peerCalls) Body(ctx context.Context, peer string, args batch.BodyArgs) ([]byte, error) {
-	var body []byte
-	err := p.gateway.dialer.Call(ctx, peer, "Batches.Body", args, &body)
-	return body, err
-}
-
-// End implements batch.Peers.
-func (p *peerCalls) End(ctx context.Context, peer, id string) error {
-	return p.gateway.dialer.Call(ctx, peer, "Batches.End", id, &struct{}{})
-}
-
-// Adopt implements batch.Peers.
-func (p *peerCalls) Adopt(ctx context.Context, peer, id string) error {
-	return p.gateway.dialer.Call(ctx, peer, "Batches.Adopt", id, &struct{}{})
-}
-
-// Others implements batch.Peers.
-func (p *peerCalls) Others() []string {
-	others := p.gateway.crew.others()
-	if len(others) == 0 {
-		return nil
-	}
-	const asked = 3 // each that is gone costs a timeout of the grace
-	return others[:min(asked, len(others))]
-}
-
+// warn logs a step that failed and is tried again.
 func (g *Gateway) warn(step string, err error) {
 	g.log.Warn("step failed", zap.String("step", step), telemetry.Error(err))
 }
