--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -82,12 +82,12 @@
 		m := d.start("entry-1", nil)
 		var broken atomic.Bool
 		for _, e := range d.engines {
-			e.Fault = func(string) standin.Fault {
+			e.SetFault(func(string) standin.Fault {
 				if broken.CompareAndSwap(false, true) {
 					return standin.Reset
 				}
 				return standin.None
-			}
+			})
 		}
 		a, err := call("POST", m.front, "/chat/1", key, nil, "X-Pomelocross-Request-Id", "s1", "X-Pomelocross-Model", model, "X-Pomelocross-Deadline-Ms", "5000")
 		Expect(err).NotTo(HaveOccurred())
@@ -157,12 +157,12 @@
 		d := newDeployment(3, events)
 		var faults atomic.Int32
 		for _, e := range d.engines {
-			e.Fault = func(string) standin.Fault {
+			e.SetFault(func(string) standin.Fault {
 				if faults.Add(1)%3 == 0 {
 					return standin.Reset
 				}
 				return standin.None
-			}
+			})
 		}
 		m := d.start("entry-1", nil)
 		Expect(submit(m.front, "l1", lot(items, 1))).To(Equal(http.StatusAccepted))
@@ -209,12 +209,12 @@
 		m := d.start("entry-1", nil)
 		var away atomic.Bool
 		away.Store(true)
-		d.store.Fault = func(*http.Request) standin.Fault {
+		d.store.SetFault(func(*http.Request) standin.Fault {
 			if away.Load() {
 				return standin.Busy
 			}
 			return standin.None
-		}
+		})
 		a, err := call("POST", m.front, "/train/l1", key, lot(2, 1), "X-Pomelocross-Request-Id", "l1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.Status).To(Equal(http.StatusServiceUnavailable))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -104,7 +104,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)), folder: folder, store: standin.NewStore(), cloud: &standin.Cloud{},
 		weights: 1, keys: map[string]string{"key-north": "north", "key-south": "south"}, began: time.Now(),
 	}
-	w.store.Fault = w.storeFault
+	w.store.SetFault(w.storeFault)
 	storeAddress, cloudAddress := serve(w.store), serve(w.cloud)
 	for n := range 4 {
 		e := &standin.Engine{ID: fmt.Sprint("engine-", n), Service: "lm", Slots: 8, Events: events, Pace: pace}
