A source answers for a kind only by the store's word on that kind

Change: freshness is kept for each kind, the configuration is watched for a second at a time by sources; regaining the direct way ends relayed watches.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -16,10 +16,11 @@
 	// domain asks this often; the store's silence shows by it too.
 	sourceServersWait  = 500 * time.Millisecond
 	sourceServersPause = 600 * time.Millisecond
-	// sourceStale is the age of the store's last word from which a source answers
-	// nothing: its readers then ask the store themselves, within the time in which
-	// a configuration must be in force.
-	sourceStale = 1300 * time.Millisecond
+	sourceConfigWait   = time.Second
+	// sourceStale is the age of the store's last word on a kind from which a source
+	// answers nothing: its readers then ask the store themselves, within the time in
+	// which a configuration must be in force.
+	sourceStale = 1400 * time.Millisecond
 	// sourceShunned is how long a source that failed is not asked.
 	sourceShunned = 3 * time.Second
 )
@@ -40,7 +41,7 @@
 }
 
 func newFeed(g *Gateway) *feed {
-	return &feed{Store: g.store, gateway: g, cache: objects.NewCache(g.store, sourceStale, g.clock.Now), shunned: map[string]time.Time{}}
+	return &feed{Store: g.store, gateway: g, cache: objects.NewCache(g.store, g.clock.Now), shunned: map[string]time.Time{}}
 }
 
 // source returns the address of the domain's source; empty for this instance.
@@ -80,8 +81,8 @@
 	f.serving = true
 	ctx, cancel := context.WithCancel(f.gateway.background)
 	for _, k := range []objects.CacheKind{
-		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: sourceServersPause, Same: sameServer},
-		{Kind: platform.KindConfig, Wait: configWait},
+		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: sourceServersPause, Stale: sourceStale, Same: sameServer},
+		{Kind: platform.KindConfig, Wait: sourceConfigWait, Stale: sourceStale},
 	} {
 		d := &dependency{gateway: f.gateway, what: k.Kind}
 		go f.cache.Follow(ctx, k, d.state)
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -18,12 +18,9 @@
 type Cache struct {
 	store Store
 	now   func() time.Time
-	// stale is the age of the store's last word from which nothing is answered.
-	stale time.Duration
 
 	mu    sync.Mutex // guards all below
 	kinds map[string]*cached
-	heard time.Time // when the store last answered any follower
 }
 
 // cached is one kind.
@@ -33,12 +30,14 @@
 	from    Version // changes after this version are in events
 	asOf    Version
 	listed  bool
+	heard   time.Time     // when the store last answered
+	stale   time.Duration // age of that from which nothing is answered
 	changed chan struct{} // closed and replaced when events come
 }
 
 // NewCache returns a Cache that follows nothing yet.
-func NewCache(store Store, stale time.Duration, now func() time.Time) *Cache {
-	return &Cache{store: store, now: now, stale: stale, kinds: map[string]*cached{}}
+func NewCache(store Store, now func() time.Time) *Cache {
+	return &Cache{store: store, now: now, kinds: map[string]*cached{}}
 }
 
 // CacheKind says how a kind is followed.
@@ -46,6 +45,9 @@
 	Kind  string
 	Wait  time.Duration // of one watch
 	Pause time.Duration // between two
+	// Stale is the age of the store's last word on the kind from which readers get
+	// no answer; above Wait and Pause together.
+	Stale time.Duration
 	// Same reports whether a change says nothing new; such changes are not handed on.
 	Same func(before, after Object) bool
 }
@@ -53,14 +55,14 @@
 // Follow follows a kind until ctx ends; state is told of each call.
 func (c *Cache) Follow(ctx context.Context, k CacheKind, state func(error)) {
 	c.mu.Lock()
-	c.kinds[k.Kind] = &cached{objects: map[string]Object{}, changed: make(chan struct{})}
+	c.kinds[k.Kind] = &cached{objects: map[string]Object{}, changed: make(chan struct{}), stale: k.Stale}
 	c.mu.Unlock()
 	defer c.forget(k.Kind)
 	FollowWith(ctx, c.store, k.Kind, FollowOptions{
 		Wait: k.Wait, MaxPause: cachePause, Pause: func() time.Duration { return k.Pause },
 		State: func(err error) {
 			if settles(err) {
-				c.hear()
+				c.hear(k.Kind)
 			}
 			state(err)
 		},
@@ -77,10 +79,12 @@
 // cachePause bounds the pause after failures.
 const cachePause = 500 * time.Millisecond
 
-func (c *Cache) hear() {
+func (c *Cache) hear(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard = c.now()
+	if kind := c.kinds[name]; kind != nil {
+		kind.heard = c.now()
+	}
 }
 
 func (c *Cache) take(k CacheKind, o Object) {
@@ -122,21 +126,17 @@
 	kind.changed = make(chan struct{})
 }
 
-// Fresh reports whether the store has answered lately.
-func (c *Cache) Fresh() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.fresh()
+// fresh reports whether the store has answered on a kind lately.
+func (c *Cache) fresh(kind *cached) bool {
+	return kind != nil && kind.listed && c.now().Sub(kind.heard) < kind.stale
 }
 
-func (c *Cache) fresh() bool { return c.now().Sub(c.heard) < c.stale }
-
 // List returns what exists of a kind, or ErrRefused while that is not known.
 func (c *Cache) List(name string) (List, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := c.kinds[name]
-	if kind == nil || !kind.listed || !c.fresh() {
+	if !c.fresh(kind) {
 		return List{}, oops.In("objects").With("step", "cached list", "kind", name).Wrap(ErrRefused)
 	}
 	l := List{Version: kind.asOf}
@@ -171,7 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := c.kinds[name]
-	if kind == nil || !kind.listed || !c.fresh() {
+	if !c.fresh(kind) {
 		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrRefused)
 	}
 	if after < kind.from {
--- a/objects/cache_test.go
+++ b/objects/cache_test.go
@@ -23,7 +23,11 @@
 
 func (s *script) List(context.Context, string) (objects.List, error) { return s.first, nil }
 
-func (s *script) Watch(ctx context.Context, _ string, after objects.Version, _ time.Duration) (objects.List, error) {
+func (s *script) Watch(ctx context.Context, kind string, after objects.Version, _ time.Duration) (objects.List, error) {
+	if kind == "stuck" {
+		<-ctx.Done()
+		return objects.List{Version: after}, ctx.Err()
+	}
 	s.calls.Add(1)
 	select {
 	case l := <-s.watches:
@@ -46,11 +50,11 @@
 	BeforeEach(func() {
 		now.Store(1000)
 		store = &script{first: objects.List{Version: 5, Objects: []objects.Object{object("a", 3, `1`)}}, watches: make(chan objects.List)}
-		cache = objects.NewCache(store, time.Second, func() time.Time { return time.UnixMilli(now.Load()) })
+		cache = objects.NewCache(store, func() time.Time { return time.UnixMilli(now.Load()) })
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		same := func(a, b objects.Object) bool { return string(a.Value) == string(b.Value) }
-		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, Same: same}, func(error) {})
+		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, Stale: time.Second, Same: same}, func(error) {})
 		Eventually(func() error { _, err := cache.List("k"); return err }).Should(Succeed())
 	})
 
@@ -96,6 +100,16 @@
 		Expect(errors.Is(err, objects.ErrRefused)).To(BeTrue())
 	})
 
+	It("does not take one kind for known because another is", func(ctx SpecContext) {
+		go cache.Follow(ctx, objects.CacheKind{Kind: "stuck", Wait: time.Second, Stale: time.Second}, func(error) {})
+		Eventually(func() error { _, err := cache.List("stuck"); return err }).Should(Succeed())
+		now.Add(2000)
+		store.watches <- objects.List{Version: 8}
+		Eventually(func() error { _, err := cache.List("k"); return err }).Should(Succeed())
+		_, err := cache.List("stuck")
+		Expect(err).To(MatchError(objects.ErrRefused))
+	})
+
 	It("watches the store once for any number of readers", func() {
 		for range 20 {
 			_, err := watch(5)
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -86,12 +86,17 @@
 	// would otherwise wait on a way that another call has found broken.
 	way  context.Context
 	lose context.CancelFunc
+	// detour ends when the direct way is regained, and all relayed watches with it:
+	// one may wait on an instance that is cut off by now.
+	detour context.Context
+	regain context.CancelFunc
 }
 
 // NewRelay returns a Relay.
 func NewRelay(direct Store, peers RelayPeers, changed func(direct bool, cause error)) *Relay {
 	r := &Relay{direct: direct, peers: peers, changed: changed, patience: leastPatience}
 	r.way, r.lose = context.WithCancel(context.Background())
+	r.detour, r.regain = context.WithCancel(context.Background())
 	return r
 }
 
@@ -184,10 +189,12 @@
 	r.lost = !settles(err)
 	switch {
 	case r.lost && !was:
+		r.detour, r.regain = context.WithCancel(context.Background())
 		r.lose()
 		go r.probe()
 	case was && !r.lost:
 		r.way, r.lose = context.WithCancel(context.Background())
+		r.regain()
 	}
 	now := r.lost
 	r.mu.Unlock()
@@ -245,6 +252,15 @@
 			return reply, err
 		}
 	}
+	if c.Verb == "watch" {
+		bounded, cancel := context.WithCancel(ctx)
+		defer cancel()
+		r.mu.Lock()
+		detour := r.detour
+		r.mu.Unlock()
+		defer context.AfterFunc(detour, cancel)()
+		ctx = bounded
+	}
 	reply, sent, err := r.peers(ctx, c)
 	switch {
 	case err == nil && reply.Code == RelayOK:
--- a/objects/relay_test.go
+++ b/objects/relay_test.go
@@ -132,6 +132,26 @@
 		Consistently(relay.Reaches, "200ms").Should(BeTrue())
 	})
 
+	It("ends a watch through another instance when the direct way is back", func(ctx SpecContext) {
+		way.set(objects.ErrRefused, false)
+		stuck := objects.NewRelay(way, func(ctx context.Context, _ objects.RelayCall) (objects.RelayReply, bool, error) {
+			<-ctx.Done() // the other instance is cut off
+			return objects.RelayReply{}, true, ctx.Err()
+		}, nil)
+		quick, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := stuck.Get(quick, "k", "n")
+		Expect(err).To(HaveOccurred())
+		done := make(chan error, 1)
+		go func() {
+			_, err := stuck.Watch(context.Background(), "k", 1, time.Hour)
+			done <- err
+		}()
+		Consistently(done, "200ms").ShouldNot(Receive())
+		way.set(nil, false)
+		Eventually(done).WithTimeout(3 * time.Second).Should(Receive(HaveOccurred()))
+	})
+
 	It("recovers by itself, without a call of its users", func(ctx SpecContext) {
 		way.set(objects.ErrRefused, false)
 		peerWay.set(objects.ErrRefused, false)
