--- a/batch/handover.go
+++ b/batch/handover.go
@@ -4,9 +4,8 @@
 	"context"
 	"sync"
 
-	"go.uber.org/zap"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"go.uber.org/zap"
 )
 
 // Resume runs the batches that an earlier incarnation of this instance owned.
--- a/batch/order.go
+++ b/batch/order.go
@@ -56,7 +56,6 @@
 	First  bool      // its group was asked for before
 	Left   int       // expected tokens left
 	Begun  bool      // it has text from an earlier run
-	Age    time.Duration
 }
 
 // Before orders waiting items.
--- a/batch/send.go
+++ b/batch/send.go
@@ -13,9 +13,8 @@
 
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // ending is how one sending of an item ended.
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/objects"
-
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -5,9 +5,8 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"go.uber.org/zap"
 )
 
 const (
--- a/batch/write.go
+++ b/batch/write.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"go.uber.org/zap"
 )
 
 const (
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,9 +14,8 @@
 
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // maxAnswerBytes bounds an answer, which is kept whole before it is passed on.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -12,9 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/roster"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // Sink takes a stream for its caller.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -12,9 +12,8 @@
 	"github.com/pomelocross/pomelocross/fleet"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // weights holds the newest version of each model that trainers have named.
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/objects"
-
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -10,7 +10,6 @@
 
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
-
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -17,9 +17,8 @@
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/forward"
 	"github.com/pomelocross/pomelocross/platform"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // Bounds on callers' connections where the configuration, which may be larger or
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,7 +249,7 @@
 // outage remembers when the store last failed, which explains absences.
 type outage struct{ at atomic.Int64 }
 
-// errStoreGap tells a gap from an outage.
+// note takes in what came of a call on the store.
 func (o *outage) note(now time.Time, err error) {
 	if err != nil {
 		o.at.Store(now.UnixNano())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,9 +6,8 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/forward"
-	"github.com/pomelocross/pomelocross/upstream"
-
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 // serveStream forwards a request that is answered by events, as they come.
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -14,13 +14,11 @@
 	Tokens     int // memory that the request may take
 	KVTokens   int // memory of one engine; 0 is unbounded
 	Domain     string
-	// Spread allows a request beyond an upstream's slots, which then queues
+	// Overflow allows a request beyond an upstream's slots, which then queues
 	// there. Rollout items wait here instead, where order can still change.
 	Overflow bool
 	// Avoid lists upstreams not to be chosen, such as those tried before.
 	Avoid map[string]bool
-	// Prefer is the upstream that holds the request's shared prompt, if any.
-	Prefer string
 }
 
 // Choice is the picked upstream.
@@ -93,8 +91,6 @@
 	// otherDomain is what a way to another failure domain costs: a choice in the
 	// own domain wins among upstreams of like load.
 	otherDomain = 0.05
-	// preferred is what a kept shared prompt is worth.
-	preferred = 0.3
 	// lot spreads choices among upstreams of like score.
 	lot = 0.04
 	// slowness weighs the pace against the best one: twice as slow counts as one
@@ -109,9 +105,6 @@
 	if s.Domain != n.Domain {
 		score += otherDomain
 	}
-	if s.ID == n.Prefer {
-		score -= preferred
-	}
 	if s.Cold > 0 {
 		score += cold
 	}
