--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -146,11 +146,12 @@
 	}, args...)
 	one.command = exec.Command(daemonPath, arguments...)
 	one.command.Env = append(os.Environ(), "POMELOCROSS_SECRET="+testSecret)
-	stderr, err := one.command.StderrPipe()
+	output, err := one.command.StdoutPipe() // logs; a crash writes to the other
 	Expect(err).NotTo(HaveOccurred())
+	one.command.Stderr = one.command.Stdout
 	Expect(one.command.Start()).To(Succeed())
 	listening := make(chan struct{})
-	go one.follow(stderr, listening)
+	go one.follow(output, listening)
 	DeferCleanup(one.kill)
 	Eventually(listening).Should(BeClosed(), "%s does not listen", name)
 	one.inbound = newRelay(one.peer)
@@ -159,8 +160,8 @@
 }
 
 // follow keeps the daemon's log and takes its addresses from it.
-func (one *daemon) follow(stderr io.Reader, listening chan struct{}) {
-	lines := bufio.NewScanner(stderr)
+func (one *daemon) follow(output io.Reader, listening chan struct{}) {
+	lines := bufio.NewScanner(output)
 	for lines.Scan() {
 		one.log.add(lines.Text())
 		var line struct{ Msg, Listen, Admin, Peer string }
