--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,7 +17,7 @@
 start() { # name, command...
 	name=$1
 	shift
-	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	"$@" >"$work/$name.log" 2>&1 &
 	pids="$! $pids"
 }
 
