--- a/batch/own_test.go
+++ b/batch/own_test.go
@@ -163,3 +163,16 @@
 		Expect(reader.runner.Runs("l")).To(BeTrue())
 	})
 })
+
+var _ = Describe("The age of a batch that is taken over", func() {
+	It("is taken by the clock without steps", func(ctx SpecContext) {
+		store := memstore.New()
+		a, b := idle(store, "a"), idle(store, "b")
+		Expect(a.Submit(ctx, submission("l", 1), "t", "r", time.Now())).To(Succeed())
+		b.runner.Wall = func() time.Time { return time.Now().Add(45 * time.Second) }
+		_, err := b.claim(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		left := b.runner.jobs["l"].expires.Sub(b.runner.Clock.Now())
+		Expect(left).To(BeNumerically("~", 15*time.Second, time.Second))
+	})
+})
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -33,7 +33,10 @@
 	Engines upstream.Forwarder
 	Catalog func() *catalog.Catalog // nil until one is known
 	Clock   clockwork.Clock
-	Log     *zap.Logger
+	// Wall returns the time of day without its steps, for ages of stored batches;
+	// the machine's own where nil.
+	Wall func() time.Time
+	Log  *zap.Logger
 	// Record is told of each finished sending of an item and its outcome.
 	Record func(outcome string, took time.Duration)
 	// Keep and KeepBytes bound how long and how many bytes of results of ended
@@ -57,6 +60,9 @@
 
 // NewRunner returns a Runner without batches.
 func NewRunner(o Options) *Runner {
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
 	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts()}
 }
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -125,6 +125,20 @@
 
 // Read returns results of a batch of a team.
 func (s *Service) Read(ctx context.Context, args ReadArgs) (Page, error) {
+	return s.readOr(ctx, args, func(v *view) (Page, error) {
+		h := s.headOf(v)
+		switch {
+		case h.Team != args.Team:
+			return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnknown)
+		case h.Ended:
+			return s.readEnded(ctx, v, args)
+		}
+		return s.readOwner(ctx, v, args)
+	})
+}
+
+// readOr reads a batch that runs here, or else by what is known of it.
+func (s *Service) readOr(ctx context.Context, args ReadArgs, elsewhere func(*view) (Page, error)) (Page, error) {
 	page, err := s.runner.Page(ctx, args)
 	if !errors.Is(err, ErrNotHere) {
 		return page, err
@@ -133,14 +147,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	h := s.headOf(v)
-	if h.Team != args.Team {
-		return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnknown)
-	}
-	if h.Ended {
-		return s.readEnded(ctx, v, args)
-	}
-	return s.readOwner(ctx, v, args)
+	return elsewhere(v)
 }
 
 // headOf returns a view's head.
@@ -154,17 +161,16 @@
 // an ended one that this instance ran, from the store if need be, so that only one
 // instance reads it there. Else it returns ErrNotHere.
 func (s *Service) ReadHere(ctx context.Context, args ReadArgs) (Page, error) {
-	page, err := s.runner.Page(ctx, args)
-	if !errors.Is(err, ErrNotHere) {
-		return page, err
-	}
-	v, err := s.viewOf(ctx, args.ID)
-	if err != nil {
-		return Page{}, err
-	}
-	if h := s.headOf(v); !h.Ended || h.Owner != s.runner.Name || h.Team != args.Team {
-		return Page{}, ErrNotHere
-	}
+	return s.readOr(ctx, args, func(v *view) (Page, error) {
+		if h := s.headOf(v); !h.Ended || h.Owner != s.runner.Name || h.Team != args.Team {
+			return Page{}, ErrNotHere
+		}
+		return s.readStored(ctx, v, args)
+	})
+}
+
+// readStored reads results as the store has them.
+func (s *Service) readStored(ctx context.Context, v *view, args ReadArgs) (Page, error) {
 	ledger, err := s.follow(ctx, v)
 	if err != nil {
 		return Page{}, err
@@ -256,11 +262,7 @@
 			return page, nil
 		}
 	}
-	ledger, err := s.follow(ctx, v)
-	if err != nil {
-		return Page{}, err
-	}
-	return ledger.Page(args.After), nil
+	return s.readStored(ctx, v, args)
 }
 
 // follow brings the view's results up to what is stored.
@@ -398,7 +400,7 @@
 		if err != nil {
 			return h, err
 		}
-		s.runner.Add(h, sub, ledger, partials, s.limitsOf(h.Route).after(h.Age(time.Now())))
+		s.runner.Add(h, sub, ledger, partials, s.limitsOf(h.Route).after(h.Age(s.runner.Wall())))
 		return h, nil
 	})
 	h, _ := claimed.(Stored)
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -26,7 +26,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err := s.sweep(ctx, time.Now()); err != nil {
+		if err := s.sweep(ctx, s.runner.Wall()); err != nil {
 			s.log.Warn("old batches were not erased", telemetry.Error(err))
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 	incarnation := uuid.NewString()
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Keeper: batch.NewKeeper(g.store, incarnation),
-		Roster: g.roster, Engines: g.engines, Catalog: g.catalog.Load, Clock: g.clock, Log: t.Log, Record: counters.ran,
+		Roster: g.roster, Engines: g.engines, Catalog: g.catalog.Load, Clock: g.clock, Wall: g.wall.Now, Log: t.Log, Record: counters.ran,
 		Keep: s.Keep, KeepBytes: keepBytes(s.MemoryMB),
 	})
 	g.batches = batch.NewService(g.runner, g.store, &peerCalls{g}, g.limitsOf)
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -27,8 +27,6 @@
 // tally is the stored form of an instance's counts: by window and team.
 type tally struct {
 	Windows map[int64]map[string]int64 `json:"windows"`
-	// Until is the window up to which the counts are whole.
-	Until int64 `json:"until"`
 }
 
 // meter counts the requests of teams that began to run here.
@@ -99,12 +97,12 @@
 }
 
 // take returns the counts to store, and false when nothing has changed.
-func (m *meter) take(now time.Time) (tally, bool) {
+func (m *meter) take() (tally, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := m.changed
 	m.changed = false
-	t := tally{Windows: map[int64]map[string]int64{}, Until: m.window(now) - 1}
+	t := tally{Windows: map[int64]map[string]int64{}}
 	for n, counts := range m.windows {
 		t.Windows[n] = maps.Clone(counts)
 	}
@@ -157,7 +155,7 @@
 
 // publishNow stores the counts, if there are new ones.
 func (g *Gateway) publishNow(ctx context.Context) {
-	t, changed := g.meter.take(g.wall.Now())
+	t, changed := g.meter.take()
 	if !changed {
 		return
 	}
@@ -200,9 +198,7 @@
 // are stored.
 type frozen struct {
 	Counts map[string]int64 `json:"counts"`
-	By     string           `json:"by"`
-	Epoch  int64            `json:"epoch"`
-	Sent   bool             `json:"sent,omitempty"`
+	By     string           `json:"by"` // instance that froze them
 }
 
 // reportUsage freezes the figures of windows that are over and reports them.
