roster: an engine has room by the most memory that its requests take at once

Cause: an item reserved its prompt and all tokens it may make from its first moment on. Change: all requests at an engine grow at one pace, so the most they take together is at the end of one of them; a request fits if that stays within the memory. Owners tell the roster how far each run has come.

--- a/batch/job.go
+++ b/batch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/roster"
 )
 
 // itemState is an item without a result, as its owner sees it.
@@ -32,7 +33,6 @@
 	begun    time.Time
 	sign     time.Time // of the newest event, or begun
 	events   int
-	tokens   int
 	cancel   context.CancelCauseFunc
 }
 
@@ -49,6 +49,12 @@
 	return Partial{Last: s.last, Events: s.events, Text: s.text.String(), Versions: slices.Clone(s.versions)}
 }
 
+// memory returns what the item takes at the engine that it is sent to next.
+func (s *itemState) memory() roster.Memory {
+	made := s.events * eventTokens
+	return roster.Memory{Held: s.item.Prompt + made, Growth: max(s.item.Expected()-made, made/4)}
+}
+
 // restart drops the text, whose versions no longer fit.
 func (s *itemState) restart() {
 	s.text.Reset()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -159,14 +159,14 @@
 		full[asked] = true
 		return
 	}
-	r.start(ctx, w, route, choice, need.Tokens, now)
+	r.start(ctx, w, route, choice, need.Memory, now)
 }
 
 // need returns what an item asks of an engine.
 func (r *Runner) need(j *job, s *itemState, service catalog.Service) roster.Need {
 	return roster.Need{
 		Service: service.Name, Model: s.item.Model, MinVersion: j.sub.MinVersion, Domain: r.Domain,
-		KVTokens: service.KVTokens, Tokens: s.item.Prompt + s.item.Expected(),
+		KVTokens: service.KVTokens, Memory: s.memory(),
 	}
 }
 
@@ -216,14 +216,14 @@
 }
 
 // start sends an item. The caller holds mu.
-func (r *Runner) start(ctx context.Context, w waiting, route catalog.Route, to roster.Choice, tokens int, now time.Time) {
+func (r *Runner) start(ctx context.Context, w waiting, route catalog.Route, to roster.Choice, memory roster.Memory, now time.Time) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	w.state.running = &run{upstream: to.ID, service: to.Service, begun: now, sign: now, tokens: tokens, cancel: cancel}
+	w.state.running = &run{upstream: to.ID, service: to.Service, begun: now, sign: now, cancel: cancel}
 	if w.state.sendings == 0 {
 		w.state.waited = now.Sub(w.state.added)
 	}
 	w.state.sendings++
-	r.Roster.Begin(to.ID, tokens)
+	r.Roster.Begin(to.ID, w.state.item.ID, memory)
 	var last *int64
 	if w.state.events > 0 {
 		id := w.state.last
@@ -279,11 +279,12 @@
 	s.running.cancel(errMoved)
 }
 
-// leftEvents estimates the events to come from the tokens that were made an
-// event so far.
+// eventTokens is about how many tokens an event carries: engines gather some tens.
+const eventTokens = 64
+
+// leftEvents estimates the events to come.
 func leftEvents(s *itemState) int {
-	const usual = 64 // tokens an event until more is known; engines give some tens
-	return max(s.events/4, s.item.Expected()/usual-s.events, 1)
+	return max(s.events/4, s.item.Expected()/eventTokens-s.events, 1)
 }
 
 // retire forgets jobs that need no memory here: lost ones, those past their time,
--- a/batch/send.go
+++ b/batch/send.go
@@ -140,6 +140,7 @@
 	}
 	s.running.sign = now
 	s.running.events++
+	r.Roster.Grew(to.ID, s.item.ID, s.running.events*eventTokens)
 	s.add(event.Data, event.ID, version)
 	return nil
 }
@@ -172,7 +173,7 @@
 	defer r.mu.Unlock()
 	defer r.Signal()
 	s := w.state
-	r.Roster.End(s.running.upstream, s.running.tokens)
+	r.Roster.End(s.running.upstream, s.item.ID)
 	from := s.running.upstream
 	s.running = nil
 	if !w.job.open() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,10 +183,10 @@
 	if forward.Budget > 0 {
 		forward.Budget = w.budgetEnds.Sub(now)
 	}
-	f.Roster.Begin(choice.ID, 0)
+	f.Roster.Begin(choice.ID, w.request.ID, roster.Memory{})
 	go func() {
 		r := f.exchange(ctx, choice, forward)
-		f.Roster.End(choice.ID, 0)
+		f.Roster.End(choice.ID, w.request.ID)
 		if f.Record != nil {
 			f.Record(r.outcome, f.Clock.Now().Sub(now))
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -114,8 +114,8 @@
 	s.tally.Sent++
 	s.tally.Open++
 	defer func() { s.tally.Note(outcome) }()
-	f.Roster.Begin(choice.ID, 0)
-	defer f.Roster.End(choice.ID, 0)
+	f.Roster.Begin(choice.ID, s.request.ID, roster.Memory{})
+	defer f.Roster.End(choice.ID, s.request.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := time.AfterFunc(time.Hour, cancel)
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -11,8 +11,8 @@
 	Model   string // empty for plain requests
 	// MinVersion is the oldest weight version that may answer.
 	MinVersion int64
-	Tokens     int // memory that the request may take
-	KVTokens   int // memory of one engine; 0 is unbounded
+	Memory     Memory
+	KVTokens   int // memory of one engine, in tokens; 0 is unbounded
 	Domain     string
 	// Overflow allows a request beyond an upstream's slots, which then queues
 	// there. Rollout items wait here instead, where order can still change.
@@ -72,10 +72,8 @@
 		return false
 	case !n.Overflow && s.Slots > 0 && s.busy(now) >= s.Slots:
 		return false
-	case n.KVTokens > 0 && s.mine > 0 && s.tokens+n.Tokens > n.KVTokens:
-		return false
 	}
-	return true
+	return s.room(n.Memory, n.KVTokens)
 }
 
 // busy is the believed number of requests at the upstream.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -44,9 +44,9 @@
 	Entry
 	load   upstream.Occupancy
 	loadAt time.Time
-	others int // requests of other instances when load was taken
-	mine   int // requests of this instance that are open
-	tokens int // tokens that they are expected to hold
+	others int             // requests of other instances when load was taken
+	mine   int             // requests of this instance that are open
+	holds  map[string]hold // memory of those of them that take any, by request
 	shut   time.Time
 	strike int // failures in a row
 	pace   pace
@@ -71,11 +71,11 @@
 	defer r.mu.Unlock()
 	s := r.states[e.ID]
 	if s == nil || s.Started != e.Started || s.Address != e.Address {
-		open, tokens := 0, 0
+		fresh := &state{holds: map[string]hold{}, blocks: map[string]time.Time{}}
 		if s != nil {
-			open, tokens = s.mine, s.tokens
+			fresh.mine, fresh.holds = s.mine, s.holds
 		}
-		s = &state{mine: open, tokens: tokens, blocks: map[string]time.Time{}}
+		s = fresh
 		r.states[e.ID] = s
 	}
 	s.Entry = e
@@ -131,13 +131,31 @@
 }
 
 // Begin counts a request that is sent to an upstream.
-func (r *Roster) Begin(id string, tokens int) {
-	r.with(id, func(s *state) { s.mine++; s.tokens += tokens })
+func (r *Roster) Begin(id, request string, m Memory) {
+	r.with(id, func(s *state) {
+		s.mine++
+		if m != (Memory{}) {
+			s.holds[request] = hold{Memory: m}
+		}
+	})
+}
+
+// Grew notes the tokens that a request at an upstream has made since it began.
+func (r *Roster) Grew(id, request string, tokens int) {
+	r.with(id, func(s *state) {
+		if h, known := s.holds[request]; known {
+			h.grown = tokens
+			s.holds[request] = h
+		}
+	})
 }
 
 // End counts a request that is over.
-func (r *Roster) End(id string, tokens int) {
-	r.with(id, func(s *state) { s.mine = max(0, s.mine-1); s.tokens = max(0, s.tokens-tokens) })
+func (r *Roster) End(id, request string) {
+	r.with(id, func(s *state) {
+		s.mine = max(0, s.mine-1)
+		delete(s.holds, request)
+	})
 }
 
 func (r *Roster) with(id string, change func(*state)) {
