batch, roster: items by their time to spare, newest weights for those that need them

Cause: after an outage a trainer hands in two steps within about 2 s. Change: waiting items are ordered by when they must start, by their expected length and the pace of late; engines whose weights are newer than an item needs cost it something.

--- a/batch/order.go
+++ b/batch/order.go
@@ -51,25 +51,20 @@
 
 // Candidate is an item that waits for an engine.
 type Candidate struct {
-	Due    time.Time // of its batch
-	Wanted bool      // its group is among those that the trainer waits for
-	First  bool      // its group was asked for before
-	Left   int       // expected tokens left
-	Begun  bool      // it has text from an earlier run
+	// StartBy is when it must be at an engine to be done when its batch is due, as
+	// far as its length is known.
+	StartBy time.Time
+	Wanted  bool // its group is among those that the trainer waits for
+	First   bool // its group was asked for before
 }
 
 // Before orders waiting items.
 //
-// Load pattern: more items than slots, lengths far apart. Items that the trainer
-// waits for go first, those of the earlier due time before others; among them
-// ones that had begun, and then the longest, since the last one to end decides
-// when a group is whole.
+// Load pattern: more items than slots, lengths far apart, and a step that comes
+// while the one before it still waits for engines. Items that the trainer waits
+// for go first, and among them those with the least time to spare: the longest of
+// a step, since the last one to end decides when a group is whole, but short ones
+// of an earlier step after long ones of a later one.
 func Before(a, b Candidate) int {
-	return cmp.Or(
-		compareBool(b.Wanted, a.Wanted),
-		a.Due.Compare(b.Due),
-		compareBool(b.First, a.First),
-		compareBool(b.Begun, a.Begun),
-		cmp.Compare(b.Left, a.Left),
-	)
+	return cmp.Or(compareBool(b.Wanted, a.Wanted), a.StartBy.Compare(b.StartBy), compareBool(b.First, a.First))
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -53,6 +53,7 @@
 	mu       sync.Mutex // guards all below and every job
 	jobs     map[string]*job
 	kept     *keptTexts
+	pace     time.Duration // mean time an event of late
 	stopping bool
 	running  sync.WaitGroup // of sendings
 	writers  sync.WaitGroup // of chunks
@@ -63,7 +64,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts()}
+	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts(), pace: firstPace}
 }
 
 const (
@@ -127,7 +128,7 @@
 		return
 	}
 	full := map[kind]bool{}
-	for _, w := range r.queue(now) {
+	for _, w := range r.queue() {
 		route, ok := config.Route(w.job.head.Route)
 		if !ok {
 			w.job.finish(Result{ID: w.state.item.ID, State: Dead})
@@ -171,18 +172,19 @@
 }
 
 // queue returns all waiting items in the order in which they are offered.
-func (r *Runner) queue(now time.Time) []waiting {
+func (r *Runner) queue() []waiting {
 	var list []waiting
 	for _, j := range r.jobs {
 		if j.open() {
-			list = append(list, j.queue(r.kept, now)...)
+			list = append(list, j.queue(r.kept, r.pace)...)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b waiting) int { return Before(a.Candidate, b.Candidate) })
 	return list
 }
 
-func (j *job) queue(kept *keptTexts, now time.Time) []waiting {
+// queue returns the job's waiting items. pace is the time an event.
+func (j *job) queue(kept *keptTexts, pace time.Duration) []waiting {
 	idle := false
 	for _, s := range j.items {
 		idle = idle || s.running == nil
@@ -208,8 +210,7 @@
 			continue
 		}
 		list = append(list, waiting{job: j, state: s, Candidate: Candidate{
-			Due: j.due, Wanted: wanted[s.item.Group], First: first[s.item.Group],
-			Left: s.item.Expected(), Begun: s.events > 0,
+			StartBy: j.due.Add(-time.Duration(leftEvents(s)) * pace), Wanted: wanted[s.item.Group], First: first[s.item.Group],
 		}})
 	}
 	return list
@@ -279,6 +280,14 @@
 	s.running.cancel(errMoved)
 }
 
+const (
+	// firstPace is the time an event that is believed before any was seen: tens of
+	// tokens at some tenths of a millisecond each.
+	firstPace = 40 * time.Millisecond
+	// paceWeight is the weight of one event in the mean; a step makes thousands.
+	paceWeight = 0.01
+)
+
 // eventTokens is about how many tokens an event carries: engines gather some tens.
 const eventTokens = 64
 
--- a/batch/send.go
+++ b/batch/send.go
@@ -136,7 +136,9 @@
 		return oops.In("batch").With("item", s.item.ID, "event", event.ID, "last", s.last).Errorf("an event is missing or doubled")
 	}
 	if s.running.events > 0 {
-		r.Roster.Paced(to.ID, now.Sub(s.running.sign), now)
+		took := now.Sub(s.running.sign)
+		r.Roster.Paced(to.ID, took, now)
+		r.pace += time.Duration(paceWeight * float64(took-r.pace))
 	}
 	s.running.sign = now
 	s.running.events++
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -94,6 +94,9 @@
 	// slowness weighs the pace against the best one: twice as slow counts as one
 	// more load of all slots.
 	slowness = 1.0
+	// newer is what weights cost that are newer than needed: items of the next step
+	// may be able to run nowhere else.
+	newer = 0.4
 	// cold is what a start that is not over costs.
 	cold = 0.5
 )
@@ -106,6 +109,9 @@
 	if s.Cold > 0 {
 		score += cold
 	}
+	if n.MinVersion > 0 && s.Models[n.Model] > n.MinVersion {
+		score += newer
+	}
 	if p := s.pace.value(now); p > 0 {
 		score += slowness * float64(p) / float64(usualPace)
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -109,6 +109,20 @@
 		Expect(len(seen)).To(BeNumerically(">=", 8))
 	})
 
+	ginkgo.It("leaves engines with newer weights to the items that need them", func() {
+		r := rosterOf(engine("old", 3), engine("new", 4))
+		later := need
+		later.MinVersion = 4
+		for range 2 { // an earlier step's items, on half of the old engine
+			Expect(picked(r, need)).To(Equal("old"))
+			r.Begin("old", "q", Memory{})
+		}
+		Expect(picked(r, later)).To(Equal("new"))
+		r.Begin("old", "q", Memory{})
+		r.Begin("old", "q", Memory{})
+		Expect(picked(r, need)).To(Equal("new"), "the old one has no slot left")
+	})
+
 	ginkgo.It("shuns a slow engine", func() {
 		r := rosterOf(engine("slow", 3), engine("fast", 3))
 		for range 20 {
