batch: one instance runs the batches of a team and model

Cause: a trainer has two steps in flight, and callers hand them to any entry of its domain. Ruled out: reading the engines' load more often (probes are priced, and stale by the time of a burst). Change: an entry hands a batch to the first instance of its domain in the order of the batch's team and model, and runs it itself if that one refuses, is gone or does not answer within 500 ms; the head's creation decides who runs it. A failure after the owner may have it is answered as unsettled, not as a refusal. Handovers use the same order. Heads are watched every 0.7 s by the sources.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -34,19 +35,36 @@
 // far, to another instance.
 func (s *Service) Handover(ctx context.Context) {
 	var each sync.WaitGroup
-	for id, partials := range s.runner.Stop(ctx) {
-		each.Go(func() { s.handOver(ctx, id, partials) })
+	for id, left := range s.runner.Stop(ctx) {
+		each.Go(func() { s.handOver(ctx, id, left) })
 	}
 	each.Wait()
 }
 
-func (s *Service) handOver(ctx context.Context, id string, partials map[string]Partial) {
+// unfinished is what an instance leaves of a batch.
+type unfinished struct {
+	key   string // of the instances that are to run it
+	texts map[string]Partial
+}
+
+// mostHeirs bounds the instances that a batch is offered to: each that is gone
+// costs a timeout of the grace.
+const mostHeirs = 3
+
+// heirs returns the instances to offer batches of a key to.
+func (s *Service) heirs(key string) []string {
+	heirs := slices.DeleteFunc(s.peers.Owners(key), func(peer string) bool { return peer == s.runner.Peer })
+	return heirs[:min(mostHeirs, len(heirs))]
+}
+
+func (s *Service) handOver(ctx context.Context, id string, left unfinished) {
+	partials := left.texts
 	if len(partials) > 0 {
 		if _, err := s.keeper.SaveProgress(ctx, id, 0, partials); err != nil {
 			s.log.Warn("texts of a batch could not be kept; its items run again", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
-	for _, peer := range s.peers.Others() {
+	for _, peer := range s.heirs(left.key) {
 		ask, cancel := context.WithTimeout(ctx, askMargin)
 		err := s.peers.Adopt(ask, peer, id)
 		cancel()
@@ -69,7 +87,7 @@
 
 // Stop ends all runs, stores what is finished and returns the texts of
 // unfinished items of each open batch.
-func (r *Runner) Stop(ctx context.Context) map[string]map[string]Partial {
+func (r *Runner) Stop(ctx context.Context) map[string]unfinished {
 	r.mu.Lock()
 	r.stopping = true
 	for _, j := range r.jobs {
@@ -79,18 +97,19 @@
 	r.mu.Unlock()
 	r.running.Wait()
 	r.mu.Lock()
-	left := map[string]map[string]Partial{}
+	left := map[string]unfinished{}
 	for id, j := range r.jobs {
 		j.wakeWriter()
 		if !j.open() || j.ledger.Whole() {
 			continue
 		}
-		left[id] = map[string]Partial{}
+		texts := map[string]Partial{}
 		for _, s := range j.items {
 			if s.events > 0 {
-				left[id][s.item.ID] = s.partial()
+				texts[s.item.ID] = s.partial()
 			}
 		}
+		left[id] = unfinished{ownerKey(j.head.Team, j.sub.Model), texts}
 	}
 	r.mu.Unlock()
 	stored := make(chan struct{})
--- a/batch/own_test.go
+++ b/batch/own_test.go
@@ -43,7 +43,10 @@
 }
 func (nobody) End(context.Context, string, string) error   { return context.DeadlineExceeded }
 func (nobody) Adopt(context.Context, string, string) error { return context.DeadlineExceeded }
-func (nobody) Others() []string                            { return nil }
+func (nobody) Owners(string) []string                      { return nil }
+func (nobody) Submit(context.Context, string, SubmitArgs) (Stored, error) {
+	return Stored{}, context.DeadlineExceeded
+}
 
 var _ = Describe("An owner that was replaced while it was cut off", func() {
 	var a, b *Service
@@ -52,7 +55,7 @@
 	BeforeEach(func(ctx SpecContext) {
 		store := memstore.New()
 		a, b = idle(store, "a"), idle(store, "b")
-		Expect(a.Submit(ctx, submission("l", 4), "t", "r", time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{submission("l", 4), "t", "r"}, time.Now())).To(Succeed())
 		_, err := a.keeper.Append(ctx, "l", 0, named("l-0"))
 		Expect(err).NotTo(HaveOccurred())
 		a.runner.jobs["l"].ledger.Apply(named("l-0"))
@@ -117,7 +120,7 @@
 		a := idle(store, "a")
 		a.limitsOf = func(string) Limits { return Limits{} }
 		a.runner.Keep = 50 * time.Millisecond
-		Expect(a.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
 		a.runner.retire()
 		Eventually(func() int { page, _ := a.Read(ctx, ReadArgs{ID: "l", Team: "t"}); return len(page.Results) }).Should(Equal(2))
 		page, err := a.Read(ctx, ReadArgs{ID: "l", Team: "t"})
@@ -139,7 +142,7 @@
 	It("does not take a batch from the owner that the store names by now", func(ctx SpecContext) {
 		store := memstore.New()
 		gone, owner, reader := idle(store, "gone"), idle(store, "owner"), idle(store, "reader")
-		Expect(gone.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		Expect(gone.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
 		_, err := reader.viewOf(ctx, "l")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = owner.claim(ctx, "l")
@@ -156,7 +159,7 @@
 	It("takes it from one that is gone", func(ctx SpecContext) {
 		store := memstore.New()
 		gone, reader := idle(store, "gone"), idle(store, "reader")
-		Expect(gone.Submit(ctx, submission("l", 2), "t", "r", time.Now())).To(Succeed())
+		Expect(gone.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
 		reader.peers = refusing{}
 		_, err := reader.Read(ctx, ReadArgs{ID: "l", Team: "t"})
 		Expect(err).NotTo(HaveOccurred())
@@ -168,7 +171,7 @@
 	It("is taken by the clock without steps", func(ctx SpecContext) {
 		store := memstore.New()
 		a, b := idle(store, "a"), idle(store, "b")
-		Expect(a.Submit(ctx, submission("l", 1), "t", "r", time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())).To(Succeed())
 		b.runner.Wall = func() time.Time { return time.Now().Add(45 * time.Second) }
 		_, err := b.claim(ctx, "l")
 		Expect(err).NotTo(HaveOccurred())
--- a/batch/service.go
+++ b/batch/service.go
@@ -25,9 +25,10 @@
 	Body(ctx context.Context, peer string, args BodyArgs) ([]byte, error)
 	End(ctx context.Context, peer, id string) error
 	Adopt(ctx context.Context, peer, id string) error
-	// Others returns addresses of other instances that may run batches, best
-	// first.
-	Others() []string
+	Submit(ctx context.Context, peer string, args SubmitArgs) (Stored, error)
+	// Owners returns addresses of instances that may run batches, this one's too, in
+	// the order in which they are to run those of a key.
+	Owners(key string) []string
 }
 
 // ErrNotHere means that an instance does not run a batch.
@@ -57,8 +58,9 @@
 	limitsOf func(route string) Limits
 	claims   singleflight.Group
 
-	mu    sync.Mutex // guards views
-	views map[string]*view
+	mu      sync.Mutex // guards all below
+	views   map[string]*view
+	shunned map[string]time.Time // owners that failed, by address; until when
 }
 
 // view is what this instance knows of a batch that runs elsewhere or has ended.
@@ -79,50 +81,7 @@
 
 // NewService returns the service over a runner, which follows heads at a store.
 func NewService(r *Runner, heads objects.Store, peers Peers, limitsOf func(string) Limits) *Service {
-	return &Service{runner: r, heads: heads, keeper: r.Keeper, peers: peers, log: r.Log, limitsOf: limitsOf, views: map[string]*view{}}
-}
-
-// Submit stores a batch and runs it here. It returns nil for one that was
-// accepted before.
-func (s *Service) Submit(ctx context.Context, sub *Submission, team, route string, now time.Time) error {
-	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: team, Route: route, Submitted: now.UnixMilli()}
-	stored, created, err := s.keeper.Create(ctx, sub, h)
-	if errors.Is(err, ErrUnsettled) {
-		go s.settle(sub.ID)
-	}
-	if err != nil {
-		return err
-	}
-	if stored.Team != team {
-		return oops.In("batch").With("batch", sub.ID).Errorf("the batch belongs to another team")
-	}
-	s.log.Info("batch accepted", zap.String("batch", sub.ID), zap.String("team", team), zap.Int64("step", sub.Step),
-		zap.Int("items", len(sub.Items)), zap.Int64("leastVersion", sub.MinVersion), zap.Bool("again", !created), zap.String("owner", stored.Owner))
-	if created {
-		s.runner.Add(stored, sub, NewLedger(len(sub.Items)), nil, s.limitsOf(route))
-	}
-	return nil
-}
-
-// settleWait is how long after an unsettled submission its fate is looked up: a
-// store may carry a write out seconds later.
-const settleWait = 7 * time.Second
-
-// settle runs a batch whose acceptance was not known, if it was stored after all
-// and nobody has taken it on.
-func (s *Service) settle(id string) {
-	for range 2 {
-		s.runner.Clock.Sleep(settleWait / 2)
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		h, err := s.keeper.Head(ctx, id)
-		if err == nil && h.Owner == s.runner.Name && !s.runner.Runs(id) && !h.Ended {
-			_, err = s.claim(ctx, id)
-		}
-		cancel()
-		if err != nil && !errors.Is(err, ErrUnknown) {
-			s.log.Warn("an unsettled batch could not be looked up", zap.String("batch", id), telemetry.Error(err))
-		}
-	}
+	return &Service{runner: r, heads: heads, keeper: r.Keeper, peers: peers, log: r.Log, limitsOf: limitsOf, views: map[string]*view{}, shunned: map[string]time.Time{}}
 }
 
 // Read returns results of a batch of a team.
--- a/gateway/crew.go
+++ b/gateway/crew.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -154,24 +155,33 @@
 	return peers
 }
 
-// others returns the addresses of other instances that take callers, those of the
-// own domain first.
-func (c *crew) others() []string {
+// owners returns the addresses of the instances that take callers, this one
+// included, in the order in which they are to run batches of a key: those of the own
+// domain first, each key in an order of its own that all instances of the domain
+// agree on.
+func (c *crew) owners(key string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var near, far []string
+	all := map[string]mate{c.name: c.self}
 	for name, m := range c.mates {
-		switch {
-		case name == c.name || !m.Front || m.Peer == c.self.Peer:
-		case m.Domain == c.self.Domain:
-			near = append(near, m.Peer)
-		default:
-			far = append(far, m.Peer)
+		if name != c.name && m.Front && m.Peer != c.self.Peer {
+			all[name] = m
 		}
 	}
-	slices.Sort(near)
-	slices.Sort(far)
-	return append(near, far...)
+	far := func(name string) int {
+		if all[name].Domain == c.self.Domain {
+			return 0
+		}
+		return 1
+	}
+	names := slices.Collect(maps.Keys(all))
+	rank := func(name string) uint64 { return xxhash.Sum64String(key + "/" + name) }
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(far(a)-far(b), cmp.Compare(rank(a), rank(b))) })
+	peers := make([]string, len(names))
+	for n, name := range names {
+		peers[n] = all[name].Peer
+	}
+	return peers
 }
 
 // The list of instances is read more often after the start, when others start
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -21,8 +21,8 @@
 	sourceServersPause = 600 * time.Millisecond
 	sourceConfigWait   = time.Second
 	// A batch's end must reach its engines within seconds.
-	sourceHeadsWait  = time.Second
-	sourceHeadsPause = 300 * time.Millisecond
+	sourceHeadsWait  = 2 * time.Second
+	sourceHeadsPause = 700 * time.Millisecond
 	// Instances come and go seldom; a stale list costs a timeout at most.
 	sourceCrewWait  = 3 * time.Second
 	sourceCrewPause = time.Second
@@ -30,15 +30,17 @@
 	// answers nothing: its readers then ask the store themselves, within the time in
 	// which a configuration must be in force.
 	sourceStale = 1400 * time.Millisecond
-	// sourceCrewStale is that of the instances.
-	sourceCrewStale = 2 * (sourceCrewWait + sourceCrewPause)
+	// sourceHeadsStale and sourceCrewStale are those of batches and of instances, of
+	// which readers take nothing for final.
+	sourceHeadsStale = 3 * (sourceHeadsWait + sourceHeadsPause) / 2
+	sourceCrewStale  = 2 * (sourceCrewWait + sourceCrewPause)
 )
 
 // fed is what the feed carries: all that all instances follow.
 var fed = []objects.CacheKind{
 	{Kind: platform.KindServers, Wait: sourceServersWait, Pause: sourceServersPause, Stale: sourceStale, Same: sameServer},
 	{Kind: platform.KindConfig, Wait: sourceConfigWait, Stale: sourceStale},
-	{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause, Stale: sourceStale},
+	{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause, Stale: sourceHeadsStale},
 	{Kind: kindInstances, Wait: sourceCrewWait, Pause: sourceCrewPause, Stale: sourceCrewStale},
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -246,7 +246,7 @@
 	}
 	// Not the caller's context: a batch that is stored must run though its caller
 	// has left.
-	err = g.batches.Submit(context.WithoutCancel(r.Context()), sub, team.Name, route.Name, g.wall.Now())
+	err = g.batches.Submit(context.WithoutCancel(r.Context()), batch.SubmitArgs{Submission: sub, Team: team.Name, Route: route.Name}, g.wall.Now())
 	if err != nil {
 		g.refuse(w, r, submissionRefusal(err))
 		return
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -237,3 +237,10 @@
 		Expect(texts).To(HaveKeyWithValue(id, standin.Text(id, events)))
 	}
 }
+
+// knowEachOther waits until instances have read of one another.
+func knowEachOther(all ...*member) {
+	for _, m := range all {
+		Eventually(func() int { return len(m.crew.owners("k")) }).WithTimeout(5 * time.Second).Should(Equal(len(all)))
+	}
+}
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -178,12 +178,28 @@
 		Expect(resumed).To(BeNumerically(">", 0))
 	})
 
+	It("of one team and model are run by one instance, whichever they reach", func() {
+		d := newDeployment(2, 20)
+		members := []*member{d.start("entry-1", nil), d.start("entry-2", nil)}
+		knowEachOther(members...)
+		for n := range 4 {
+			id := fmt.Sprint("l", n)
+			Expect(submit(members[n%2].front, id, lot(2, 1))).To(Equal(http.StatusAccepted))
+			Expect(members[0].runner.Runs(id)).To(Equal(members[0].runner.Runs("l0")))
+			Expect(members[0].runner.Runs(id)).NotTo(Equal(members[1].runner.Runs(id)))
+			expectWhole(results(members[(n+1)%2].front, id, 2), 2, 20)
+		}
+	})
+
 	It("are handed over with the texts made so far when their instance stops", func() {
 		const long = 400
 		d := newDeployment(2, long)
 		a, b := d.start("entry-1", nil), d.start("entry-2", nil)
-		Eventually(func() int { return len(a.crew.others()) }).WithTimeout(5*time.Second).Should(Equal(1), "instances know each other")
+		knowEachOther(a, b)
 		Expect(submit(a.front, "l1", lot(4, 1))).To(Equal(http.StatusAccepted))
+		if b.runner.Runs("l1") {
+			a, b = b, a
+		}
 		made := func() (events int) {
 			for _, run := range append(d.engines[0].Runs(), d.engines[1].Runs()...) {
 				events += run.Events
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/rpc"
+	"syscall"
 	"time"
 
 	"github.com/pomelocross/pomelocross/batch"
+	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Codes of answers between instances.
@@ -42,6 +45,28 @@
 	return nil
 }
 
+// SubmitReply is the answer to a batch that was handed in.
+type SubmitReply struct {
+	Head batch.Stored
+	Code string // empty when the batch is accepted
+}
+
+// Submit stores and runs a batch. An error says that it is surely not accepted.
+func (b *batchCalls) Submit(args batch.SubmitArgs, reply *SubmitReply) error {
+	if b.gateway.draining.Load() {
+		return errStops
+	}
+	h, err := b.gateway.batches.SubmitHere(context.Background(), args, b.gateway.wall.Now())
+	if errors.Is(err, batch.ErrUnsettled) {
+		reply.Code = codeUnsure
+		return nil
+	}
+	reply.Head = h
+	return err
+}
+
+var errStops = errors.New("this instance stops")
+
 // Body returns the body of an item of a batch that runs here or has run.
 func (b *batchCalls) Body(args batch.BodyArgs, reply *[]byte) error {
 	body, ok := b.gateway.runner.Body(args.ID, args.Team, args.Item)
@@ -61,7 +86,7 @@
 // Adopt runs a batch that its owner gives away.
 func (b *batchCalls) Adopt(id string, _ *struct{}) error {
 	if b.gateway.draining.Load() {
-		return errors.New("this instance stops")
+		return errStops
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -105,12 +130,21 @@
 	return p.gateway.dialer.Call(ctx, peer, "Batches.Adopt", id, &struct{}{})
 }
 
-// Others implements batch.Peers.
-func (p *peerCalls) Others() []string {
-	others := p.gateway.crew.others()
-	if len(others) == 0 {
-		return nil
+// Submit implements batch.Peers.
+func (p *peerCalls) Submit(ctx context.Context, peer string, args batch.SubmitArgs) (batch.Stored, error) {
+	var reply SubmitReply
+	err := p.gateway.dialer.Call(ctx, peer, "Batches.Submit", args, &reply)
+	var refused rpc.ServerError
+	switch {
+	case errors.As(err, &refused), errors.Is(err, syscall.ECONNREFUSED):
+		return reply.Head, errors.Join(objects.ErrRefused, err)
+	case err != nil:
+		return reply.Head, err
+	case reply.Code == codeUnsure:
+		return reply.Head, batch.ErrUnsettled
 	}
-	const asked = 3 // each that is gone costs a timeout of the grace
-	return others[:min(asked, len(others))]
+	return reply.Head, nil
 }
+
+// Owners implements batch.Peers.
+func (p *peerCalls) Owners(key string) []string { return p.gateway.crew.owners(key) }
