batch: one that is being handed over is not taken over meanwhile

Cause: while an owner stopped and handed its batches over, it answered readers that it runs none. They took the batch over at once, before the texts made so far were stored, and even the stopping owner claimed its batch again when its own callers read. Ruled out: owners that died (their readers are right to take over at once). Change: an owner that stops says that the batch is moving; readers look for the next owner for 0.75 s before they judge the owner as they do a silent one. An instance that stops claims nothing. A batch that an owner refuses is offered to the next one before it runs where it came in.

--- a/batch/own.go
+++ b/batch/own.go
@@ -50,7 +50,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[args.ID]
-	if j == nil || j.lost || r.stopping {
+	switch {
+	case j == nil || j.lost:
+		return Page{}, nil, false, ErrNotHere
+	case r.stopping && j.open():
+		return Page{}, nil, false, ErrMoving
+	case r.stopping:
 		return Page{}, nil, false, ErrNotHere
 	}
 	if j.head.Team != args.Team {
@@ -127,6 +132,21 @@
 	}
 }
 
+// moving reports whether a batch is being handed over.
+func (r *Runner) moving(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.jobs[id]
+	return r.stopping && j != nil && j.open()
+}
+
+// stopped reports whether no batch will run here any more.
+func (r *Runner) stopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
+
 // Runs reports whether a batch runs here.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
--- a/batch/service.go
+++ b/batch/service.go
@@ -31,8 +31,14 @@
 	Owners(key string) []string
 }
 
-// ErrNotHere means that an instance does not run a batch.
-var ErrNotHere = errors.New("the batch does not run here")
+// Answers of an instance that is asked for a batch.
+var (
+	// ErrNotHere means that it does not run the batch.
+	ErrNotHere = errors.New("the batch does not run here")
+	// ErrMoving means that it stops and is handing the batch over, with the texts
+	// made so far.
+	ErrMoving = errors.New("the batch is being handed over")
+)
 
 // ReadArgs asks for results.
 type ReadArgs struct {
@@ -101,7 +107,7 @@
 // readOr reads a batch that runs here, or else by what is known of it.
 func (s *Service) readOr(ctx context.Context, args ReadArgs, elsewhere func(*view) (Page, error)) (Page, error) {
 	page, err := s.runner.Page(ctx, args)
-	if !errors.Is(err, ErrNotHere) {
+	if !errors.Is(err, ErrNotHere) && !errors.Is(err, ErrMoving) {
 		return page, err
 	}
 	v, err := s.viewOf(ctx, args.ID)
@@ -123,6 +129,9 @@
 // instance reads it there. Else it returns ErrNotHere.
 func (s *Service) ReadHere(ctx context.Context, args ReadArgs) (Page, error) {
 	return s.readOr(ctx, args, func(v *view) (Page, error) {
+		if s.runner.moving(args.ID) {
+			return Page{}, ErrMoving
+		}
 		if h := s.headOf(v); !h.Ended || h.Owner != s.runner.Name || h.Team != args.Team {
 			return Page{}, ErrNotHere
 		}
@@ -252,6 +261,9 @@
 // readOwner asks the batch's owner, and takes its place when it is gone.
 func (s *Service) readOwner(ctx context.Context, v *view, args ReadArgs) (Page, error) {
 	h := s.headOf(v)
+	if s.runner.moving(args.ID) {
+		return s.readMoving(ctx, v, h, args)
+	}
 	if h.Owner == "" || h.Owner == s.runner.Name {
 		return s.takeOver(ctx, args, "it has no owner that runs it")
 	}
@@ -264,10 +276,41 @@
 		return page, nil
 	case errors.Is(err, ErrNotHere), errors.Is(err, syscall.ECONNREFUSED):
 		return s.readMoved(ctx, h, args, err)
+	case errors.Is(err, ErrMoving):
+		return s.readMoving(ctx, v, h, args)
 	}
 	return s.readBehind(ctx, v, h, args)
 }
 
+const (
+	// handoverStep is how often the store is asked who runs a batch that is being
+	// handed over.
+	handoverStep = 150 * time.Millisecond
+	// handoverSteps bounds the questions: a handover takes some hundred milliseconds.
+	handoverSteps = 5
+)
+
+// readMoving reads a batch whose owner is handing it over, from the next owner. To
+// take it over meanwhile would lose the texts that come with the handover.
+func (s *Service) readMoving(ctx context.Context, v *view, before Stored, args ReadArgs) (Page, error) {
+	for range handoverSteps {
+		s.sleep(ctx, handoverStep)
+		if _, err := s.refresh(ctx, args.ID); err != nil {
+			return Page{}, err
+		}
+		h := s.headOf(v)
+		switch {
+		case h.Ended:
+			return s.readEnded(ctx, v, args)
+		case h.Owner != before.Owner && h.Owner != "" && h.Owner != s.runner.Name:
+			return s.askOwner(ctx, h, args)
+		case h.Owner == s.runner.Name && !s.runner.stopped():
+			return s.readHeld(ctx, args)
+		}
+	}
+	return s.readBehind(ctx, v, before, args)
+}
+
 // askMargin is how much longer than the caller's wait an owner may take.
 const askMargin = 600 * time.Millisecond
 
@@ -332,9 +375,14 @@
 	if _, err := s.claim(ctx, args.ID); err != nil {
 		return Page{}, err
 	}
+	return s.readHeld(ctx, args)
+}
+
+// readHeld reads a batch that is to run here.
+func (s *Service) readHeld(ctx context.Context, args ReadArgs) (Page, error) {
 	args.Wait = 0
 	page, err := s.runner.Page(ctx, args)
-	if errors.Is(err, ErrNotHere) {
+	if errors.Is(err, ErrNotHere) || errors.Is(err, ErrMoving) {
 		return Page{}, oops.In("batch").With("batch", args.ID).Wrap(ErrUnsure)
 	}
 	return page, err
@@ -349,6 +397,9 @@
 
 // claim makes this instance a batch's owner and runs it.
 func (s *Service) claim(ctx context.Context, id string) (Stored, error) {
+	if s.runner.stopped() {
+		return Stored{}, oops.In("batch").With("batch", id).Wrapf(ErrUnsure, "this instance stops")
+	}
 	claimed, err, _ := s.claims.Do(id, func() (any, error) {
 		h, err := s.keeper.Change(ctx, id, func(h *Head) bool {
 			h.Owner, h.Peer = s.runner.Name, s.runner.Peer
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -30,6 +30,9 @@
 	// it in tens of milliseconds, and a batch of long items has half a second to
 	// spare.
 	submitTimeout = 500 * time.Millisecond
+	// mostOwners bounds the instances that a batch is handed to in turn, as long as
+	// each refuses it at once.
+	mostOwners = 2
 	// ownerShunned is how long an owner that failed is handed nothing.
 	ownerShunned = 10 * time.Second
 )
@@ -43,7 +46,11 @@
 // items of both.
 func (s *Service) Submit(ctx context.Context, args SubmitArgs, now time.Time) error {
 	sent := false // another instance may have it
-	if owner := s.ownerOf(args.key()); owner != s.runner.Peer {
+	for range mostOwners {
+		owner := s.ownerOf(args.key())
+		if owner == s.runner.Peer || sent {
+			break
+		}
 		accepted, err := s.handIn(ctx, owner, args)
 		if accepted {
 			return nil
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -87,3 +87,66 @@
 		Expect(err).NotTo(MatchError(ErrUnsettled))
 	})
 })
+
+// stoppingOwner are peers of which one is handing its batches over.
+type stoppingOwner struct {
+	nobody
+	owner *Service
+}
+
+func (s stoppingOwner) Read(ctx context.Context, _ string, args ReadArgs) (Page, error) {
+	return s.owner.ReadHere(ctx, args)
+}
+
+var _ = Describe("A batch whose owner stops", func() {
+	var (
+		a, b *Service
+		read = ReadArgs{ID: "l", Team: "t"}
+	)
+
+	BeforeEach(func(ctx SpecContext) {
+		store := memstore.New()
+		a, b = idle(store, "a"), idle(store, "b")
+		b.peers = stoppingOwner{owner: a}
+		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.mu.Lock()
+		a.runner.stopping = true
+		a.runner.mu.Unlock()
+	})
+
+	It("is not taken over by a reader before its texts are handed over", func(ctx SpecContext) {
+		read := func() string {
+			_, err := b.Read(ctx, read)
+			Expect(err).NotTo(HaveOccurred())
+			h, err := b.keeper.Head(ctx, "l")
+			Expect(err).NotTo(HaveOccurred())
+			return h.Owner
+		}
+		Expect(read()).To(Equal("a"))
+		Eventually(read).WithTimeout(5*time.Second).Should(Equal("b"), "an owner that never hands over is replaced")
+	})
+
+	It("is not claimed again by the owner itself", func(ctx SpecContext) {
+		_, err := a.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.claim(ctx, "l")
+		Expect(err).To(MatchError(ErrUnsure))
+		h, err := b.keeper.Head(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Owner).To(Equal("a"))
+	})
+
+	It("is read from its next owner", func(ctx SpecContext) {
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(2 * handoverStep)
+			_, err := b.claim(ctx, "l")
+			Expect(err).NotTo(HaveOccurred())
+		}()
+		page, err := b.Read(ctx, read)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Total).To(Equal(2))
+		Expect(b.runner.Runs("l")).To(BeTrue())
+	})
+})
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,6 +16,7 @@
 	codeNotHere = "not_here"
 	codeUnknown = "unknown"
 	codeUnsure  = "unsure"
+	codeMoving  = "moving"
 )
 
 // ReadReply is the answer to a read between instances.
@@ -37,6 +38,8 @@
 	case err == nil:
 	case errors.Is(err, batch.ErrNotHere):
 		reply.Code = codeNotHere
+	case errors.Is(err, batch.ErrMoving):
+		reply.Code = codeMoving
 	case errors.Is(err, batch.ErrUnknown):
 		reply.Code = codeUnknown
 	default:
@@ -109,6 +112,8 @@
 		return batch.Page{}, batch.ErrUnknown
 	case codeUnsure:
 		return batch.Page{}, batch.ErrUnsure
+	case codeMoving:
+		return batch.Page{}, batch.ErrMoving
 	}
 	return reply.Page, nil
 }
