fleet: no engine is home of two models while another is of none

Ruled out: a dark or slow engine (its registration and its answers were sound). Change: engines that are nobody's come first, a shared engine gives models up while such engines exist, and what is left of the division goes to the first models instead of to none. The batch spec that read from the next owner now waits for its own goroutine.

--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -138,13 +138,14 @@
 	})
 
 	It("is read from its next owner", func(ctx SpecContext) {
+		claimed := make(chan error, 1)
 		go func() {
-			defer GinkgoRecover()
 			time.Sleep(2 * handoverStep)
-			_, err := b.claim(ctx, "l")
-			Expect(err).NotTo(HaveOccurred())
+			_, err := b.claim(context.Background(), "l")
+			claimed <- err
 		}()
 		page, err := b.Read(ctx, read)
+		Expect(<-claimed).To(Succeed())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Total).To(Equal(2))
 		Expect(b.runner.Runs("l")).To(BeTrue())
--- a/fleet/waves.go
+++ b/fleet/waves.go
@@ -134,36 +134,66 @@
 
 // settle gives each model its home engines. Engines that serve a newer version of
 // a model are taken first, so that a new holder of the role finds the homes that
-// its predecessor had chosen.
+// its predecessor had chosen, but none that is another model's home while one is
+// nobody's: two models on one engine share its slots and cost it twice the loads.
 func (w *Waves) settle(engines []WaveEngine, models []string) {
 	if len(models) == 0 {
 		return
 	}
-	each := max(1, len(engines)/len(models))
-	used := map[string]int{}
-	for _, m := range models {
-		homes := w.homes[m]
-		if homes == nil {
-			homes = map[string]bool{}
-			w.homes[m] = homes
-		}
-		maps.DeleteFunc(homes, func(id string, _ bool) bool { return w.engines[id] == nil })
-		for id := range homes {
-			used[id]++
+	used := w.used(models)
+	w.unshare(engines, models, used)
+	for n, m := range models {
+		each := len(engines) / len(models)
+		if n < len(engines)%len(models) {
+			each++
 		}
-	}
-	for _, m := range models {
 		free := slices.DeleteFunc(slices.Clone(engines), func(e WaveEngine) bool { return w.homes[m][e.ID] })
 		slices.SortFunc(free, func(a, b WaveEngine) int {
-			return cmp.Or(cmp.Compare(loaded(b, m), loaded(a, m)), used[a.ID]-used[b.ID], cmp.Compare(mix(a.ID), mix(b.ID)))
+			return cmp.Or(used[a.ID]-used[b.ID], cmp.Compare(loaded(b, m), loaded(a, m)), cmp.Compare(mix(a.ID), mix(b.ID)))
 		})
-		for _, e := range free[:min(len(free), max(0, each-len(w.homes[m])))] {
+		for _, e := range free[:min(len(free), max(0, max(1, each)-len(w.homes[m])))] {
 			w.homes[m][e.ID] = true
 			used[e.ID]++
 		}
 	}
 }
 
+// used returns how many models each engine is a home of, without engines that are
+// gone.
+func (w *Waves) used(models []string) map[string]int {
+	used := map[string]int{}
+	for _, m := range models {
+		if w.homes[m] == nil {
+			w.homes[m] = map[string]bool{}
+		}
+		maps.DeleteFunc(w.homes[m], func(id string, _ bool) bool { return w.engines[id] == nil })
+		for id := range w.homes[m] {
+			used[id]++
+		}
+	}
+	return used
+}
+
+// unshare takes models away from engines that are homes of several, as many as
+// there are engines that are nobody's home.
+func (w *Waves) unshare(engines []WaveEngine, models []string, used map[string]int) {
+	idle := 0
+	for _, e := range engines {
+		if used[e.ID] == 0 {
+			idle++
+		}
+	}
+	for _, e := range engines {
+		for _, m := range models {
+			if idle > 0 && used[e.ID] > 1 && w.homes[m][e.ID] {
+				delete(w.homes[m], e.ID)
+				used[e.ID]--
+				idle--
+			}
+		}
+	}
+}
+
 // loaded returns an engine's version of a model, 0 for the first, which all have.
 func loaded(e WaveEngine, model string) int64 {
 	if v := e.Models[model]; v > 1 {
--- a/fleet/waves_test.go
+++ b/fleet/waves_test.go
@@ -131,6 +131,35 @@
 		Expect(loads).To(BeNumerically("<=", 1))
 	})
 
+	It("gives no engine two models while another has none, whatever came and went", func() {
+		models := []string{"a", "b", "c"}
+		named := always(map[string]int64{"a": 2, "b": 2, "c": 2})
+		w, engines := NewWaves(), waveFleet(12, models...)
+		play(w, engines[:6], models, named, 10*time.Second, 900*time.Millisecond)
+		play(w, engines[3:9], models, named, 10*time.Second, 900*time.Millisecond)
+		play(w, engines, models, always(map[string]int64{"a": 3, "b": 3, "c": 3}), 20*time.Second, 900*time.Millisecond)
+		for _, e := range engines {
+			newest := 0
+			for _, m := range models {
+				if e.Models[m] == 3 {
+					newest++
+				}
+			}
+			Expect(newest).To(Equal(1), e.ID)
+		}
+	})
+
+	It("gives a new holder's models engines of their own, where its predecessor shared one", func() {
+		models := []string{"a", "b"}
+		engines := waveFleet(4, models...)
+		engines[0].Models["a"], engines[0].Models["b"] = 2, 2
+		engines[1].Models["a"] = 2
+		play(NewWaves(), engines, models, always(map[string]int64{"a": 3, "b": 3}), 10*time.Second, 900*time.Millisecond)
+		for _, e := range engines {
+			Expect(e.Models["a"] == 3 && e.Models["b"] == 3).To(BeFalse(), e.ID)
+		}
+	})
+
 	It("waits longer after each order without effect, and asks a reborn engine for its count", func() {
 		w, engines := NewWaves(), waveFleet(1, "a")
 		named := map[string]int64{"a": 2}
