--- a/batch/runner.go
+++ b/batch/runner.go
@@ -257,10 +257,10 @@
 }
 
 func (r *Runner) judgeRun(j *job, s *itemState, now time.Time) {
-	own, best := r.Roster.Pace(s.running.upstream, now)
+	own, usual := r.Roster.Pace(s.running.upstream, now)
 	view := RunView{
 		Begun: s.running.begun, LastSign: s.running.sign, Events: s.running.events,
-		Own: own, Best: best, Moves: s.moves, LeftEvents: leftEvents(s),
+		Own: own, Usual: usual, Moves: s.moves, LeftEvents: leftEvents(s),
 	}
 	if config := r.Catalog(); config != nil {
 		view.Free = r.Roster.Faster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
@@ -271,7 +271,7 @@
 	}
 	r.Log.Info("item moves to another engine", zap.String("batch", j.head.ID), zap.String("item", s.item.ID),
 		zap.String("upstream", s.running.upstream), zap.String("reason", string(reason)), zap.Int("events", s.events),
-		zap.Duration("silence", now.Sub(s.running.sign)), zap.Duration("pace", own), zap.Duration("best", best))
+		zap.Duration("silence", now.Sub(s.running.sign)), zap.Duration("pace", own), zap.Duration("usual", usual))
 	if reason == Silent {
 		r.Roster.Failed(s.running.upstream, now)
 	}
--- a/batch/straggler.go
+++ b/batch/straggler.go
@@ -7,9 +7,9 @@
 	Begun    time.Time // when it was sent
 	LastSign time.Time // of the newest event, or Begun
 	Events   int       // of this run
-	// Own and Best are the believed times an event at the item's engine and at
-	// the fastest one of its service; 0 when unknown.
-	Own, Best time.Duration
+	// Own and Usual are the believed times an event at the item's engine and at
+	// the median one of its service; 0 when unknown.
+	Own, Usual time.Duration
 	// LeftEvents is the expected number of events to come.
 	LeftEvents int
 	Free       bool // an engine that is faster by slowRatio has room
@@ -25,7 +25,7 @@
 	// that was preempted or swaps weights is silent for a while.
 	silentEvents = 12
 	leastSilence = 1200 * time.Millisecond
-	// slowRatio is how much slower than the best an engine must be to move its
+	// slowRatio is how much slower than usual an engine must be to move its
 	// items. Reading a prompt and the text again costs some tens of
 	// milliseconds, so little is needed.
 	slowRatio = 1.7
@@ -62,11 +62,11 @@
 	if silence > limit {
 		return Silent
 	}
-	if v.Events < leastEvents || !v.Free || v.Own == 0 || v.Best == 0 {
+	if v.Events < leastEvents || !v.Free || v.Own == 0 || v.Usual == 0 {
 		return Stay
 	}
-	gain := time.Duration(v.LeftEvents) * (v.Own - v.Best)
-	if float64(v.Own) > slowRatio*float64(v.Best) && gain > leastGain {
+	gain := time.Duration(v.LeftEvents) * (v.Own - v.Usual)
+	if float64(v.Own) > slowRatio*float64(v.Usual) && gain > leastGain {
 		return Slow
 	}
 	return Stay
--- a/batch/straggler_test.go
+++ b/batch/straggler_test.go
@@ -10,7 +10,7 @@
 var _ = Describe("ShouldMove", func() {
 	const pace = 40 * time.Millisecond
 	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
-	healthy := RunView{Begun: start, LastSign: ms(1000), Events: 20, Own: pace, Best: pace, LeftEvents: 50, Free: true}
+	healthy := RunView{Begun: start, LastSign: ms(1000), Events: 20, Own: pace, Usual: pace, LeftEvents: 50, Free: true}
 	with := func(change func(*RunView)) RunView {
 		v := healthy
 		change(&v)
@@ -31,6 +31,6 @@
 		Entry("the first events are slow for all", with(func(v *RunView) { v.Own, v.Events = 4*pace, 3 }), ms(1040), Stay),
 		Entry("nowhere to go", with(func(v *RunView) { v.Own, v.Free = 4*pace, false }), ms(1040), Stay),
 		Entry("moved often enough", with(func(v *RunView) { v.Moves = maxMoves }), ms(9000), Stay),
-		Entry("a slow engine may be silent for longer", with(func(v *RunView) { v.Own = 4 * pace; v.Best = 4 * pace }), ms(1000+1500), Stay),
+		Entry("a slow engine may be silent for longer", with(func(v *RunView) { v.Own = 4 * pace; v.Usual = 4 * pace }), ms(1000+1500), Stay),
 	)
 })
--- a/roster/pace.go
+++ b/roster/pace.go
@@ -1,6 +1,9 @@
 package roster
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // pace estimates how long an upstream takes for one event of a stream.
 type pace struct {
@@ -32,20 +35,25 @@
 	return p.mean
 }
 
-// Pace returns the believed time an event of an upstream, and the best one among
-// the upstreams of its service; zero where nothing is known.
-func (r *Roster) Pace(id string, now time.Time) (own, best time.Duration) {
+// Pace returns the believed time an event of an upstream, and the usual one among
+// the upstreams of its service; zero where nothing is known. The usual one is the
+// median: the least is that of an upstream whose last few events came together.
+func (r *Roster) Pace(id string, now time.Time) (own, usual time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[id]
 	if s == nil {
 		return 0, 0
 	}
-	own = s.pace.value(now)
+	var all []time.Duration
 	for _, other := range r.states {
-		if v := other.pace.value(now); other.Service == s.Service && v > 0 && (best == 0 || v < best) {
-			best = v
+		if v := other.pace.value(now); other.Service == s.Service && v > 0 {
+			all = append(all, v)
 		}
 	}
-	return own, best
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
+	return s.pace.value(now), all[(len(all)-1)/2]
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -184,12 +184,24 @@
 		Expect(picked(r, Need{Service: "lm", Model: "m", MinVersion: 5})).To(BeEmpty())
 	})
 
+	ginkgo.It("take the median for the usual pace, not one engine's that is low for a moment", func() {
+		r := New()
+		for n, pace := range []int{35, 50, 51, 61, 66} { // milliseconds; two kinds of engine and a lucky one
+			id := fmt.Sprint("e", n)
+			r.Put(engine(id, 1))
+			r.Paced(id, time.Duration(pace)*time.Millisecond, start)
+		}
+		own, usual := r.Pace("e4", start)
+		Expect(own).To(Equal(66 * time.Millisecond))
+		Expect(usual).To(Equal(51 * time.Millisecond))
+	})
+
 	ginkgo.It("forget a pace that is old", func() {
 		r := rosterOf(engine("e1", 1))
 		r.Paced("e1", 80*time.Millisecond, start)
-		own, best := r.Pace("e1", start)
+		own, usual := r.Pace("e1", start)
 		Expect(own).To(Equal(80 * time.Millisecond))
-		Expect(best).To(Equal(80 * time.Millisecond))
+		Expect(usual).To(Equal(80 * time.Millisecond))
 		own, _ = r.Pace("e1", start.Add(paceKept+time.Millisecond))
 		Expect(own).To(BeZero())
 	})
