settings: a file that is read again when it changes, and at SIGHUP

Cause: settings came from the environment only, so neither a signal nor a settings file that changes had any effect. Ruled out: reading the platform's own file (its names would spread). Change: settings.Load takes a file of the product's variables, in which an unknown name is a fault; deploy/gateway.env is its template, and deploy/system.toml keeps what the two roles have apart. A running gateway takes over peers, grace, drain grace, usage lateness, memory and log level; it logs which changes wait for the next start, and a file with a fault changes nothing. The log level can change.

--- a/cmd/pomelocross-gateway/main.go
+++ b/cmd/pomelocross-gateway/main.go
@@ -10,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/pomelocross/pomelocross/gateway"
 	"github.com/pomelocross/pomelocross/settings"
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -47,7 +45,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	go reload(t.Log)
+	go reload(ctx, g, t)
 	return g.Run(ctx)
 }
 
@@ -64,14 +62,22 @@
 	}
 }
 
-// reload tells of the signal by which other daemons read their settings again.
-// These settings come from the environment, which does not change in a process.
-func reload(log *zap.Logger) {
+// reload takes over settings that change while the instance runs.
+func reload(ctx context.Context, g *gateway.Gateway, t *telemetry.Telemetry) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	for range hangups {
-		log.Info("reload asked for; settings are those of the start")
-	}
+	settings.WatchFile(ctx, os.Getenv(gateway.FileVariable), hangups, func() {
+		s, err := gateway.ParseSettings(version, os.Args[1:])
+		if err == nil {
+			err = t.SetLevel(s.LogLevel)
+		}
+		if err != nil {
+			t.Log.Error("changed settings have faults; those before stay in force", telemetry.Error(err))
+			return
+		}
+		limitMemory(s.MemoryMB)
+		g.Reload(s)
+	})
 }
 
 func stop(t *telemetry.Telemetry) {
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -90,7 +90,7 @@
 // domain, or the first instances of the deployment while it is not known who else
 // is here. The list ends with this instance's own, which stands for its own cache.
 func (f *feed) sources() []string {
-	candidates := f.gateway.settings.Peers
+	candidates := f.gateway.live.Load().Peers
 	if f.gateway.crew.known() {
 		candidates = f.gateway.crew.domain()
 	}
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -13,6 +13,7 @@
 func feedOf(name string, peers ...string) *feed {
 	s := &Settings{Name: name, Domain: "a", PeerListen: name + ":1", Peers: peers}
 	g := &Gateway{settings: s, crew: newCrew(s), clock: boottime.New()}
+	g.live.Store(s)
 	return newFeed(g)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,8 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	settings *Settings
+	settings *Settings                // of the start
+	live     atomic.Pointer[Settings] // of now, where a change is taken over
 	log      *zap.Logger
 	clock    boottime.Clock
 	wall     *boottime.Wall
@@ -80,6 +81,7 @@
 		engines: platform.NewEngines(upstream.NewClient(), counters), roster: roster.New(),
 		dialer: link.NewDialer(identity), peers: link.NewServer(identity), weights: newWeights(),
 	}
+	g.live.Store(s)
 	g.crew = newCrew(s)
 	g.background, g.end = context.WithCancel(context.Background())
 	g.store = objects.NewRelay(g.direct, g.relay, g.wayChanged)
@@ -231,13 +233,13 @@
 func (g *Gateway) stop(front *http.Server) {
 	g.log.Info("stopping", zap.Int("batches", g.runner.Open()))
 	g.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-lastPart)
+	ctx, cancel := context.WithTimeout(context.Background(), g.live.Load().Grace-lastPart)
 	defer cancel()
 	var parts sync.WaitGroup
 	parts.Go(func() { g.leaveCrew(ctx) })
 	parts.Go(func() { g.batches.Handover(ctx) })
 	parts.Go(func() { g.releaseControl(ctx) })
-	g.clock.Sleep(g.settings.DrainGrace)
+	g.clock.Sleep(g.live.Load().DrainGrace)
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(ctx); err != nil {
 		g.log.Warn("requests were still running at the end of the grace", telemetry.Error(err))
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -211,7 +211,7 @@
 	for ; r.next <= last; r.next++ {
 		if err := g.reportWindow(ctx, r.next, check); err != nil {
 			g.warn("report usage", err)
-			if now.Sub(g.meter.begins(r.next+1)) < g.settings.UsageLate+r.patience {
+			if now.Sub(g.meter.begins(r.next+1)) < g.live.Load().UsageLate+r.patience {
 				return // again soon
 			}
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -95,7 +95,7 @@
 func (g *Gateway) relayPeers() []string {
 	seen := map[string]bool{g.settings.PeerListen: true}
 	var peers []string
-	for _, p := range append(g.crew.all(), g.settings.Peers...) {
+	for _, p := range append(g.crew.all(), g.live.Load().Peers...) {
 		if !seen[p] {
 			seen[p] = true
 			peers = append(peers, p)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/pomelocross/pomelocross/settings"
@@ -19,29 +22,34 @@
 	ReadyListen string   `env:"POMELOCROSS_READY_LISTEN" flag:"ready-listen" usage:"IP:port for the balancer's question; empty where there is none" validate:"omitempty,ip_port"`
 	PeerListen  string   `env:"POMELOCROSS_PEER_LISTEN" flag:"peer-listen" usage:"IP:port for other instances" validate:"ip_port"`
 	AdminListen string   `env:"POMELOCROSS_ADMIN_LISTEN" flag:"admin-listen" usage:"IP:port for metrics; empty for none" validate:"omitempty,ip_port"`
-	Peers       []string `env:"POMELOCROSS_PEERS" flag:"peers" usage:"IP:port of other instances to begin with; comma-separated" validate:"dive,ip_port"`
+	Peers       []string `env:"POMELOCROSS_PEERS" flag:"peers" usage:"IP:port of other instances to begin with; comma-separated" validate:"dive,ip_port" reload:"true"`
 	Store       string   `env:"POMELOCROSS_STORE" flag:"store" usage:"IP:port of the platform's object store" validate:"ip_port"`
 	Cloud       string   `env:"POMELOCROSS_CLOUD" flag:"cloud" usage:"IP:port of the platform's usage and scaling interface" validate:"omitempty,ip_port"`
 	Control     string   `env:"POMELOCROSS_CONTROL" envDefault:"standby" flag:"control" usage:"how eagerly this instance seeks the control role: first or standby" validate:"oneof=first standby"`
 
 	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not go to and fro" validate:"min=1s"`
-	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the signal to stop until the process is killed" validate:"min=1s"`
-	DrainGrace  time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time that a planned stop still takes new requests after readiness fails; the balancer asks once a second and believes the second miss" validate:"min=0"`
+	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the signal to stop until the process is killed" validate:"min=1s" reload:"true"`
+	DrainGrace  time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time that a planned stop still takes new requests after readiness fails; the balancer asks once a second and believes the second miss" validate:"min=0" reload:"true"`
 	UsageWindow time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
-	UsageLate   time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after a window's end within which its report is due" validate:"min=1s"`
+	UsageLate   time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after a window's end within which its report is due" validate:"min=1s" reload:"true"`
 	Keep        time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time from its submission for which an ended batch can be read" validate:"min=1s"`
-	MemoryMB    int           `env:"POMELOCROSS_MEMORY_MB" envDefault:"0" flag:"memory-mb" usage:"memory that the process may use, in MB; 0 for no bound" validate:"min=0"`
-	LogLevel    string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error"`
+	MemoryMB    int           `env:"POMELOCROSS_MEMORY_MB" envDefault:"0" flag:"memory-mb" usage:"memory that the process may use, in MB; 0 for no bound" validate:"min=0" reload:"true"`
+	LogLevel    string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"least level logged" validate:"oneof=debug info warn error" reload:"true"`
 
 	// Check prints the effective settings and ends.
 	Check bool `env:"-" flag:"check" usage:"check the settings, print them with secrets masked, and end"`
 }
 
-// ParseSettings reads the environment, then args without the program's name.
+// FileVariable names the variable that holds the path of the settings file.
+const FileVariable = "POMELOCROSS_BOOT"
+
+// ParseSettings reads the settings file, the environment, then args without the
+// program's name.
 func ParseSettings(version string, args []string) (*Settings, error) {
 	s := &Settings{}
 	err := settings.Load(s, settings.Program{
 		Name: "pomelocross-gateway", Description: "Forwards requests, runs batches and holds control roles on a platform.", Version: version,
+		File: os.Getenv(FileVariable),
 	}, args)
 	return s, err
 }
@@ -49,9 +57,27 @@
 // DocumentSettings writes the settings as the page docs/SETTINGS-gateway.md.
 func DocumentSettings(w io.Writer) {
 	fmt.Fprint(w, "# Settings of the gateway\n\n"+
-		"Flags of `pomelocross-gateway`, each with its environment variable. Flags win. All\n"+
-		"faults are reported at once, and nothing starts; `--check` prints the effective\n"+
-		"settings with secrets masked and ends. `deploy/system.toml` fills the variables.\n"+
+		"Flags of `pomelocross-gateway`, each with its variable. Variables come from the\n"+
+		"settings file, a line `NAME=value` each, whose path `"+FileVariable+"` holds, or from\n"+
+		"the environment, which wins; flags win over both. All faults are reported at once,\n"+
+		"and nothing starts; `--check` prints the effective settings with secrets masked and\n"+
+		"ends. `deploy/gateway.env` is the file's template.\n\n"+
+		"The file is read again when its content changes and at SIGHUP. Of these, a running\n"+
+		"instance takes over what changed: "+strings.Join(live(), ", ")+". A change of any other\n"+
+		"setting waits for the next start, and a file with a fault changes nothing; both are\n"+
+		"logged.\n\n"+
 		"This page is generated from the code: `UPDATE=1 go test ./gateway`.\n\n")
 	settings.Table(w, &Settings{})
 }
+
+// live returns the flags of the settings that a running instance takes over.
+func live() []string {
+	var flags []string
+	t := reflect.TypeFor[Settings]()
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("reload") == "true" {
+			flags = append(flags, "`--"+t.Field(i).Tag.Get("flag")+"`")
+		}
+	}
+	return flags
+}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/settings"
 )
@@ -46,4 +47,14 @@
 		Entry("an unknown eagerness", []string{"--control", "always"}, "--control: must be one of"),
 		Entry("a bound below its least", []string{"--lease-bound", "10ms"}, "--lease-bound: must be at least 1s"),
 	)
+
+	It("that may change while the instance runs are taken over, the others not", func() {
+		f := feedOf("e4", "e1:1")
+		f.gateway.log = zap.NewNop()
+		changed := *f.gateway.settings
+		changed.Peers, changed.Domain = []string{"e2:1"}, "b"
+		f.gateway.Reload(&changed)
+		Expect(f.sources()).To(Equal([]string{"e2:1"}))
+		Expect(f.gateway.crew.self.Domain).To(Equal("a"))
+	})
 })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"os"
 	"reflect"
 	"strings"
 	"time"
@@ -54,17 +56,24 @@
 // lists every fault of both, a line each, named by flag.
 func Parse(version string, args []string) (*Settings, error) {
 	s := &Settings{}
-	err := Load(s, Program{"pomelocrossd", "Serves rollouts and order-desk requests for one failure domain.", version}, args)
+	err := Load(s, Program{Name: "pomelocrossd", Description: "Serves rollouts and order-desk requests for one failure domain.", Version: version}, args)
 	return s, err
 }
 
 // Program names the daemon whose settings are read.
-type Program struct{ Name, Description, Version string }
+type Program struct {
+	Name, Description, Version string
+	// File is the path of a settings file; empty for none.
+	File string
+}
 
-// Load reads the environment, then args, into target, a pointer to a struct with
-// the tags that Settings has, and checks it. The error lists every fault.
+// Load reads the settings file, then the environment, then args, of which the later
+// win, into target, a pointer to a struct with the tags that Settings has, and
+// checks it. The error lists every fault.
 func Load(target any, p Program, args []string) error {
-	faults := environmentFaults(env.Parse(target), target)
+	variables, faults := readFile(p.File, target)
+	maps.Copy(variables, env.ToMap(os.Environ()))
+	faults = append(faults, environmentFaults(env.ParseWithOptions(target, env.Options{Environment: variables}), target)...)
 	parser := flaggy.NewParser(p.Name)
 	parser.Description = p.Description
 	parser.Version = p.Version
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -31,6 +31,7 @@
 	// Metrics serves the Prometheus page.
 	Metrics http.Handler
 
+	level  zap.AtomicLevel
 	tracer *sdktrace.TracerProvider
 	file   io.Closer
 }
@@ -45,11 +46,11 @@
 
 // Start sets up telemetry and the global tracer. Stop must be called at the end.
 func Start(o Options) (*Telemetry, error) {
-	log, err := newLogger(o)
-	if err != nil {
+	t := &Telemetry{level: zap.NewAtomicLevel()}
+	if err := t.SetLevel(o.LogLevel); err != nil {
 		return nil, err
 	}
-	t := &Telemetry{Log: log}
+	t.Log = newLogger(o, t.level)
 	if err := t.startMetrics(o); err != nil {
 		return nil, err
 	}
@@ -59,14 +60,20 @@
 	return t, nil
 }
 
-func newLogger(o Options) (*zap.Logger, error) {
-	level, err := zapcore.ParseLevel(o.LogLevel)
+// SetLevel sets the least level logged: debug, info, warn or error.
+func (t *Telemetry) SetLevel(name string) error {
+	level, err := zapcore.ParseLevel(name)
 	if err != nil {
-		return nil, oops.In("telemetry").Wrapf(err, "log level")
+		return oops.In("telemetry").Wrapf(err, "log level")
 	}
+	t.level.SetLevel(level)
+	return nil
+}
+
+func newLogger(o Options, level zap.AtomicLevel) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zap.New(newCore(encoding, newWriter(os.Stdout), level)).With(zap.String("instance", o.Instance)), nil
+	return zap.New(newCore(encoding, newWriter(os.Stdout), level)).With(zap.String("instance", o.Instance))
 }
 
 // Of the lines with one message in a second, the first ones are kept and then one
@@ -78,10 +85,10 @@
 
 // newCore returns a core that samples lines below warnings; errors and warnings
 // keep their place.
-func newCore(encoding zapcore.EncoderConfig, to zapcore.WriteSyncer, level zapcore.Level) zapcore.Core {
+func newCore(encoding zapcore.EncoderConfig, to zapcore.WriteSyncer, level zapcore.LevelEnabler) zapcore.Core {
 	encoder := zapcore.NewJSONEncoder(encoding)
-	urgent := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l >= zapcore.WarnLevel }))
-	usual := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel }))
+	urgent := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return level.Enabled(l) && l >= zapcore.WarnLevel }))
+	usual := zapcore.NewCore(encoder, to, zap.LevelEnablerFunc(func(l zapcore.Level) bool { return level.Enabled(l) && l < zapcore.WarnLevel }))
 	return zapcore.NewTee(urgent, zapcore.NewSamplerWithOptions(usual, time.Second, keptLines, keptOneIn))
 }
 
