operator: explain a past request from logs

Cause: a failed request's story had to be put together with grep from the logs of all instances; what an instance believed meanwhile carries no id. Ruled out: trace ids (callers' ids are in every line already). Change: package logview reads logs and finds what they tell of an id; pomelocross explain --id prints it, as text or JSON. An owner that takes no batch says so by an error of its own, since the log's line named the store.

--- a/batch/submit.go
+++ b/batch/submit.go
@@ -8,7 +8,6 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
-	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
@@ -19,6 +18,9 @@
 	Route      string
 }
 
+// ErrDeclined means that an instance did not take a batch and will not.
+var ErrDeclined = errors.New("the instance did not take the batch")
+
 // key names what batches that one instance should run have in common: they share
 // engines and slots, and what one leaves unfinished comes again in another.
 func (a *SubmitArgs) key() string { return ownerKey(a.Team, a.Submission.Model) }
@@ -55,7 +57,7 @@
 		if accepted {
 			return nil
 		}
-		sent = objects.OutcomeOf(err) == objects.Unknown
+		sent = !errors.Is(err, ErrDeclined)
 	}
 	_, err := s.SubmitHere(ctx, args, now)
 	if err != nil && sent {
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/internal/memstore"
-	"github.com/pomelocross/pomelocross/objects"
 )
 
 // handing are peers of which one is to run all batches.
@@ -60,7 +59,7 @@
 	})
 
 	It("is run here when the owner refuses it, which is not asked again for a while", func(ctx SpecContext) {
-		peers.refuse, peers.answer = true, objects.ErrRefused
+		peers.refuse, peers.answer = true, ErrDeclined
 		Expect(a.Submit(ctx, args("l"), time.Now())).To(Succeed())
 		Expect(a.Submit(ctx, args("m"), time.Now())).To(Succeed())
 		Expect(a.runner.Runs("l")).To(BeTrue())
@@ -80,7 +79,7 @@
 	})
 
 	It("is refused when neither could store it", func(ctx SpecContext) {
-		peers.refuse, peers.answer = true, objects.ErrRefused
+		peers.refuse, peers.answer = true, ErrDeclined
 		store.Fault = func(string, string, bool) memstore.Fault { return memstore.Down }
 		err := a.Submit(ctx, args("l"), time.Now())
 		Expect(err).To(HaveOccurred())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/batch"
-	"github.com/pomelocross/pomelocross/objects"
 )
 
 // Codes of answers between instances.
@@ -142,7 +141,7 @@
 	var refused rpc.ServerError
 	switch {
 	case errors.As(err, &refused), errors.Is(err, syscall.ECONNREFUSED):
-		return reply.Head, errors.Join(objects.ErrRefused, err)
+		return reply.Head, errors.Join(batch.ErrDeclined, err)
 	case err != nil:
 		return reply.Head, err
 	case reply.Code == codeUnsure:
--- /dev/null
+++ b/logview/logview_test.go
@@ -0,0 +1,90 @@
+package logview
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLogview(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Logview")
+}
+
+// The log holds lines of several instances from a day with high load: an item whose
+// engine gave no first event, lines of other items of its batch, and what instances
+// believed before.
+var _ = Describe("What logs tell of an item", func() {
+	const item, batch = "23f133567ac79bdc", "fe6e1db042bc57ca"
+	var lines []Line
+
+	BeforeEach(func() {
+		file, err := os.Open("testdata/item.log")
+		Expect(err).NotTo(HaveOccurred())
+		defer file.Close()
+		var skipped int
+		lines, skipped, err = Read(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(skipped).To(Equal(1))
+	})
+
+	messages := func(about []Line) (list []string) {
+		for _, l := range about {
+			list = append(list, l.Message)
+		}
+		return list
+	}
+
+	It("are its own lines, its batch's and what its instance believed, in order of time", func() {
+		about := About(lines, item)
+		Expect(messages(about)).To(ContainElements("batch accepted", "item moves to another engine", "item is complete"))
+		for n, l := range about {
+			if n > 0 {
+				Expect(l.Time).NotTo(BeTemporally("<", about[n-1].Time))
+			}
+			if other, ok := l.Fields["item"]; ok {
+				Expect(other).To(Equal(item), "other items are left out")
+			}
+		}
+	})
+
+	It("are few lines", func() {
+		Expect(len(About(lines, item))).To(BeNumerically("<", len(lines)/3))
+	})
+
+	It("for the batch, are all its items' too", func() {
+		items := 0
+		for _, l := range About(lines, batch) {
+			if _, ok := l.Fields["item"]; ok {
+				items++
+			}
+		}
+		Expect(items).To(BeNumerically(">", 2))
+	})
+
+	It("are none for an id that no line names", func() {
+		Expect(About(lines, "none")).To(BeEmpty())
+	})
+
+	It("name the reason, for people", func() {
+		var text strings.Builder
+		for _, l := range About(lines, item) {
+			text.WriteString(l.Text() + "\n")
+		}
+		Expect(text.String()).To(MatchRegexp(`edge-mty-c-2 item moves to another engine  .*reason silent.*upstream i-4ebe6083a5`))
+	})
+})
+
+var _ = DescribeTable("Read", func(text string, lines, skipped int) {
+	found, left, err := Read(strings.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(found).To(HaveLen(lines))
+	Expect(left).To(Equal(skipped))
+},
+	Entry("nothing", "", 0, 0),
+	Entry("a line behind a collector's prefix", `pod-1 | {"ts":"2026-12-04T06:00:00.000Z","msg":"started"}`, 1, 0),
+	Entry("text, broken objects, no time, no message", "panic\n{\"ts\":\n{\"msg\":\"m\"}\n{\"ts\":\"2026-12-04T06:00:00.000Z\"}\n", 0, 4),
+)
--- a/operator/command.go
+++ b/operator/command.go
@@ -20,6 +20,8 @@
 type options struct {
 	platform, admin, deployment, output, by string
 	file, keyID, team, method, path         string
+	id                                      string
+	logs                                    []string
 	wait                                    bool
 	timeout                                 time.Duration
 }
@@ -124,7 +126,9 @@
 	with("status", "show every instance and where the newest revision is in force", o.status)
 	use := with("usage", "show the frozen usage figures", o.usage)
 	use.String(&o.team, "", "team", "team to show; all without it")
-	explain := with("explain", "show what an instance would do with a request now, and why", o.explain)
+	explain := with("explain", "show what an instance would do with a request now, and why; with --id, what logs tell of a past one", o.explain)
+	explain.String(&o.id, "", "id", "id of a past request, batch, item, upstream or window")
+	explain.StringSlice(&o.logs, "", "logs", "log files of instances; standard input without it")
 	explain.String(&o.keyID, "", "key-id", "identifier of the caller's key, without its secret")
 	explain.String(&o.method, "", "method", "method of the request")
 	explain.String(&o.path, "", "path", "path of the request")
@@ -255,6 +259,9 @@
 }
 
 func (o *options) explain(ctx context.Context, operator *Operator) error {
+	if o.id != "" {
+		return operator.ExplainPast(o.id, o.logs)
+	}
 	explanation, err := operator.Explain(ctx, o.keyID, o.method, o.path)
 	if err != nil {
 		return err
