roster: long items by the time that they take at an engine

Cause: of two kinds of engine (47 and 61 ms an event) the slower cannot finish the longest items of a step in time, yet three more requests at a fast one sent them there; and an engine whose pace was not known counted as faster than any, after 3 s without events. Ruled out: waiting, moves and refusals (waited 0, one sending, no move). Change: an upstream's pace counts by the item's expected events, an unknown pace as the median, and paces are believed for 10 s.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -167,7 +167,7 @@
 func (r *Runner) need(j *job, s *itemState, service catalog.Service) roster.Need {
 	return roster.Need{
 		Service: service.Name, Model: s.item.Model, MinVersion: j.sub.MinVersion, Domain: r.Domain,
-		KVTokens: service.KVTokens, Memory: s.memory(),
+		KVTokens: service.KVTokens, Memory: s.memory(), Events: leftEvents(s),
 	}
 }
 
--- a/roster/pace.go
+++ b/roster/pace.go
@@ -15,8 +15,9 @@
 	// paceWeight is the weight of the newest event in the mean: a slowed engine
 	// shows after a handful of events.
 	paceWeight = 0.2
-	// paceKept is how long a mean is believed without new events.
-	paceKept = 3 * time.Second
+	// paceKept is how long a mean is believed without new events: engines differ for
+	// good, and one that was slow for a while is tried again.
+	paceKept = 10 * time.Second
 )
 
 func (p *pace) observe(perEvent time.Duration, now time.Time) {
@@ -45,15 +46,20 @@
 	if s == nil {
 		return 0, 0
 	}
+	return s.pace.value(now), r.usual(s.Service, now)
+}
+
+// usual returns the median pace of a service's upstreams; 0 where nothing is known.
+func (r *Roster) usual(service string, now time.Time) time.Duration {
 	var all []time.Duration
-	for _, other := range r.states {
-		if v := other.pace.value(now); other.Service == s.Service && v > 0 {
+	for _, s := range r.states {
+		if v := s.pace.value(now); s.Service == service && v > 0 {
 			all = append(all, v)
 		}
 	}
 	if len(all) == 0 {
-		return 0, 0
+		return 0
 	}
 	slices.Sort(all)
-	return s.pace.value(now), all[(len(all)-1)/2]
+	return all[(len(all)-1)/2]
 }
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -12,6 +13,7 @@
 	// MinVersion is the oldest weight version that may answer.
 	MinVersion int64
 	Memory     Memory
+	Events     int // of a stream, expected to come; usualEvents where it is 0
 	KVTokens   int // memory of one engine, in tokens; 0 is unbounded
 	Domain     string
 	// Overflow allows a request beyond an upstream's slots, which then queues
@@ -39,6 +41,9 @@
 func (r *Roster) Pick(n Need, now time.Time) (Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if n.Events == 0 {
+		n.Events = usualEvents
+	}
 	best := r.best(n, now)
 	if best == nil {
 		return Choice{}, false
@@ -48,12 +53,12 @@
 
 func (r *Roster) best(n Need, now time.Time) *state {
 	var best *state
-	least := 0.0
+	least, usual := 0.0, r.usual(n.Service, now)
 	for _, s := range r.states {
 		if !s.fits(n, now) {
 			continue
 		}
-		score := s.score(n, now)
+		score := s.score(n, usual, now)
 		if best == nil || score < least {
 			best, least = s, score
 		}
@@ -91,8 +96,8 @@
 	otherDomain = 0.05
 	// lot spreads choices among upstreams of like score.
 	lot = 0.04
-	// slowness weighs the pace against the best one: twice as slow counts as one
-	// more load of all slots.
+	// slowness is what a second of the stream's expected time costs: long streams
+	// avoid a slow upstream at any load, short ones take its free slots.
 	slowness = 1.0
 	// newer is what weights cost that are newer than needed: items of the next step
 	// may be able to run nowhere else.
@@ -101,7 +106,9 @@
 	cold = 0.5
 )
 
-func (s *state) score(n Need, now time.Time) float64 {
+// score returns what a request costs at the upstream. usual is the pace of one whose
+// own is not known.
+func (s *state) score(n Need, usual time.Duration, now time.Time) float64 {
 	score := float64(s.busy(now))/float64(max(1, s.Slots)) + lot*rand.Float64()
 	if s.Domain != n.Domain {
 		score += otherDomain
@@ -112,15 +119,12 @@
 	if n.MinVersion > 0 && s.Models[n.Model] > n.MinVersion {
 		score += newer
 	}
-	if p := s.pace.value(now); p > 0 {
-		score += slowness * float64(p) / float64(usualPace)
-	}
-	return score
+	pace := cmp.Or(s.pace.value(now), usual)
+	return score + slowness*(time.Duration(n.Events)*pace).Seconds()
 }
 
-// usualPace is the time an event from which slowness is counted; only ratios
-// between upstreams matter.
-const usualPace = 50 * time.Millisecond
+// usualEvents is about how many events a stream has.
+const usualEvents = 20
 
 // Faster reports whether an upstream that suits a need has room and is believed
 // faster than one by a ratio.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -123,6 +123,28 @@
 		Expect(picked(r, need)).To(Equal("new"), "the old one has no slot left")
 	})
 
+	ginkgo.It("sends long items to a fuller fast engine and short ones to a free slower one", func() {
+		// Two kinds of engine: the longest items are in time on the fast ones only.
+		r := rosterOf(engine("fast", 3), engine("slower", 3))
+		r.Paced("fast", 47*time.Millisecond, start)
+		r.Paced("slower", 61*time.Millisecond, start)
+		for range 3 {
+			r.Begin("fast", "q", Memory{})
+		}
+		long, short := need, need
+		long.Events, short.Events = 148, 10
+		Expect(picked(r, long)).To(Equal("fast"))
+		Expect(picked(r, short)).To(Equal("slower"))
+	})
+
+	ginkgo.It("takes an engine whose pace is not known for a usual one, not for the fastest", func() {
+		r := rosterOf(engine("known", 3), engine("unknown", 3), engine("slow", 3))
+		r.Paced("known", 47*time.Millisecond, start)
+		r.Paced("slow", 61*time.Millisecond, start)
+		r.Begin("unknown", "q", Memory{})
+		Expect(picked(r, need)).To(Equal("known"))
+	})
+
 	ginkgo.It("shuns a slow engine", func() {
 		r := rosterOf(engine("slow", 3), engine("fast", 3))
 		for range 20 {
