gateway: loads are told to the instances that run batches

Ruled out: registrations alone, which say it a second or two later. Change: the holder tells the owners of the last minute's batches, whose trainers' next steps come to them again, and all entries while it does not know these.

--- a/batch/heads.go
+++ b/batch/heads.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,3 +77,19 @@
 	case <-s.runner.Clock.After(d):
 	}
 }
+
+// RecentOwners returns the addresses of the instances that own batches submitted
+// after a time, in order; heads are stored ones.
+func RecentOwners(heads []objects.Object, since time.Time) ([]string, error) {
+	owners := map[string]bool{}
+	for _, o := range heads {
+		h, err := decodeHead(o)
+		if err != nil {
+			return nil, err
+		}
+		if h.Peer != "" && h.Submitted >= since.UnixMilli() {
+			owners[h.Peer] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(owners)), nil
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/batch"
 	"github.com/pomelocross/pomelocross/fleet"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
@@ -283,7 +284,10 @@
 		return
 	}
 	news := LoadNews{ID: id, Started: e.Started, Model: model, Version: version}
-	for _, peer := range g.crew.fronts() {
+	for _, peer := range g.newsReaders() {
+		if peer == g.settings.PeerListen {
+			continue
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 			defer cancel()
@@ -293,6 +297,45 @@
 	}
 }
 
+const (
+	// newsFor is how long after its last batch an instance is told of loads: the next
+	// step of its trainer comes seconds later.
+	newsFor = time.Minute
+	// newsListed is how long a list of these instances is used.
+	newsListed = time.Second
+)
+
+// newsReaders returns the addresses of the instances that have run batches lately, or
+// of all that take callers while these are not known.
+func (g *Gateway) newsReaders() []string {
+	now := g.clock.Now()
+	g.readers.mu.Lock()
+	defer g.readers.mu.Unlock()
+	if now.Sub(g.readers.at) < newsListed {
+		return g.readers.peers
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+	defer cancel()
+	heads, err := g.feed.List(ctx, batch.KindHead)
+	var peers []string
+	if err == nil {
+		peers, err = batch.RecentOwners(heads.Objects, g.wall.Now().Add(-newsFor))
+	}
+	if err != nil || len(peers) == 0 {
+		g.log.Info("owners of batches are not known; all instances are told of loads", telemetry.Error(err))
+		peers = g.crew.fronts()
+	}
+	g.readers.peers, g.readers.at = peers, now
+	return peers
+}
+
+// newsReaders are the instances to tell of loads, as of a time.
+type newsReaders struct {
+	mu    sync.Mutex // guards all below
+	peers []string
+	at    time.Time
+}
+
 // newsTimeout bounds telling another instance; it learns later by itself.
 const newsTimeout = 300 * time.Millisecond
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	listed   atomic.Bool // upstreams were listed since the start
 	outage   outage
 	weights  *weights
+	readers  newsReaders
 	draining atomic.Bool // readiness fails
 }
 
