batch: the end of a batch reaches an owner in time, also one that just took it

Two ways were found in the code. An instance that takes a batch reads its head, then loads it; an end that it is told of meanwhile was dropped. Ruled out: the claim itself, which reads the head anew and runs no ended batch. Change: an end that is told early counts when the batch is added; watches of heads last 1 s, and a source answers nothing on heads that are 1.6 s old. After a gap the watch goes on from a list's version instead of meeting the gap again each 0.7 s. Figures: two specs, of which the first fails without the change.

--- a/batch/heads.go
+++ b/batch/heads.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// headsWait is how long a watch of heads waits for a change.
-	headsWait = 3 * time.Second
+	// headsWait is how long a watch of heads waits for a change. A source that has
+	// gone silent is noticed when it ends, in time to stop the runs of an ended batch.
+	headsWait = time.Second
 	// headsPause is the least time between two watches, which bounds the calls;
 	// an end must reach the engines within seconds.
 	headsPause = 700 * time.Millisecond
@@ -58,17 +59,22 @@
 	return changes.Version
 }
 
-// recheck reads every head after a gap in the history.
+// recheck reads the head of every batch that runs here after a gap in the history, and
+// returns the version to go on from, which is older than what was read.
 func (s *Service) recheck(ctx context.Context) objects.Version {
+	heads, err := s.heads.List(ctx, KindHead)
+	if err != nil {
+		return 0 // the store's client tells of it
+	}
 	for _, id := range s.runner.openIDs() {
 		h, err := s.keeper.Head(ctx, id)
 		if err != nil {
 			s.log.Warn("a batch could not be checked after a gap", zap.String("batch", id), telemetry.Error(err))
-			continue
+			return 0
 		}
 		s.runner.headSeen(h)
 	}
-	return 0
+	return heads.Version
 }
 
 func (s *Service) sleep(ctx context.Context, d time.Duration) {
--- a/batch/heads_test.go
+++ b/batch/heads_test.go
@@ -27,3 +27,30 @@
 		Expect(RecentOwners(heads.Objects, now.Add(-time.Minute))).To(Equal([]string{"a:1"}))
 	})
 })
+
+var _ = Describe("The end of a batch", func() {
+	It("counts for an instance that is about to run it from an older head", func(ctx SpecContext) {
+		store := memstore.New()
+		a, b := idle(store, "a"), idle(store, "b")
+		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		h, err := b.keeper.Head(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		sub, ledger, _, err := b.keeper.Load(ctx, h)
+		Expect(err).NotTo(HaveOccurred())
+		b.runner.Ended("l") // while b loads the batch
+		b.runner.Add(h, sub, ledger, nil, Limits{Due: time.Second, MaxAge: time.Minute})
+		Expect(b.runner.Open()).To(BeZero())
+	})
+
+	It("is seen after a gap in the history, from where the watch then goes on", func(ctx SpecContext) {
+		store := memstore.New()
+		a := idle(store, "a")
+		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		h, err := a.keeper.Change(ctx, "l", func(h *Head) bool { h.Ended = true; return true })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.recheck(ctx)).To(BeNumerically(">=", h.Version))
+		Expect(a.runner.Open()).To(BeZero())
+	})
+})
--- a/batch/own.go
+++ b/batch/own.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/samber/oops"
@@ -126,7 +127,12 @@
 func (r *Runner) Ended(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if j := r.jobs[id]; j != nil {
+	j := r.jobs[id]
+	if j == nil {
+		r.tellLater(id)
+		return
+	}
+	if !j.ended {
 		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.ledger.Stored()), zap.Int("open", len(j.items)))
 		j.end(r.Clock.Now())
 	}
@@ -147,6 +153,17 @@
 	return r.stopping
 }
 
+// toldFor is how long the end of a batch that does not run here is remembered: it may be
+// about to, from a head that was read before the end.
+const toldFor = 10 * time.Second
+
+// tellLater remembers that a batch has ended. The caller holds mu.
+func (r *Runner) tellLater(id string) {
+	now := r.Clock.Now()
+	maps.DeleteFunc(r.told, func(_ string, at time.Time) bool { return now.Sub(at) > toldFor })
+	r.told[id] = now
+}
+
 // Runs reports whether a batch runs here.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -53,7 +53,8 @@
 	mu       sync.Mutex // guards all below and every job
 	jobs     map[string]*job
 	kept     *keptTexts
-	pace     time.Duration // mean time an event of late
+	pace     time.Duration        // mean time an event of late
+	told     map[string]time.Time // ends of batches that do not run here, when told
 	stopping bool
 	running  sync.WaitGroup // of sendings
 	writers  sync.WaitGroup // of chunks
@@ -64,7 +65,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts(), pace: firstPace}
+	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, kept: newKeptTexts(), pace: firstPace, told: map[string]time.Time{}}
 }
 
 const (
--- a/batch/write.go
+++ b/batch/write.go
@@ -32,6 +32,9 @@
 		return false
 	}
 	now := r.Clock.Now()
+	if _, ended := r.told[h.ID]; ended {
+		h.Ended = true // its end was stored after h was read
+	}
 	kept := func(item *Item) *Partial {
 		if p, ok := partials[item.ID]; ok {
 			return &p
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -21,8 +21,8 @@
 	sourceServersPause = 600 * time.Millisecond
 	sourceConfigWait   = time.Second
 	// A batch's end must reach its engines within seconds.
-	sourceHeadsWait  = 2 * time.Second
-	sourceHeadsPause = 700 * time.Millisecond
+	sourceHeadsWait  = 800 * time.Millisecond
+	sourceHeadsPause = 600 * time.Millisecond
 	// Instances come and go seldom; a stale list costs a timeout at most.
 	sourceCrewWait  = 3 * time.Second
 	sourceCrewPause = time.Second
@@ -30,10 +30,11 @@
 	// answers nothing: its readers then ask the store themselves, within the time in
 	// which a configuration must be in force.
 	sourceStale = 1400 * time.Millisecond
-	// sourceHeadsStale and sourceCrewStale are those of batches and of instances, of
-	// which readers take nothing for final.
-	sourceHeadsStale = 3 * (sourceHeadsWait + sourceHeadsPause) / 2
-	sourceCrewStale  = 2 * (sourceCrewWait + sourceCrewPause)
+	// sourceHeadsStale is that of batches: a source that has lost the store must not
+	// keep a batch's end from its owner for the time in which runs must stop.
+	sourceHeadsStale = sourceHeadsWait + sourceHeadsPause + 200*time.Millisecond
+	// sourceCrewStale is that of the instances.
+	sourceCrewStale = 2 * (sourceCrewWait + sourceCrewPause)
 )
 
 // fed is what the feed carries: all that all instances follow.
