--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -149,6 +149,7 @@
 		Expect(status("DELETE", b.front, "/lots/l1", key, nil)).To(Equal(http.StatusOK))
 		Expect(status("DELETE", b.front, "/lots/l1", key, nil)).To(Equal(http.StatusOK))
 		Eventually(func() int { return a.runner.Open() }).Should(BeZero())
+		time.Sleep(150 * time.Millisecond) // requests that were on their way when the end came
 		ran := len(d.engines[0].Runs())
 		Consistently(func() int { return len(d.engines[0].Runs()) }, "400ms").Should(Equal(ran))
 	})
