objects: a cache keeps what its newest follower knows

Cause: found by reading. A source whose readers were away for five seconds ends its followers; readers that come back in that moment start new ones, and the old ones' ends then dropped what these knew. The source answered nothing from then on, as its readers kept it from being idle again, and these went to another one or the store. Likewise a reader that came between a list and the note that the store had answered was refused, and shunned the source for three seconds. Change: each follower has its own entry; progress counts as an answer. Figures: the new spec fails without the change.

--- a/batch/own.go
+++ b/batch/own.go
@@ -12,8 +12,8 @@
 	"github.com/pomelocross/pomelocross/objects"
 )
 
-// sureFor is how long the store's word that it has no further results is good for. It stays below the time within which what one instance has shown must
-// show at all.
+// sureFor is how long the store's word that it has no further results is good for. It
+// stays below the time within which what one instance has shown must show at all.
 const sureFor = 700 * time.Millisecond
 
 // Page returns results of a batch that runs here, or ErrNotHere. An empty page
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -54,53 +54,51 @@
 
 // Follow follows a kind until ctx ends; state is told of each call.
 func (c *Cache) Follow(ctx context.Context, k CacheKind, state func(error)) {
+	kind := &cached{objects: map[string]Object{}, changed: make(chan struct{}), stale: k.Stale}
 	c.mu.Lock()
-	c.kinds[k.Kind] = &cached{objects: map[string]Object{}, changed: make(chan struct{}), stale: k.Stale}
+	c.kinds[k.Kind] = kind
 	c.mu.Unlock()
-	defer c.forget(k.Kind)
+	defer c.forget(k.Kind, kind)
 	FollowWith(ctx, c.store, k.Kind, FollowOptions{
 		Wait: k.Wait, MaxPause: cachePause, Pause: func() time.Duration { return k.Pause },
 		State: func(err error) {
 			if settles(err) {
-				c.hear(k.Kind)
+				c.hear(kind)
 			}
 			state(err)
 		},
-		Progress: func(v Version) { c.progress(k.Kind, v) },
-	}, func(o Object) { c.take(k, o) })
+		Progress: func(v Version) { c.progress(kind, v) },
+	}, func(o Object) { c.take(kind, k.Same, o) })
 }
 
-func (c *Cache) forget(name string) {
+// forget drops what a Follow knew, unless another one has followed the kind since.
+func (c *Cache) forget(name string, kind *cached) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.kinds, name)
+	if c.kinds[name] == kind {
+		delete(c.kinds, name)
+	}
 }
 
 // cachePause bounds the pause after failures.
 const cachePause = 500 * time.Millisecond
 
-func (c *Cache) hear(name string) {
+func (c *Cache) hear(kind *cached) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if kind := c.kinds[name]; kind != nil {
-		kind.heard = c.now()
-	}
+	kind.heard = c.now()
 }
 
-func (c *Cache) take(k CacheKind, o Object) {
+func (c *Cache) take(kind *cached, same func(before, after Object) bool, o Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind := c.kinds[k.Kind]
-	if kind == nil {
-		return
-	}
 	before, known := kind.objects[o.Name]
 	if o.Deleted {
 		delete(kind.objects, o.Name)
 	} else {
 		kind.objects[o.Name] = o
 	}
-	if known && !o.Deleted && k.Same != nil && k.Same(before, o) {
+	if known && !o.Deleted && same != nil && same(before, o) {
 		return
 	}
 	kind.events = append(kind.events, o)
@@ -111,17 +109,13 @@
 }
 
 // progress notes that all changes up to a version were taken.
-func (c *Cache) progress(name string, v Version) {
+func (c *Cache) progress(kind *cached, v Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind := c.kinds[name]
-	if kind == nil {
-		return
-	}
 	if !kind.listed {
 		kind.listed, kind.from, kind.events = true, v, nil
 	}
-	kind.asOf = max(kind.asOf, v)
+	kind.asOf, kind.heard = max(kind.asOf, v), c.now() // readers may come before hear
 	close(kind.changed)
 	kind.changed = make(chan struct{})
 }
--- a/objects/cache_test.go
+++ b/objects/cache_test.go
@@ -107,6 +107,20 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("keeps what a new Follow knows when the one before ends after it has begun", func(ctx SpecContext) {
+		before, end := context.WithCancel(ctx)
+		kind := objects.CacheKind{Kind: "again", Wait: time.Second, Stale: time.Second}
+		known := func() error { _, err := cache.List("again"); return err }
+		ended := make(chan struct{})
+		go func() { defer close(ended); cache.Follow(before, kind, func(error) {}) }()
+		Eventually(known).Should(Succeed())
+		go cache.Follow(ctx, kind, func(error) {})
+		time.Sleep(50 * time.Millisecond)
+		end()
+		Eventually(ended).Should(BeClosed())
+		Consistently(known, "100ms").Should(Succeed())
+	})
+
 	It("has a reader list again that is behind what it remembers", func() {
 		_, err := watch(4)
 		Expect(err).To(MatchError(objects.ErrGap))
