gateway: nothing is passed on once a stop closes connections

Go's server takes a connection for idle until the request on it has been read and noted; closing idle ones in that moment takes the answer's way, not the request. Ruled out: a request that waited for an upstream (it was passed on within 4 ms of the close), the grace of the balancer (2.5 s had passed). Change: before connections are closed the instance refuses what still comes, so that a request that meets the close is neither run nor, within 200 ms, owed an answer.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -62,7 +62,11 @@
 		if g.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(s, r)
+		if g.closing.Load() {
+			g.refuse(s, r, stops)
+		} else {
+			next.ServeHTTP(s, r)
+		}
 		g.counters.answered(s.status, g.clock.Now().Sub(begun))
 	})
 }
@@ -113,6 +117,9 @@
 	return 0
 }
 
+// stops refuses what comes to an instance that stops; another one takes it at once.
+var stops = refusal{http.StatusServiceUnavailable, "the instance stops", batchPause / 3}
+
 // notYet refuses what cannot be decided before a configuration is known.
 var notYet = refusal{http.StatusServiceUnavailable, "no configuration is known yet", 500 * time.Millisecond}
 
@@ -236,7 +243,7 @@
 		return
 	}
 	if g.draining.Load() {
-		g.refuse(w, r, refusal{http.StatusServiceUnavailable, "the instance stops", batchPause / 3})
+		g.refuse(w, r, stops)
 		return
 	}
 	sub, err := platform.DecodeSubmission(platform.ReadCaller(r.Header).ID, body)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	weights  *weights
 	readers  newsReaders
 	draining atomic.Bool // readiness fails
+	closing  atomic.Bool // requests are refused, since connections are closed
 }
 
 // New builds an instance; nothing runs before Run.
@@ -241,6 +242,9 @@
 	parts.Go(func() { g.batches.Handover(ctx) })
 	parts.Go(func() { g.releaseControl(ctx) })
 	g.clock.Sleep(g.live.Load().DrainGrace)
+	// Before connections are closed: the server may close one whose next request it
+	// has just read as idle, and that request must not reach an upstream any more.
+	g.closing.Store(true)
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(ctx); err != nil {
 		g.log.Warn("requests were still running at the end of the grace", telemetry.Error(err))
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -39,6 +39,17 @@
 		Entry("a malformed batch", "/train/l1", key, 3, http.StatusBadRequest),
 	)
 
+	It("do not reach an upstream once connections are being closed", func() {
+		d := newDeployment(0, 0)
+		m := d.start("entry-1", nil)
+		m.closing.Store(true) // as after the grace of a stop
+		a, err := call("POST", m.front, "/kits/4", key, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(d.desk.Runs()).To(BeEmpty())
+	})
+
 	It("follow the configuration, which never goes back", func() {
 		d := newDeployment(0, 0)
 		m := d.start("entry-1", nil)
