--- a/batch/handover.go
+++ b/batch/handover.go
@@ -47,14 +47,14 @@
 	texts map[string]Partial
 }
 
-// mostHeirs bounds the instances that a batch is offered to: each that is gone
+// mostSuccessors bounds the instances that a batch is offered to: each that is gone
 // costs a timeout of the grace.
-const mostHeirs = 3
+const mostSuccessors = 3
 
-// heirs returns the instances to offer batches of a key to.
-func (s *Service) heirs(key string) []string {
-	heirs := slices.DeleteFunc(s.peers.Owners(key), func(peer string) bool { return peer == s.runner.Peer })
-	return heirs[:min(mostHeirs, len(heirs))]
+// successors returns the instances to offer batches of a key to.
+func (s *Service) successors(key string) []string {
+	successors := slices.DeleteFunc(s.peers.Owners(key), func(peer string) bool { return peer == s.runner.Peer })
+	return successors[:min(mostSuccessors, len(successors))]
 }
 
 func (s *Service) handOver(ctx context.Context, id string, left unfinished) {
@@ -64,7 +64,7 @@
 			s.log.Warn("texts of a batch could not be kept; its items run again", zap.String("batch", id), telemetry.Error(err))
 		}
 	}
-	for _, peer := range s.heirs(left.key) {
+	for _, peer := range s.successors(left.key) {
 		ask, cancel := context.WithTimeout(ctx, askMargin)
 		err := s.peers.Adopt(ask, peer, id)
 		cancel()
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -88,7 +88,7 @@
 		s.see(h.ID, h)
 		return true, nil
 	}
-	s.log.Info("owner did not take a batch; it runs here", zap.String("batch", args.Submission.ID), zap.String("peer", owner), telemetry.Error(err))
+	s.log.Info("owner did not take a batch", zap.String("batch", args.Submission.ID), zap.String("peer", owner), telemetry.Error(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shunned[owner] = s.runner.Clock.Now().Add(ownerShunned)
