batch: running items are judged without a look at every engine each

Ruled out: the choice of an engine itself, which is made once a sending. Change: only a run that would move as slow asks for a faster engine; the usual pace is taken once a pass (Roster.UsualPace beside Pace). Standing.Due, which nothing read, is gone. Decisions are the same; the specs of pace ask two methods for what one gave.

--- a/batch/job.go
+++ b/batch/job.go
@@ -197,7 +197,7 @@
 
 // standing returns what the order of the job's items depends on.
 func (j *job) standing(first func(group string) bool) Standing {
-	s := Standing{Due: j.due, Desired: j.sub.Desired}
+	s := Standing{Desired: j.sub.Desired}
 	at := map[string]int{}
 	for i := range j.sub.Items {
 		item := &j.sub.Items[i]
--- a/batch/order.go
+++ b/batch/order.go
@@ -8,8 +8,7 @@
 
 // Standing is what the order of items depends on.
 type Standing struct {
-	Due     time.Time // of the item's batch
-	Desired int       // groups that the trainer waits for
+	Desired int // groups that the trainer waits for
 	Groups  []GroupStanding
 }
 
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -248,25 +248,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	usual := map[string]time.Duration{} // pace by service, the same for all its runs
 	for _, j := range r.jobs {
 		for _, s := range j.items {
-			if s.running != nil {
-				r.judgeRun(j, s, now)
+			if s.running == nil {
+				continue
 			}
+			service := s.running.service
+			if _, known := usual[service]; !known {
+				usual[service] = r.Roster.UsualPace(service, now)
+			}
+			r.judgeRun(j, s, usual[service], now)
 		}
 	}
 }
 
-func (r *Runner) judgeRun(j *job, s *itemState, now time.Time) {
-	own, usual := r.Roster.Pace(s.running.upstream, now)
+func (r *Runner) judgeRun(j *job, s *itemState, usual time.Duration, now time.Time) {
+	own := r.Roster.Pace(s.running.upstream, now)
 	view := RunView{
 		Begun: s.running.begun, LastSign: s.running.sign, Events: s.running.events,
-		Own: own, Usual: usual, Moves: s.moves, LeftEvents: leftEvents(s),
-	}
-	if config := r.Catalog(); config != nil {
-		view.Free = r.Roster.Faster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
+		Own: own, Usual: usual, Moves: s.moves, LeftEvents: leftEvents(s), Free: true,
 	}
 	reason := ShouldMove(view, now)
+	if reason == Slow { // only now: it looks at every engine
+		view.Free = r.fasterFree(j, s, now)
+		reason = ShouldMove(view, now)
+	}
 	if reason == Stay {
 		return
 	}
@@ -281,6 +288,12 @@
 	s.running.cancel(errMoved)
 }
 
+// fasterFree reports whether an engine that is clearly faster than the item's has room.
+func (r *Runner) fasterFree(j *job, s *itemState, now time.Time) bool {
+	config := r.Catalog()
+	return config != nil && r.Roster.Faster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
+}
+
 const (
 	// firstPace is the time an event that is believed before any was seen: tens of
 	// tokens at some tenths of a millisecond each.
--- a/roster/pace.go
+++ b/roster/pace.go
@@ -36,20 +36,27 @@
 	return p.mean
 }
 
-// Pace returns the believed time an event of an upstream, and the usual one among
-// the upstreams of its service; zero where nothing is known. The usual one is the
-// median: the least is that of an upstream whose last few events came together.
-func (r *Roster) Pace(id string, now time.Time) (own, usual time.Duration) {
+// Pace returns the believed time an event of an upstream; 0 where it is not known.
+func (r *Roster) Pace(id string, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[id]
 	if s == nil {
-		return 0, 0
+		return 0
 	}
-	return s.pace.value(now), r.usual(s.Service, now)
+	return s.pace.value(now)
+}
+
+// UsualPace returns the median time an event among the upstreams of a service; 0 where
+// nothing is known. The least would be that of an upstream whose last few events came
+// together.
+func (r *Roster) UsualPace(service string, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usual(service, now)
 }
 
-// usual returns the median pace of a service's upstreams; 0 where nothing is known.
+// usual is UsualPace for callers that hold mu.
 func (r *Roster) usual(service string, now time.Time) time.Duration {
 	var all []time.Duration
 	for _, s := range r.states {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -213,7 +213,7 @@
 			r.Put(engine(id, 1))
 			r.Paced(id, time.Duration(pace)*time.Millisecond, start)
 		}
-		own, usual := r.Pace("e4", start)
+		own, usual := r.Pace("e4", start), r.UsualPace("lm", start)
 		Expect(own).To(Equal(66 * time.Millisecond))
 		Expect(usual).To(Equal(51 * time.Millisecond))
 	})
@@ -221,10 +221,10 @@
 	ginkgo.It("forget a pace that is old", func() {
 		r := rosterOf(engine("e1", 1))
 		r.Paced("e1", 80*time.Millisecond, start)
-		own, usual := r.Pace("e1", start)
+		own, usual := r.Pace("e1", start), r.UsualPace("lm", start)
 		Expect(own).To(Equal(80 * time.Millisecond))
 		Expect(usual).To(Equal(80 * time.Millisecond))
-		own, _ = r.Pace("e1", start.Add(paceKept+time.Millisecond))
+		own = r.Pace("e1", start.Add(paceKept+time.Millisecond))
 		Expect(own).To(BeZero())
 	})
 })
