Read again: one mapping of relay codes, one end of telemetry, plainer hand-in

Cause: found by reading the whole change. The feed mapped errors to relay codes and back by hand beside the relay's own table; both daemons had the same function that ends telemetry; handing a batch in returned whether its error was nil; a constant of logview hid the package context. Change: objects.CodeOf, RelayCode.Err and Settles serve both; Telemetry.Close; handIn returns its error.

--- a/batch/judge_bench_test.go
+++ b/batch/judge_bench_test.go
@@ -29,6 +29,7 @@
 	s := submission("l", 800)
 	j := newJob(Stored{ID: "l"}, s, NewLedger(800), func(*Item) *Partial { return nil }, Limits{Due: time.Minute, MaxAge: time.Minute}, now)
 	_, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	i := 0
 	for _, st := range j.items {
 		up := fmt.Sprint("e", i%640)
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -50,14 +50,16 @@
 	sent := false // another instance may have it
 	for range mostOwners {
 		owner := s.ownerOf(args.key())
-		if owner == s.runner.Peer || sent {
+		if owner == s.runner.Peer {
 			break
 		}
-		accepted, err := s.handIn(ctx, owner, args)
-		if accepted {
+		err := s.handIn(ctx, owner, args)
+		if err == nil {
 			return nil
 		}
-		sent = !errors.Is(err, ErrDeclined)
+		if sent = !errors.Is(err, ErrDeclined); sent {
+			break
+		}
 	}
 	_, err := s.SubmitHere(ctx, args, now)
 	if err != nil && sent {
@@ -79,20 +81,20 @@
 	return s.runner.Peer
 }
 
-// handIn hands a batch to another instance and reports whether it is accepted.
-func (s *Service) handIn(ctx context.Context, owner string, args SubmitArgs) (bool, error) {
+// handIn hands a batch to another instance, which has accepted it if there is no error.
+func (s *Service) handIn(ctx context.Context, owner string, args SubmitArgs) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	h, err := s.peers.Submit(ctx, owner, args)
 	if err == nil {
 		s.see(h.ID, h)
-		return true, nil
+		return nil
 	}
 	s.log.Info("owner did not take a batch", zap.String("batch", args.Submission.ID), zap.String("peer", owner), telemetry.Error(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shunned[owner] = s.runner.Clock.Now().Add(ownerShunned)
-	return false, err
+	return err
 }
 
 // SubmitHere stores a batch and runs it here, unless it was accepted before.
--- a/cmd/pomelocross-gateway/main.go
+++ b/cmd/pomelocross-gateway/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/pomelocross/pomelocross/gateway"
 	"github.com/pomelocross/pomelocross/settings"
@@ -38,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	defer stop(t)
+	defer t.Close()
 	g, err := gateway.New(s, t)
 	if err != nil {
 		return err
@@ -79,9 +78,3 @@
 		g.Reload(s)
 	})
 }
-
-func stop(t *telemetry.Telemetry) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	t.Stop(ctx)
-}
--- a/cmd/pomelocrossd/main.go
+++ b/cmd/pomelocrossd/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -47,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	defer stop(t)
+	defer t.Close()
 	i, err := instance.New(s, t, clockwork.NewRealClock())
 	if err != nil {
 		return err
@@ -64,9 +63,3 @@
 	}()
 	return i.Run(ctx)
 }
-
-func stop(t *telemetry.Telemetry) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	t.Stop(ctx)
-}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -197,15 +197,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
 	defer cancel()
 	list, err := c.gateway.feed.local(ctx, args)
-	reply.List = list
-	switch {
-	case errors.Is(err, objects.ErrGap):
-		reply.Code = objects.RelayGap
-	case errors.Is(err, objects.ErrNotFound):
-		reply.Code = objects.RelayNotFound
-	case err != nil:
-		reply.Code = objects.RelayRefused
-	}
+	reply.List, reply.Code = list, objects.CodeOf(err)
 	return nil
 }
 
@@ -237,17 +229,12 @@
 		}
 		reply, err := f.ask(ctx, peer, args)
 		f.answered(peer, err == nil)
-		switch {
-		case silent(err):
-			return list, nil, false // the time for a second one is better spent on the store
-		case err != nil:
-			continue
-		case reply.Code == objects.RelayGap:
-			return list, objects.ErrGap, true
-		case reply.Code == objects.RelayNotFound:
-			return list, objects.ErrNotFound, true
+		if err == nil {
+			return reply.List, reply.Code.Err(), true
+		}
+		if silent(err) {
+			break // the time for a second one is better spent on the store
 		}
-		return reply.List, nil, true
 	}
 	return list, nil, false
 }
@@ -261,8 +248,8 @@
 	defer cancel()
 	var reply FeedReply
 	err := f.gateway.dialer.Call(ctx, peer, "Feed.Read", args, &reply)
-	if err == nil && reply.Code == objects.RelayRefused {
-		err = objects.ErrRefused
+	if known := reply.Code.Err(); err == nil && !objects.Settles(known) {
+		err = known
 	}
 	return reply, err
 }
--- a/logview/about.go
+++ b/logview/about.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// context is how long before its first line and after its last one what instances
+// margin is how long before its first line and after its last one what instances
 // came to believe may bear on a request.
-const context = 3 * time.Second
+const margin = 3 * time.Second
 
 // beliefs are the messages that tell what an instance believes from then on.
 var beliefs = []string{
@@ -51,8 +51,8 @@
 		return nil
 	}
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
-	from := slices.MinFunc(direct, byTime).Time.Add(-context)
-	to := slices.MaxFunc(direct, byTime).Time.Add(context)
+	from := slices.MinFunc(direct, byTime).Time.Add(-margin)
+	to := slices.MaxFunc(direct, byTime).Time.Add(margin)
 	about := direct
 	for _, l := range lines {
 		if l.names(id) || l.Time.Before(from) || l.Time.After(to) {
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -62,7 +62,7 @@
 	FollowWith(ctx, c.store, k.Kind, FollowOptions{
 		Wait: k.Wait, MaxPause: cachePause, Pause: func() time.Duration { return k.Pause },
 		State: func(err error) {
-			if settles(err) {
+			if Settles(err) {
 				c.hear(kind)
 			}
 			state(err)
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -45,7 +45,8 @@
 	RelayUnknown: errors.New("the relaying instance does not know the outcome"),
 }
 
-func relayCodeOf(err error) RelayCode {
+// CodeOf returns the code by which another instance is told of an error.
+func CodeOf(err error) RelayCode {
 	for code, known := range relayErrors {
 		if known != nil && errors.Is(err, known) {
 			return code
@@ -60,9 +61,12 @@
 	return RelayUnknown
 }
 
-// settles reports whether an error is the store's own word, which another way to
+// Err returns the error that a code stands for; nil for RelayOK.
+func (c RelayCode) Err() error { return relayErrors[c] }
+
+// Settles reports whether an error is the store's own word, which another way to
 // the store would not change.
-func settles(err error) bool {
+func Settles(err error) bool {
 	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) || errors.Is(err, ErrGap)
 }
 
@@ -124,7 +128,7 @@
 	switch {
 	case late:
 		r.patience = min(mostPatience, r.patience+patienceStep)
-	case settles(err):
+	case Settles(err):
 		r.patience = max(leastPatience, r.patience-patienceStep/4)
 	}
 	return reply, err
@@ -157,7 +161,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	_, err := r.direct.Get(ctx, probeKind, probeName)
-	return settles(err)
+	return Settles(err)
 }
 
 // suspect tries the direct way after a watch on it has failed, which the store
@@ -170,7 +174,7 @@
 
 // heard takes in what came of a direct call.
 func (r *Relay) heard(ctx context.Context, c RelayCall, err error) {
-	if c.Verb == "watch" && !settles(err) {
+	if c.Verb == "watch" && !Settles(err) {
 		if ctx.Err() == nil {
 			go r.suspect(err)
 		}
@@ -181,12 +185,12 @@
 
 // note takes in what a direct call says of the direct way.
 func (r *Relay) note(ctx context.Context, err error) {
-	if ctx.Err() != nil && !settles(err) {
+	if ctx.Err() != nil && !Settles(err) {
 		return // given up by the caller; says nothing of the way
 	}
 	r.mu.Lock()
 	was := r.lost
-	r.lost = !settles(err)
+	r.lost = !Settles(err)
 	switch {
 	case r.lost && !was:
 		r.detour, r.regain = context.WithCancel(context.Background())
@@ -217,7 +221,7 @@
 	}
 	reply, err := r.perform(ctx, c)
 	r.heard(ctx, c, err)
-	reply.Code = relayCodeOf(err)
+	reply.Code = CodeOf(err)
 	return reply
 }
 
@@ -248,7 +252,7 @@
 		reply, err := r.perform(ctx, c)
 		r.heard(ctx, c, err)
 		write := c.Verb == "put" || c.Verb == "delete"
-		if settles(err) || ctx.Err() != nil || (write && OutcomeOf(err) != NotDone) {
+		if Settles(err) || ctx.Err() != nil || (write && OutcomeOf(err) != NotDone) {
 			return reply, err
 		}
 	}
@@ -266,7 +270,7 @@
 	case err == nil && reply.Code == RelayOK:
 		return reply, nil
 	case err == nil:
-		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(relayErrors[reply.Code])
+		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(reply.Code.Err())
 	case !sent:
 		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(errors.Join(ErrRefused, err))
 	}
@@ -288,7 +292,7 @@
 	bounded, cancel := context.WithTimeout(ctx, leastPatience)
 	defer cancel()
 	o, err := stale.GetStale(bounded, kind, name)
-	if settles(err) {
+	if Settles(err) {
 		return o, err
 	}
 	return r.Get(ctx, kind, name)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -138,3 +138,13 @@
 	}
 	_ = t.Log.Sync()
 }
+
+// closeTimeout bounds the writing of what is buffered at the end of a process.
+const closeTimeout = 3 * time.Second
+
+// Close is Stop at the end of a process.
+func (t *Telemetry) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	t.Stop(ctx)
+}
