Reward calls: items wait for the reward of their text before they are listed

Weighed: one attempt a time from the batch's runner, as for items, against the forwarder of single requests. The forwarder has the retries, the second upstream, and the checks of a whole and signed response, so it is used; the runner decides on order, number in flight and repetition.

Change: a complete text waits for its reward (kept over handover, checkpoint, takeover and resubmission); calls go in order of groups that lack least, up to a quarter of the slots of the service and one slot a upstream left free; 500s up to Attempts make the item dead.

--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -16,9 +16,13 @@
 	// stored. Generating a shorter text again takes no longer than the takeover of the
 	// batch by another instance.
 	checkpointEvents = 40
+	// checkpointRewardWait is how long a complete text waits for its reward before it is
+	// stored. A reward usually arrives within it, and results are not stored much sooner.
+	checkpointRewardWait = time.Second
 )
 
-// Checkpoint periodically stores the texts of long unfinished items until ctx ends.
+// Checkpoint periodically stores the texts of long unfinished items, and of items whose
+// reward is late, until ctx ends.
 // If this instance crashes, the next owner of a batch resumes from these texts.
 func (r *Runner) Checkpoint(ctx context.Context) {
 	ticker := r.Clock.NewTicker(checkpointInterval / 3)
@@ -53,7 +57,7 @@
 		}
 		texts := map[string]Partial{}
 		for id, s := range j.items {
-			if s.events >= checkpointEvents {
+			if s.events >= checkpointEvents || s.whole && now.Sub(s.reward.since) >= checkpointRewardWait {
 				texts[id] = s.partial()
 			}
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -24,6 +24,10 @@
 	added     time.Time
 	queueTime time.Duration // from added until the first attempt
 	attempts  int
+	// whole is set once the text is complete and only the reward is missing. The item is
+	// not sent to an engine again.
+	whole  bool
+	reward rewardState
 }
 
 // attempt is one request for an item at an engine.
@@ -43,14 +47,20 @@
 	if partial != nil {
 		s.text.WriteString(partial.Text)
 		s.events, s.lastEvent, s.versions = partial.Events, partial.Last, slices.Clone(partial.Versions)
+		if partial.Whole && item.Reward != nil {
+			s.awaitReward(now)
+		}
 	}
 	return s
 }
 
 func (s *itemState) partial() Partial {
-	return Partial{Last: s.lastEvent, Events: s.events, Text: s.text.String(), Versions: slices.Clone(s.versions)}
+	return Partial{Last: s.lastEvent, Events: s.events, Text: s.text.String(), Versions: slices.Clone(s.versions), Whole: s.whole}
 }
 
+// queued reports whether the item waits for an engine.
+func (s *itemState) queued() bool { return s.running == nil && !s.whole }
+
 // memory returns the KV cache memory, in tokens, that the item needs on its next engine.
 func (s *itemState) memory() roster.Memory {
 	generated := s.events * eventTokens
@@ -60,7 +70,7 @@
 // discardText deletes the generated text because its weight versions are not acceptable.
 func (s *itemState) discardText() {
 	s.text.Reset()
-	s.events, s.lastEvent, s.versions = 0, -1, nil
+	s.events, s.lastEvent, s.versions, s.whole = 0, -1, nil, false
 }
 
 // appendEvent appends the data of an event that was generated with a weight version.
@@ -79,7 +89,7 @@
 func (s *itemState) result() Result {
 	versions := slices.Clone(s.versions)
 	slices.Sort(versions)
-	return Result{ID: s.item.ID, State: Complete, Text: s.text.String(), Versions: versions}
+	return Result{ID: s.item.ID, State: Complete, Text: s.text.String(), Versions: versions, Reward: s.reward.value}
 }
 
 // job is a batch that this instance runs. It is guarded by Runner.mu.
@@ -156,12 +166,20 @@
 	j.wakeWriter()
 }
 
-// cancelAttempts cancels all running attempts with a cause.
+// cancelAttempts cancels all running attempts and reward calls with a cause.
 func (j *job) cancelAttempts(cause error) {
 	for _, s := range j.items {
-		if s.running != nil {
-			s.running.cancel(cause)
-		}
+		s.cancel(cause)
+	}
+}
+
+// cancel cancels the running attempt or reward call of the item, if any.
+func (s *itemState) cancel(cause error) {
+	if s.running != nil {
+		s.running.cancel(cause)
+	}
+	if s.reward.cancel != nil {
+		s.reward.cancel(cause)
 	}
 }
 
@@ -218,6 +236,9 @@
 		}
 		g := &s.Groups[n]
 		g.Open++
+		if state.whole {
+			continue
+		}
 		g.TotalTokens += item.Expected()
 		g.MaxTokens = max(g.MaxTokens, item.Expected())
 	}
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if h.Ended {
-		j.end(r.Clock.Now())
+		r.endJob(j)
 	}
 }
 
@@ -138,10 +138,23 @@
 	}
 	if !j.ended {
 		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.results.StoredCount()), zap.Int("open", len(j.items)))
-		j.end(r.Clock.Now())
+		r.endJob(j)
 	}
 }
 
+// endJob ends a job. It keeps the texts of items that wait for an engine or for their
+// reward: their groups may be submitted again. The caller holds mu.
+func (r *Runner) endJob(j *job) {
+	if !j.ended {
+		for _, s := range j.items {
+			if s.running == nil {
+				r.texts.add(s)
+			}
+		}
+	}
+	j.end(r.Clock.Now())
+}
+
 // handingOver reports whether a batch is being handed over.
 func (r *Runner) handingOver(id string) bool {
 	r.mu.Lock()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -31,12 +31,16 @@
 	Store   *Store
 	Roster  *roster.Roster
 	Engines upstream.Forwarder
+	Rewards RewardCaller
 	Catalog func() *catalog.Catalog // returns nil until a catalog is available
 	Clock   clockwork.Clock
 	// Wall returns the wall clock time corrected for steps of the machine's clock. It
 	// is used for the age of stored batches. The default is time.Now.
 	Wall func() time.Time
 	Log  *zap.Logger
+	// RecordReward is called after each reward call that may have reached an upstream,
+	// with its outcome and duration; it may be nil.
+	RecordReward func(outcome string, took time.Duration)
 	// Record is called after each attempt that got a response from an engine, with
 	// its outcome and duration; it may be nil.
 	Record func(outcome string, took time.Duration)
@@ -138,6 +142,7 @@
 		}
 		r.tryStart(ctx, q, route, config, noCapacity, now)
 	}
+	r.dispatchRewards(ctx, config, now)
 }
 
 // tryStart sends one item if an engine has capacity for it. noCapacity collects the
@@ -189,7 +194,7 @@
 func (j *job) queue(texts *textCache, eventInterval time.Duration) []queuedItem {
 	anyQueued := false
 	for _, s := range j.items {
-		anyQueued = anyQueued || s.running == nil
+		anyQueued = anyQueued || s.queued()
 	}
 	if !anyQueued {
 		return nil
@@ -208,7 +213,7 @@
 	var list []queuedItem
 	for i := range j.sub.Items { // in submission order, which the stable sort keeps for equal items
 		s := j.items[j.sub.Items[i].ID]
-		if s == nil || s.running != nil {
+		if s == nil || !s.queued() {
 			continue
 		}
 		list = append(list, queuedItem{job: j, state: s, Candidate: Candidate{
@@ -353,7 +358,7 @@
 // its route. Their result is Dead. The caller holds mu.
 func (r *Runner) expireItems(j *job) {
 	for id, s := range j.items {
-		if s.running == nil {
+		if s.running == nil && s.reward.cancel == nil {
 			r.Log.Info("item exceeded the maximum age of its route and is abandoned", zap.String("batch", j.head.ID), zap.String("item", id), zap.Int("sendings", s.attempts))
 			j.recordResult(Result{ID: id, State: Dead})
 		}
--- a/batch/send.go
+++ b/batch/send.go
@@ -195,8 +195,12 @@
 			return
 		}
 		r.Log.Info("item is complete", zap.String("batch", q.job.head.ID), zap.String("item", state.item.ID), zap.String("group", state.item.Group),
-			zap.String("upstream", engineID), zap.Duration("waited", state.queueTime), zap.Duration("took", r.Clock.Now().Sub(state.added)),
+			zap.String("upstream", engineID), zap.Duration("waited", state.queueTime), zap.Duration("took", r.Clock.Now().Sub(state.added)), zap.Bool("awaitsReward", state.item.Reward != nil),
 			zap.Int("events", state.events), zap.Int("expected", state.item.Expected()), zap.Int("sendings", state.attempts), zap.Int("moves", state.moves), zap.Int64s("versions", state.versions))
+		if state.item.Reward != nil {
+			state.awaitReward(r.Clock.Now())
+			return
+		}
 		q.job.recordResult(state.result())
 	case outcomeRejected:
 		q.job.recordResult(Result{ID: state.item.ID, State: Dead})
--- a/batch/types.go
+++ b/batch/types.go
@@ -31,6 +31,17 @@
 	Hint int `json:"hint,omitempty"`
 	// Shared identifies the prompt prefix that the items of a group have in common.
 	Shared string `json:"shared,omitempty"`
+	// Reward is the call that rates the generated text; nil if the text is not rated.
+	Reward *RewardCall `json:"reward,omitempty"`
+}
+
+// RewardCall is a request that is sent to a plain service once the text of its item is
+// complete. It belongs to no team and may be repeated.
+type RewardCall struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"` // path and query
+	Body []byte `json:"body,omitempty"`
 }
 
 // Expected returns the number of tokens that the item is expected to generate:
@@ -67,9 +78,12 @@
 	State    State   `json:"state"`
 	Text     string  `json:"text,omitempty"` // data of all events, separated by line feeds
 	Versions []int64 `json:"versions,omitempty"`
+	// Reward is the signature of the response to the item's reward call; empty if the
+	// item has none.
+	Reward string `json:"reward,omitempty"`
 }
 
-func (r *Result) size() int { return len(r.Text) + len(r.ID) + 64 }
+func (r *Result) size() int { return len(r.Text) + len(r.ID) + len(r.Reward) + 64 }
 
 // Page is a range of a batch's results.
 type Page struct {
@@ -100,10 +114,12 @@
 	Results []Result `json:"results"`
 }
 
-// Partial is the generated text of an unfinished item.
+// Partial is the generated text of an item without a result.
 type Partial struct {
 	Last     int64   `json:"last"` // ID of the last event
 	Events   int     `json:"events"`
 	Text     string  `json:"text"`
 	Versions []int64 `json:"versions"`
+	// Whole is set if the text is complete and only the reward is missing.
+	Whole bool `json:"whole,omitempty"`
 }
--- a/batch/write.go
+++ b/batch/write.go
@@ -154,9 +154,7 @@
 		if !j.results.IsStored(id) {
 			continue
 		}
-		if s.running != nil {
-			s.running.cancel(errOwnerChanged)
-		}
+		s.cancel(errOwnerChanged)
 		delete(j.items, id)
 	}
 }
--- a/forward/decide.go
+++ b/forward/decide.go
@@ -38,6 +38,7 @@
 	Open       int  // attempts without an outcome yet
 	MayHaveRun bool // an attempt ran the request or may have run it
 	Refused    int  // attempts that an upstream refused
+	Failed     int  // attempts that an upstream answered with an error
 }
 
 // Add records the outcome of an open attempt.
@@ -48,6 +49,9 @@
 		t.Sent--
 	case Refused:
 		t.Refused++
+	case Failed:
+		t.Failed++
+		t.MayHaveRun = true
 	default:
 		t.MayHaveRun = true
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,10 @@
 	upstream.Forward
 	Route catalog.Route
 	Model string
+	// ReservedSlots is the number of slots that the request leaves free on its upstream
+	// for others. If it is positive, the request is not sent while no upstream has more
+	// free slots; 0 allows the request to wait at its upstream.
+	ReservedSlots int
 }
 
 // Response is the response for the caller.
@@ -49,8 +53,10 @@
 	FinalStatus
 	Header http.Header // of the upstream's response; nil if there was none
 	Body   []byte
-	From   string // ID of the upstream that responded
-	Tally  Tally
+	// Signature is the upstream's signature of the response; empty if there was none.
+	Signature string
+	From      string // ID of the upstream that responded
+	Tally     Tally
 }
 
 // attemptResult is the result of one attempt.
@@ -148,7 +154,10 @@
 }
 
 func (p *plainRequest) response(r attemptResult) Response {
-	return Response{FinalStatus: FinalStatus{Status: r.reply.Status}, Header: r.reply.Header, Body: r.body, From: r.upstream, Tally: p.tally}
+	return Response{
+		FinalStatus: FinalStatus{Status: r.reply.Status}, Header: r.reply.Header, Body: r.body, Signature: r.reply.Signature,
+		From: r.upstream, Tally: p.tally,
+	}
 }
 
 // giveUp returns the response to a request that was not successful.
@@ -176,7 +185,7 @@
 		return false
 	}
 	now := f.Clock.Now()
-	need := roster.Need{Service: p.service, Model: p.request.Model, Domain: f.Domain, Overflow: true, Avoid: p.tried}
+	need := roster.Need{Service: p.service, Model: p.request.Model, Domain: f.Domain, Overflow: p.request.ReservedSlots == 0, ReservedSlots: p.request.ReservedSlots, Avoid: p.tried}
 	choice, ok := f.Roster.Pick(need, now)
 	if !ok {
 		return false
@@ -229,7 +238,7 @@
 	case reply.Status >= http.StatusInternalServerError:
 		r.outcome = Failed
 		f.Roster.MarkFailed(to.ID, f.Clock.Now())
-	case !reply.Signed && reply.Status < http.StatusMultipleChoices:
+	case reply.Signature == "" && reply.Status < http.StatusMultipleChoices:
 		r.outcome, r.err = f.incomplete(ctx, to), errUnsigned
 	default:
 		r.outcome = Answered
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -44,7 +44,7 @@
 }
 
 func completeReply(id, body string) *upstream.Reply {
-	return &upstream.Reply{Status: http.StatusOK, ID: id, Signed: true, Header: http.Header{"X-Seal": {"s"}}, Body: io.NopCloser(bytes.NewReader([]byte(body)))}
+	return &upstream.Reply{Status: http.StatusOK, ID: id, Signature: "s", Header: http.Header{"X-Seal": {"s"}}, Body: io.NopCloser(bytes.NewReader([]byte(body)))}
 }
 
 func refusedReply() *upstream.Reply {
@@ -140,7 +140,7 @@
 		Entry("for another request", func(string) *upstream.Reply { return completeReply("r0", "theirs") }),
 		Entry("without a signature", func(id string) *upstream.Reply {
 			r := completeReply(id, "kits")
-			r.Signed = false
+			r.Signature = ""
 			return r
 		}),
 		Entry("truncated", func(id string) *upstream.Reply {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -20,6 +20,7 @@
 	responses metric.Float64Histogram
 	attempts  metric.Float64Histogram
 	items     metric.Float64Histogram
+	rewards   metric.Float64Histogram
 }
 
 // latencyBuckets holds histogram bounds in seconds. They are dense around the latency
@@ -28,11 +29,12 @@
 
 func newCounters(meter metric.Meter) (*counters, error) {
 	c := &counters{}
-	var errs [4]error
+	var errs [5]error
 	c.calls, errs[0] = meter.Int64Counter("pomelocross.calls", metric.WithDescription("calls to the platform and orders to engines, by class and outcome"))
 	c.responses, errs[1] = meter.Float64Histogram("pomelocross.answers", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("answers to callers, by status"))
 	c.attempts, errs[2] = meter.Float64Histogram("pomelocross.sendings", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("single requests sent to upstreams, by outcome"))
 	c.items, errs[3] = meter.Float64Histogram("pomelocross.items", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("items of batches sent to engines, by ending"))
+	c.rewards, errs[4] = meter.Float64Histogram("pomelocross.rewards", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("reward calls of batch items, by outcome"))
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, oops.In("gateway").With("step", "create metrics").Wrap(err)
 	}
@@ -75,3 +77,8 @@
 func (c *counters) recordItem(outcome string, took time.Duration) {
 	c.items.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("ending", outcome)))
 }
+
+// recordReward records a reward call of a batch item.
+func (c *counters) recordReward(outcome string, took time.Duration) {
+	c.rewards.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -20,6 +20,9 @@
 	// then waits. Rollout items wait at this instance instead, where they can still
 	// be reordered.
 	Overflow bool
+	// ReservedSlots is the number of slots that must stay free besides that of the
+	// request. It has no effect with Overflow.
+	ReservedSlots int
 	// Avoid holds the IDs of upstreams not to choose, such as those already tried.
 	Avoid map[string]bool
 }
@@ -79,7 +82,7 @@
 		return false
 	case n.Model != "" && now.Before(s.blockedUntil[n.Model]):
 		return false
-	case !n.Overflow && s.Slots > 0 && s.estimatedRequests(now) >= s.Slots:
+	case !n.Overflow && s.Slots > 0 && s.estimatedRequests(now)+n.ReservedSlots >= s.Slots:
 		return false
 	}
 	return s.hasMemory(n.Memory, n.KVTokens)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -125,6 +125,19 @@
 	return list
 }
 
+// Slots returns the number of slots of the ready upstreams of a service.
+func (r *Roster) Slots(service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slots := 0
+	for _, s := range r.states {
+		if s.Service == service && s.Ready {
+			slots += s.Slots
+		}
+	}
+	return slots
+}
+
 // Size returns the number of known upstreams.
 func (r *Roster) Size() int {
 	r.mu.Lock()
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -38,8 +38,8 @@
 	NotRun bool
 	// Misdirected is true if the address now belongs to another upstream.
 	Misdirected bool
-	// Signed is true if the response carries the signature of the upstream.
-	Signed bool
+	// Signature is the upstream's signature of the response; empty if it has none.
+	Signature string
 	// Occupancy is the load that the upstream reported; nil if it did not.
 	Occupancy *Occupancy
 	// Version is the weight version at the start of the response; 0 if not
