--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -285,6 +285,131 @@
 	})
 })
 
+var _ = Describe("Reward calls", func() {
+	const items, events = 8, 6
+
+	// expectRewards waits for all results of a batch and checks their texts and rewards.
+	expectRewards := func(address string) {
+		expectComplete(results(address, "l1", items), items, events)
+		got, _ := read(address, "l1", 0)
+		for _, r := range got.Results {
+			n := strings.TrimPrefix(r.Id, "item-")
+			Expect(r.Score).To(Equal(standin.Seal("reward-" + n)))
+		}
+	}
+	// generations returns how often items were sent to an engine.
+	generations := func(d *deployment) (count int) {
+		for _, e := range d.engines {
+			count += len(e.Runs())
+		}
+		return count
+	}
+
+	It("follow the complete text, without key and team, and their signatures are listed", func() {
+		d := newDeployment(2, events)
+		gw := d.start("entry-1", nil)
+		Expect(submit(gw.address, "l1", rewardedBatchBody(items))).To(Equal(http.StatusAccepted))
+		expectRewards(gw.address)
+		Expect(d.desk.Runs()).To(HaveLen(items))
+		ended := map[string]time.Time{}
+		for _, e := range d.engines {
+			for _, run := range e.Runs() {
+				ended[strings.TrimPrefix(run.ID, "item-")] = run.At.Add(events * e.EventInterval)
+			}
+		}
+		for _, call := range d.desk.Runs() {
+			Expect([]string{call.Team, call.Key, call.Path}).To(Equal([]string{"", "", "/kits/rate"}))
+			Expect(call.At).To(BeTemporally(">=", ended[strings.TrimPrefix(call.ID, "reward-")]))
+		}
+	})
+
+	It("are repeated after any fault of their upstream, and no text is generated again", func() {
+		d := newDeployment(2, events)
+		second := &standin.Engine{ID: "desk-1", Service: "desk", Slots: 8}
+		d.store.Set("servers", second.ID, second.Registration(serve(second), "a", "ready"))
+		faults := []standin.Fault{standin.Truncated, standin.OtherReply, standin.ReplyLost, standin.ServerError, standin.Unavailable}
+		var calls atomic.Int32
+		d.desk.SetFault(func(string) standin.Fault { return faults[int(calls.Add(1))%len(faults)] })
+		gw := d.start("entry-1", nil)
+		Expect(submit(gw.address, "l1", rewardedBatchBody(items))).To(Equal(http.StatusAccepted))
+		expectRewards(gw.address)
+		Expect(calls.Load()).To(BeNumerically(">", 0))
+		Expect(generations(d)).To(Equal(items))
+	})
+
+	It("that always fail make their items dead, and only those", func() {
+		d := newDeployment(2, events)
+		d.desk.SetFault(func(id string) standin.Fault {
+			if id == "reward-3" {
+				return standin.ServerError
+			}
+			return standin.None
+		})
+		gw := d.start("entry-1", nil)
+		Expect(submit(gw.address, "l1", rewardedBatchBody(items))).To(Equal(http.StatusAccepted))
+		results(gw.address, "l1", items)
+		got, _ := read(gw.address, "l1", 0)
+		for _, r := range got.Results {
+			if r.Id == "item-3" {
+				Expect([]string{r.State, r.Score}).To(Equal([]string{"dead", ""}))
+				continue
+			}
+			Expect([]string{r.State, r.Score}).To(Equal([]string{"complete", standin.Seal("reward-" + strings.TrimPrefix(r.Id, "item-"))}))
+		}
+		failing := 0
+		for _, run := range d.desk.Runs() {
+			if run.ID == "reward-3" {
+				failing++
+			}
+		}
+		Expect(failing).To(Equal(3)) // Attempts of the batch's route
+	})
+
+	It("are made by the next owner when their instance stops, and no text is generated again", func() {
+		d := newDeployment(2, events)
+		a, b := d.start("entry-1", nil), d.start("entry-2", nil)
+		waitForMembership(a, b)
+		var unavailable atomic.Bool
+		unavailable.Store(true)
+		d.desk.SetFault(func(string) standin.Fault {
+			if unavailable.Load() {
+				return standin.Unavailable
+			}
+			return standin.None
+		})
+		Expect(submit(a.address, "l1", rewardedBatchBody(items))).To(Equal(http.StatusAccepted))
+		if b.runner.Runs("l1") {
+			a, b = b, a
+		}
+		allEnded := func() (ended int) {
+			for _, e := range d.engines {
+				for _, run := range e.Runs() {
+					if run.Ended {
+						ended++
+					}
+				}
+			}
+			return ended
+		}
+		Eventually(allEnded).WithTimeout(5 * time.Second).Should(Equal(items))
+		time.Sleep(100 * time.Millisecond) // for the ends of the streams to arrive
+		a.stop()
+		Eventually(func() bool { return b.runner.Runs("l1") }).WithTimeout(5 * time.Second).Should(BeTrue())
+		unavailable.Store(false)
+		expectRewards(b.address)
+		Expect(generations(d)).To(Equal(items))
+	})
+
+	It("without id, host or path make their batch invalid", func() {
+		d := newDeployment(1, events)
+		gw := d.start("entry-1", nil)
+		for _, field := range []string{"Id", "Host", "Path"} {
+			body := strings.Replace(string(rewardedBatchBody(items)), `"`+field+`":"`+map[string]string{"Id": "reward-0", "Host": host, "Path": "/kits/rate?n=0"}[field]+`"`, `"`+field+`":""`, 1)
+			Expect(submit(gw.address, "l1", []byte(body))).To(Equal(http.StatusBadRequest))
+		}
+	})
+})
+
 var _ = Describe("The control role", func() {
 	It("loads published weights with non-decreasing fencing epochs, also after its holder has stopped", func() {
 		d := newDeployment(2, 5)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -220,6 +220,18 @@
 	return encoded
 }
 
+// rewardedBatchBody returns the body of a submission whose items have a reward call.
+func rewardedBatchBody(items int) []byte {
+	var body map[string]any
+	Expect(json.Unmarshal(batchBody(items, 1), &body)).To(Succeed())
+	for n, item := range body["Items"].([]any) {
+		item.(map[string]any)["Scorer"] = map[string]any{"Id": fmt.Sprint("reward-", n), "Host": host, "Path": fmt.Sprint("/kits/rate?n=", n), "Body": []byte("rate")}
+	}
+	encoded, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
 // submit submits a batch and returns the status of the response.
 func submit(address, id string, body []byte) int {
 	return status("POST", address, "/train/"+id, northKey, body, "X-Pomelocross-Request-Id", id)
@@ -234,6 +246,7 @@
 		State    string
 		Output   string
 		Versions []int64
+		Score    string
 	}
 }
 
