Control role: bounded calls to engines, orders only under a lease checked last, fewer reads

Cause: with 3,000 engines the holder had an order and several reports in flight for each, 8,000 connections of 8,200 descriptors. An item without events stayed with its engine for good after its sixth move, and an item in the queue of a full engine counted as an unresponsive engine.

Three candidates read the lease each second, eight each 8 s, the others each 64 s. Records and tallies are created first and read after a conflict; a tally names its writer, so that a write whose response was lost is not added to itself. Items leave a silent engine after any number of moves, and a busy one only for a free slot. Heads of responses are limited to 64 KB.

Replaced: the entry "the maximum number of moves, 8 s without events: stays" asserted the endless stay; a slow engine still keeps the item, a silent one does not.

Runs: specs for the lease, the tally, the moves and the reads fail on the old code.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -276,11 +276,13 @@
 	eventInterval := r.Roster.EventInterval(s.running.upstream, now)
 	status := AttemptStatus{
 		Started: s.running.started, LastActivity: s.running.lastActivity, Events: s.running.events,
-		EventInterval: eventInterval, TypicalInterval: typicalInterval, Moves: s.moves, RemainingEvents: remainingEvents(s), FasterAvailable: true,
+		EventInterval: eventInterval, TypicalInterval: typicalInterval, Moves: s.moves, RemainingEvents: remainingEvents(s),
+		EngineActivity: r.Roster.LastActivity(s.running.upstream), FasterAvailable: true, FreeElsewhere: true,
 	}
 	reason := ShouldMove(status, now)
-	if reason == Slow { // evaluated last, since it scans all engines
-		status.FasterAvailable = r.fasterEngineAvailable(j, s, now)
+	if reason == Slow || reason == Queued { // evaluated last, since they scan all engines
+		status.FasterAvailable = reason == Slow && r.fasterEngineAvailable(j, s, now)
+		status.FreeElsewhere = reason == Queued && r.engineAvailable(j, s, now)
 		reason = ShouldMove(status, now)
 	}
 	if reason == Stay {
@@ -304,6 +306,18 @@
 	return config != nil && r.Roster.HasFaster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
 }
 
+// engineAvailable reports whether another engine has capacity for the item.
+func (r *Runner) engineAvailable(j *job, s *itemState, now time.Time) bool {
+	config := r.Catalog()
+	if config == nil {
+		return false
+	}
+	need := r.need(j, s, config.Services[s.running.service])
+	need.Avoid = map[string]bool{s.running.upstream: true}
+	_, ok := r.Roster.Pick(need, now)
+	return ok
+}
+
 const (
 	// initialEventInterval is the assumed time between events until the first ones are
 	// measured: tens of tokens at some tenths of a millisecond each.
--- a/batch/send.go
+++ b/batch/send.go
@@ -144,6 +144,7 @@
 		r.Roster.ObserveEventInterval(choice.ID, interval, now)
 		r.eventInterval += time.Duration(eventIntervalWeight * float64(interval-r.eventInterval))
 	}
+	r.Roster.RecordActivity(choice.ID, now)
 	state.running.lastActivity = now
 	state.running.events++
 	r.Roster.SetGeneratedTokens(choice.ID, state.item.ID, state.running.events*eventTokens)
--- a/batch/straggler.go
+++ b/batch/straggler.go
@@ -13,7 +13,11 @@
 	// RemainingEvents is the expected number of further events.
 	RemainingEvents int
 	FasterAvailable bool // an engine that is faster by slowRatio has capacity
-	Moves           int  // number of earlier moves of the item
+	// EngineActivity is the time of the last event of any item on the item's engine;
+	// zero if there was none.
+	EngineActivity time.Time
+	FreeElsewhere  bool // another engine has capacity
+	Moves          int  // number of earlier moves of the item
 }
 
 // Thresholds of ShouldMove.
@@ -36,8 +40,13 @@
 	minIntervalEvents = 6
 	// minGain is the time that a move must save to be worth another prefill.
 	minGain = 300 * time.Millisecond
-	// maxMoves limits the number of moves of one item.
-	maxMoves = 6
+	// maxMoves limits the number of moves of one item to a faster engine. An item leaves an
+	// unresponsive engine after any number of moves, but then waits longer for it.
+	maxMoves          = 6
+	patientMultiplier = 4
+	// maxQueueTime is how long an item may wait in the queue of an engine that sends
+	// events of other items. It bounds the delay if the engine has lost the item.
+	maxQueueTime = 5 * time.Second
 )
 
 // MoveReason is the reason for moving an item to another engine.
@@ -48,25 +57,27 @@
 	Stay         MoveReason = ""
 	Unresponsive MoveReason = "silent"
 	Slow         MoveReason = "slow"
+	Queued       MoveReason = "queued" // the item waits in the queue of a full engine
 )
 
 // ShouldMove decides whether an item is moved to another engine.
 //
 // Load pattern: an engine becomes slow or unresponsive while it runs the longest items
-// of a step.
+// of a step. Several instances fill the same engines, so that items wait in the queue of
+// an engine that runs others; such an engine is neither slow nor unresponsive.
 func ShouldMove(status AttemptStatus, now time.Time) MoveReason {
-	if status.Moves >= maxMoves {
-		return Stay
-	}
 	idle := now.Sub(status.LastActivity)
-	idleTimeout := max(minIdleTimeout, maxIdleIntervals*status.EventInterval)
 	if status.Events == 0 {
-		idleTimeout = firstEventTimeout << status.Moves
+		return shouldMoveUnstarted(status, idle, now)
+	}
+	idleTimeout := max(minIdleTimeout, maxIdleIntervals*status.EventInterval)
+	if status.Moves >= maxMoves {
+		idleTimeout *= patientMultiplier
 	}
 	if idle > idleTimeout {
 		return Unresponsive
 	}
-	if status.Events < minIntervalEvents || !status.FasterAvailable || status.EventInterval == 0 || status.TypicalInterval == 0 {
+	if status.Moves >= maxMoves || status.Events < minIntervalEvents || !status.FasterAvailable || status.EventInterval == 0 || status.TypicalInterval == 0 {
 		return Stay
 	}
 	gain := time.Duration(status.RemainingEvents) * (status.EventInterval - status.TypicalInterval)
@@ -75,3 +86,18 @@
 	}
 	return Stay
 }
+
+// shouldMoveUnstarted decides on an item of which no event has arrived for idle.
+func shouldMoveUnstarted(status AttemptStatus, idle time.Duration, now time.Time) MoveReason {
+	if idle <= firstEventTimeout<<min(status.Moves, maxMoves) {
+		return Stay
+	}
+	engineActive := now.Sub(status.EngineActivity) <= firstEventTimeout
+	switch {
+	case !engineActive, idle > maxQueueTime:
+		return Unresponsive
+	case status.FreeElsewhere:
+		return Queued
+	}
+	return Stay
+}
--- a/batch/straggler_test.go
+++ b/batch/straggler_test.go
@@ -11,6 +11,9 @@
 	const interval = 40 * time.Millisecond
 	ms := func(n int) time.Time { return baseTime.Add(time.Duration(n) * time.Millisecond) }
 	healthy := AttemptStatus{Started: baseTime, LastActivity: ms(1000), Events: 20, EventInterval: interval, TypicalInterval: interval, RemainingEvents: 50, FasterAvailable: true}
+	unstarted := func(engineActivity time.Time, freeElsewhere bool) AttemptStatus {
+		return AttemptStatus{Started: baseTime, LastActivity: baseTime, EngineActivity: engineActivity, FreeElsewhere: freeElsewhere}
+	}
 	with := func(change func(*AttemptStatus)) AttemptStatus {
 		v := healthy
 		change(&v)
@@ -30,7 +33,14 @@
 		Entry("an item that is nearly complete", with(func(v *AttemptStatus) { v.EventInterval, v.RemainingEvents = 4*interval, 2 }), ms(1040), Stay),
 		Entry("too few events to estimate the event interval", with(func(v *AttemptStatus) { v.EventInterval, v.Events = 4*interval, 3 }), ms(1040), Stay),
 		Entry("no faster engine is available", with(func(v *AttemptStatus) { v.EventInterval, v.FasterAvailable = 4*interval, false }), ms(1040), Stay),
-		Entry("the maximum number of moves", with(func(v *AttemptStatus) { v.Moves = maxMoves }), ms(9000), Stay),
+		Entry("a slow engine after the maximum number of moves", with(func(v *AttemptStatus) { v.EventInterval, v.Moves = 4*interval, maxMoves }), ms(1040), Stay),
+		Entry("a short pause after the maximum number of moves", with(func(v *AttemptStatus) { v.Moves = maxMoves }), ms(3000), Stay),
+		// An item stayed on an engine without events for good after its sixth move.
+		Entry("an engine that stopped sending events, after the maximum number of moves", with(func(v *AttemptStatus) { v.Moves = maxMoves }), ms(9000), Unresponsive),
+		Entry("an engine that runs other items, none has a free slot", unstarted(ms(750), false), ms(800), Stay),
+		Entry("an engine that runs other items, another one has a free slot", unstarted(ms(750), true), ms(800), Queued),
+		Entry("an engine that stopped sending events of other items", unstarted(ms(50), true), ms(800), Unresponsive),
+		Entry("an engine that runs other items and has lost this one", unstarted(ms(5050), false), ms(5100), Unresponsive),
 		Entry("an engine with a long event interval may pause longer", with(func(v *AttemptStatus) { v.EventInterval = 4 * interval; v.TypicalInterval = 4 * interval }), ms(1000+1500), Stay),
 	)
 })
--- a/fleet/load_planner.go
+++ b/fleet/load_planner.go
@@ -154,11 +154,15 @@
 		if n < len(engines)%len(models) {
 			quota++
 		}
+		missing := max(1, quota) - len(p.assigned[m])
+		if missing <= 0 {
+			continue // usual in steady state, and much cheaper than sorting all engines
+		}
 		candidates := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return p.assigned[m][e.ID] })
 		slices.SortFunc(candidates, func(a, b Engine) int {
 			return cmp.Or(assigned[a.ID]-assigned[b.ID], cmp.Compare(loadedVersion(b, m), loadedVersion(a, m)), cmp.Compare(hashID(a.ID), hashID(b.ID)))
 		})
-		for _, e := range candidates[:min(len(candidates), max(0, max(1, quota)-len(p.assigned[m])))] {
+		for _, e := range candidates[:min(len(candidates), missing)] {
 			p.assigned[m][e.ID] = true
 			assigned[e.ID]++
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,7 +114,8 @@
 	versionsListed atomic.Bool                   // the published versions were listed in this term
 	loadPlanners   map[string]*fleet.LoadPlanner // by service
 	lastPolled     map[fleet.Load]time.Time
-	mu             sync.Mutex // serialises the use of loadPlanners by scheduling and by results of orders
+	calls          chan struct{} // holds a value for each order and report in flight
+	mu             sync.Mutex    // serialises the use of loadPlanners by scheduling and by results of orders
 }
 
 // end stops the term's background tasks; t may be nil.
@@ -126,7 +128,7 @@
 // beginTerm starts a term and its background tasks.
 func (g *Gateway) beginTerm(ctx context.Context, epoch int64) *term {
 	g.log.Info("control role is held", zap.Int64("epoch", epoch))
-	t := &term{epoch: epoch, loadPlanners: map[string]*fleet.LoadPlanner{}, lastPolled: map[fleet.Load]time.Time{}}
+	t := &term{epoch: epoch, loadPlanners: map[string]*fleet.LoadPlanner{}, lastPolled: map[fleet.Load]time.Time{}, calls: make(chan struct{}, maxControlCalls)}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	go g.follow(t.ctx, platform.KindVersions, versionsWatchWait, func() time.Duration { return versionsWatchPause }, func() { t.versionsListed.Store(true) }, g.applyVersion)
 	go g.runUsageReports(t)
@@ -194,6 +196,7 @@
 			g.pollLoad(t, planner, l, sent, now)
 		}
 	}
+	maps.DeleteFunc(t.lastPolled, func(_ fleet.Load, at time.Time) bool { return now.Sub(at) > lastPolledTTL })
 }
 
 // readyEngines returns the ready engines of a service.
@@ -207,11 +210,16 @@
 	return list
 }
 
+// maxControlCalls bounds the orders and reports in flight. Each takes a connection, and
+// a deployment may have more engines than a process has file descriptors.
+const maxControlCalls = 128
+
 // sendLoadOrder orders an engine to load a weight version and records the outcome.
 func (g *Gateway) sendLoadOrder(t *term, planner *fleet.LoadPlanner, l fleet.Load) {
+	t.calls <- struct{}{}
+	defer func() { <-t.calls }()
 	e, known := g.roster.Entry(l.Engine)
-	holder, err := g.holder()
-	if !known || err != nil || holder.Epoch != t.epoch {
+	if !known || g.controlLease.Check(t.epoch, 0) != nil {
 		g.recordRejected(t, planner, l, fleet.UnknownOrders)
 		return
 	}
@@ -225,6 +233,12 @@
 		}
 		accepted = report.Accepted
 	}
+	// Waiting and the report take time, in which the lease may have expired.
+	holder, err := g.holder()
+	if err != nil || holder.Epoch != t.epoch {
+		g.recordRejected(t, planner, l, accepted)
+		return
+	}
 	done, err := g.engines.Order(t.ctx, to, holder, platform.SwapOrder{Model: l.Model, Version: l.Version, Mode: platform.SwapRetain, Accepted: accepted})
 	g.log.Info("order to load weights sent", zap.String("upstream", l.Engine), zap.String("model", l.Model), zap.Int64("version", l.Version),
 		zap.Int64("accepted", accepted), zap.Int64("epoch", holder.Epoch), zap.Bool("done", done), telemetry.Error(err))
@@ -256,6 +270,9 @@
 	// reportPollInterval is the minimum time between two requests for the report of an
 	// engine.
 	reportPollInterval = 300 * time.Millisecond
+	// lastPolledTTL is how long the time of the last poll for a load is kept. Loads
+	// whose outcome is not known yet are polled more often.
+	lastPolledTTL = 10 * time.Second
 )
 
 // pollLoad requests the engine's report to see whether its load is done. The caller
@@ -264,12 +281,20 @@
 	if now.Sub(sent) < expectedLoadTime+controlInterval || now.Sub(t.lastPolled[l]) < reportPollInterval {
 		return
 	}
-	t.lastPolled[l] = now
 	e, known := g.roster.Entry(l.Engine)
 	if !known {
 		return
 	}
-	go g.refreshReport(t, planner, l, upstream.Target{ID: e.ID, Address: e.Address}, false)
+	select {
+	case t.calls <- struct{}{}:
+	default:
+		return // polled again when fewer calls are in flight
+	}
+	t.lastPolled[l] = now
+	go func() {
+		defer func() { <-t.calls }()
+		g.refreshReport(t, planner, l, upstream.Target{ID: e.ID, Address: e.Address}, false)
+	}()
 }
 
 // refreshReport requests an engine's report and applies it. orderFailed means that
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -80,3 +81,36 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 3*queryTimeout/2))
 	})
 })
+
+var _ = Describe("The candidates for the control role", func() {
+	// Load pattern: every instance is a candidate, and each read of the lease is billed.
+	// The reads of 330 instances must not be 30 times those of 11.
+	It("read the lease hardly more often in a large deployment than in a small one", func() {
+		reads := func(storage, entries int) (perPoll float64) {
+			instances := map[string]instanceRecord{}
+			for n := range storage {
+				instances[fmt.Sprint("s", n)] = instanceRecord{EagerCandidate: true}
+			}
+			for n := range entries {
+				instances[fmt.Sprint("e", n)] = instanceRecord{}
+			}
+			for name, self := range instances {
+				m := &membership{name: name, self: self, instances: instances}
+				perPoll += 1 / float64(m.pollFactor())
+			}
+			return perPoll
+		}
+		Expect(reads(4, 7)).To(BeNumerically("<=", 4))
+		Expect(reads(50, 280)).To(BeNumerically("<=", 3*reads(4, 7)))
+	})
+
+	It("include standbys that are not configured to acquire the role eagerly", func() {
+		for _, c := range []struct {
+			eager bool
+			rank  int
+			want  int
+		}{{true, 0, 1}, {true, 2, 1}, {true, 3, 8}, {true, 6, 8}, {true, 7, 64}, {false, 0, 8}, {false, 3, 8}, {false, 4, 64}} {
+			Expect(controlPollFactor(c.eager, c.rank)).To(Equal(c.want), fmt.Sprint(c))
+		}
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	})
 	g.batches = batch.NewService(g.runner, g.feed, &peerClient{g}, g.batchLimits)
 	g.controlLease = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
-	g.controlLease.SetStandby(func() bool { return !g.membership.isEagerCandidate() })
+	g.controlLease.SetPollFactor(g.membership.pollFactor)
 	return g, errors.Join(g.peerServer.Register("Batches", &batchesService{g}), g.peerServer.Register("Store", &storeService{g}),
 		g.peerServer.Register("Weights", &weightsService{g}), g.peerServer.Register("Feed", &feedService{g}))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -435,6 +437,30 @@
 		}
 	})
 
+	// The holder asks an engine for its report before the first order, and sent the order
+	// although the lease had been lost in the meantime.
+	It("sends no order after the lease was lost while an engine's report was awaited", func(ctx SpecContext) {
+		d := newDeployment(1, 5)
+		gw := d.start("entry-1", nil)
+		Eventually(func() bool { _, held := gw.controlLease.Grant(0); return held }).WithTimeout(5 * time.Second).Should(BeTrue())
+		epoch := func() int64 { grant, _ := gw.controlLease.Grant(0); return grant.Epoch }
+		lost := epoch()
+		reported := make(chan struct{})
+		var once sync.Once
+		d.engines[0].SetBeforeReport(func() {
+			once.Do(func() {
+				Expect(gw.controlLease.Release(ctx)).To(Succeed())
+				close(reported)
+			})
+		})
+		d.store.Set("versions", model, map[string]any{"Model": model, "Version": 2})
+		Eventually(reported).WithTimeout(5 * time.Second).Should(BeClosed())
+		Eventually(func() int64 { return d.engines[0].Version(model) }).WithTimeout(8 * time.Second).Should(Equal(int64(2)))
+		for _, fence := range d.engines[0].Fences() {
+			Expect(fence).To(BeNumerically(">", lost))
+		}
+	})
+
 	It("reports each window's usage once with the counts of all instances", func() {
 		d := newDeployment(0, 0)
 		a, b := d.start("entry-1", nil), d.start("entry-2", nil)
@@ -524,6 +550,55 @@
 	})
 })
 
+var _ = Describe("Stored usage counts", func() {
+	store := func(gw *testInstance, counts ...string) {
+		for _, team := range counts {
+			gw.meter.count(team, gw.wall.Now())
+		}
+		gw.publishTally(context.Background())
+	}
+	// stored returns the stored counts of the current window, nil while the store cannot
+	// be read.
+	stored := func(gw *testInstance) map[string]int64 {
+		o, err := gw.store.Get(context.Background(), kindTally, gw.settings.Name)
+		if err != nil {
+			return nil
+		}
+		var t tally
+		Expect(json.Unmarshal(o.Value, &t)).To(Succeed())
+		return t.Windows[gw.meter.window(gw.wall.Now())]
+	}
+	longWindow := func(s *Settings) { s.UsageWindow = time.Hour }
+
+	It("of an earlier incarnation are added once", func() {
+		d := newDeployment(0, 0)
+		earlier := d.start("entry-1", longWindow)
+		store(earlier, "north", "north")
+		gw := d.start("entry-1", longWindow) // the earlier process no longer writes
+		store(gw, "south")
+		store(gw, "north")
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 3, "south": 1}))
+	})
+
+	// The first write of a process reads what is stored only after a conflict. After a
+	// lost response, that is its own write.
+	It("of this process are not added to themselves after a lost response", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", longWindow)
+		var lost atomic.Bool
+		d.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, kindTally) && lost.CompareAndSwap(false, true) {
+				return standin.ReplyLost
+			}
+			return standin.None
+		})
+		store(gw, "north")
+		Eventually(func() int { store(gw, "south"); return len(stored(gw)) }).WithTimeout(5 * time.Second).Should(Equal(2))
+		Expect(lost.Load()).To(BeTrue())
+		Expect(stored(gw)["north"]).To(Equal(int64(1)))
+	})
+})
+
 // expectOneFigure checks the reports of one usage window. They must all have the same
 // figures, and only a new holder may repeat a report, or the same holder after it got
 // no reply for minRepeatPause.
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/lease"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/telemetry"
 )
@@ -101,23 +102,43 @@
 	return decodeErr
 }
 
-// maxEagerCandidates bounds the instances that try to acquire the control role eagerly,
-// since each of them reads the lease about once a second.
-const maxEagerCandidates = 3
+// Candidates for the control role by their rank among the instances that are configured
+// alike. The first ones read the lease about once a second if they are to acquire it
+// eagerly, the next ones are standbys, and the others read it rarely, so that the reads
+// of a large deployment hardly exceed those of a small one.
+const (
+	eagerCandidates   = 3
+	standbyCandidates = 4
+	remoteFactor      = 8 * lease.StandbyFactor
+)
+
+// controlPollFactor returns the multiple of the poll interval at which a candidate of a
+// rank reads the lease.
+func controlPollFactor(eager bool, rank int) int {
+	if eager {
+		if rank < eagerCandidates {
+			return 1
+		}
+		rank -= eagerCandidates
+	}
+	if rank < standbyCandidates {
+		return lease.StandbyFactor
+	}
+	return remoteFactor
+}
 
-// isEagerCandidate reports whether this instance is among those that try to acquire the
-// control role eagerly. All instances compute the same ranking; those ranked lower try
-// too, but read the lease less often.
-func (m *membership) isEagerCandidate() bool {
+// pollFactor returns the multiple of the poll interval at which this instance reads the
+// lease of the control role. All instances compute the same ranking.
+func (m *membership) pollFactor() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := 0
+	rank := 0
 	for name, r := range m.instances {
-		if r.EagerCandidate && xxhash.Sum64String(name) < xxhash.Sum64String(m.name) {
-			before++
+		if name != m.name && r.EagerCandidate == m.self.EagerCandidate && xxhash.Sum64String(name) < xxhash.Sum64String(m.name) {
+			rank++
 		}
 	}
-	return m.self.EagerCandidate && before < maxEagerCandidates
+	return controlPollFactor(m.self.EagerCandidate, rank)
 }
 
 // domainPeers returns the addresses of the instances in this instance's failure
@@ -232,10 +253,15 @@
 	}
 }
 
-// writeRecord writes this instance's record over that of an earlier incarnation.
+// writeRecord writes this instance's record over that of an earlier incarnation. There
+// is none at most starts, so it reads that only after a conflict.
 func (g *Gateway) writeRecord(ctx context.Context) error {
+	_, err := g.store.Put(ctx, kindInstances, g.settings.Name, 0, g.membership.self)
+	if !errors.Is(err, objects.ErrConflict) {
+		return err
+	}
 	o, err := g.store.Get(ctx, kindInstances, g.settings.Name)
-	if err != nil && !errors.Is(err, objects.ErrNotFound) {
+	if err != nil {
 		return err
 	}
 	_, err = g.store.Put(ctx, kindInstances, g.settings.Name, o.Version, g.membership.self)
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -26,7 +26,8 @@
 
 // tally is the stored form of an instance's counts, by window and team.
 type tally struct {
-	Windows map[int64]map[string]int64 `json:"windows"`
+	Incarnation string                     `json:"incarnation,omitempty"` // of the writer
+	Windows     map[int64]map[string]int64 `json:"windows"`
 }
 
 // meter counts, by window and team, the requests that this instance started.
@@ -126,7 +127,6 @@
 
 // runTallyPublisher stores this instance's counts once per window until ctx ends.
 func (g *Gateway) runTallyPublisher(ctx context.Context) {
-	g.restoreTally(ctx)
 	for ctx.Err() == nil {
 		now := g.wall.Now()
 		next := g.meter.windowStart(g.meter.window(now.Add(-publishDelay)) + 1).Add(publishDelay)
@@ -138,28 +138,6 @@
 	}
 }
 
-// restoreTally reads the counts that an earlier incarnation of this instance stored. It
-// retries until the store responds.
-func (g *Gateway) restoreTally(ctx context.Context) {
-	for ctx.Err() == nil {
-		o, err := g.store.Get(ctx, kindTally, g.settings.Name)
-		if errors.Is(err, objects.ErrNotFound) {
-			return
-		}
-		var t tally
-		if err == nil {
-			if err = json.Unmarshal(o.Value, &t); err != nil {
-				g.warn("decode stored usage counts", err)
-				return
-			}
-			g.meter.restore(t, g.wall.Now())
-			g.meter.setVersion(o.Version, nil)
-			return
-		}
-		g.clock.Sleep(maxRetryPause)
-	}
-}
-
 // publishTally stores the counts if they have changed.
 func (g *Gateway) publishTally(ctx context.Context) {
 	t, changed := g.meter.snapshot()
@@ -173,11 +151,14 @@
 }
 
 // storeTally writes the counts. It uses the version of the last write and reads the
-// current one only after a conflict.
+// current one only after a conflict. A conflict of the first write means that an earlier
+// incarnation of this instance stored counts, which it adds.
 func (g *Gateway) storeTally(ctx context.Context, t tally) error {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	for {
+		t.Incarnation = g.membership.self.Incarnation
+		first := g.meter.version() == 0
 		o, err := g.store.Put(ctx, kindTally, g.settings.Name, g.meter.version(), t)
 		if !errors.Is(err, objects.ErrConflict) {
 			g.meter.setVersion(o.Version, err)
@@ -187,10 +168,27 @@
 		if err != nil && !errors.Is(err, objects.ErrNotFound) {
 			return err
 		}
+		if first && err == nil {
+			g.restoreTally(o)
+			t, _ = g.meter.snapshot()
+		}
 		g.meter.setVersion(o.Version, nil)
 	}
 }
 
+// restoreTally adds stored counts unless this process wrote them, in a write whose
+// response was lost.
+func (g *Gateway) restoreTally(o objects.Object) {
+	var earlier tally
+	if err := json.Unmarshal(o.Value, &earlier); err != nil {
+		g.warn("decode stored usage counts", err)
+		return
+	}
+	if earlier.Incarnation != g.membership.self.Incarnation {
+		g.meter.restore(earlier, g.wall.Now())
+	}
+}
+
 // sumWindow adds up the counts of a window by team over all instances.
 func sumWindow(tallies []tally, window int64) map[string]int64 {
 	sum := map[string]int64{}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -115,7 +115,12 @@
 		Alternative: i.hasAlternative, Observe: i.traffic.countAttempt,
 	}
 	for _, role := range []*lease.Keeper{i.upstreamRole, i.billingRole} {
-		role.SetStandby(func() bool { return i.isStandby(role.Role()) })
+		role.SetPollFactor(func() int {
+			if i.isStandby(role.Role()) {
+				return lease.StandbyFactor
+			}
+			return 1
+		})
 	}
 	i.controller = newUpstreamController(i)
 	i.usage = newUsageTracker(i)
--- a/internal/experiment/member.go
+++ b/internal/experiment/member.go
@@ -48,7 +48,12 @@
 
 func (m *Member) runCandidate(ctx context.Context, role, name string, rank int) {
 	keeper := lease.NewKeeper(role, name, m.client, clockwork.NewRealClock(), lease.DefaultTiming())
-	keeper.SetStandby(func() bool { return rank >= activeCandidates })
+	keeper.SetPollFactor(func() int {
+		if rank >= activeCandidates {
+			return lease.StandbyFactor
+		}
+		return 1
+	})
 	m.roles = append(m.roles, keeper)
 	go keeper.Run(ctx, func(error) {})
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -19,8 +19,6 @@
 	// A failed attempt is retried after the renewal interval divided by
 	// retryDivisor.
 	retryDivisor = 4
-	// A standby reads the lease at standbyFactor times the poll interval.
-	standbyFactor = 8
 )
 
 // Keeper acquires and renews the lease of one role for one process.
@@ -30,8 +28,8 @@
 	clock  clockwork.Clock
 	timing Timing
 	grant  atomic.Pointer[Grant]
-	// standby reports whether other candidates take precedence.
-	standby func() bool
+	// pollFactor returns the multiple of the poll interval at which the lease is read.
+	pollFactor func() int
 
 	mu        sync.Mutex // serialises attempts; held during store calls so that writes never overlap
 	candidate candidate
@@ -41,15 +39,16 @@
 func NewKeeper(role, self string, store objects.Store, clock clockwork.Clock, timing Timing) *Keeper {
 	return &Keeper{
 		role: role, store: store, clock: clock, timing: timing,
-		candidate: candidate{self: NewIdentity(self), timing: timing},
-		standby:   func() bool { return false },
+		candidate:  candidate{self: NewIdentity(self), timing: timing},
+		pollFactor: func() int { return 1 },
 	}
 }
 
-// SetStandby makes the keeper read the lease less often while standby returns
-// true and the role is not held, which avoids most of the candidates' reads from
-// the platform. It must be called before Run.
-func (k *Keeper) SetStandby(standby func() bool) { k.standby = standby }
+// SetPollFactor makes the keeper read the lease at a multiple of the poll interval while
+// the role is not held. A candidate after which others take precedence has a factor
+// above 1, which avoids most of the candidates' reads from the platform. It must be
+// called before Run.
+func (k *Keeper) SetPollFactor(factor func() int) { k.pollFactor = factor }
 
 // Role returns the name of the role.
 func (k *Keeper) Role() string { return k.role }
@@ -97,11 +96,7 @@
 
 // pollInterval returns the interval between reads while the role is not held.
 func (k *Keeper) pollInterval() time.Duration {
-	interval := cmp.Or(k.timing.Poll, k.timing.Renew)
-	if k.standby() {
-		interval *= standbyFactor
-	}
-	return interval
+	return cmp.Or(k.timing.Poll, k.timing.Renew) * time.Duration(max(1, k.pollFactor()))
 }
 
 // Attempt reads the lease, unless the last write is known to have taken effect,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -21,6 +21,10 @@
 	DefaultMargin = 2 * time.Second // tolerance for different clock rates
 )
 
+// StandbyFactor is the poll factor of a candidate that is to take a role over if all
+// preferred candidates have failed.
+const StandbyFactor = 8
+
 // Timing is the timing of a lease. It must be the same on all instances of a
 // deployment.
 type Timing struct {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,6 +49,7 @@
 	memoryByRequest     map[string]requestMemory // by request ID; only requests with known memory
 	unavailableUntil    time.Time
 	consecutiveFailures int
+	lastActivity        time.Time // of the last event of any stream of this instance
 	interval            eventInterval
 	blockedUntil        map[string]time.Time // by model; no new requests until then
 }
@@ -240,6 +241,18 @@
 	r.update(id, func(s *state) { s.consecutiveFailures = 0 })
 }
 
+// RecordActivity records that a stream of the upstream had an event.
+func (r *Roster) RecordActivity(id string, now time.Time) {
+	r.update(id, func(s *state) { s.lastActivity = now })
+}
+
+// LastActivity returns the time of the last recorded event of an upstream; zero if there
+// was none.
+func (r *Roster) LastActivity(id string) (at time.Time) {
+	r.update(id, func(s *state) { at = s.lastActivity })
+	return at
+}
+
 // ObserveEventInterval records the time between two events of a stream.
 func (r *Roster) ObserveEventInterval(id string, interval time.Duration, now time.Time) {
 	r.update(id, func(s *state) { s.interval.observe(interval, now) })
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -143,10 +143,16 @@
 			}
 			return &trackedConn{Conn: c}, nil
 		},
-		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
 	}
 }
 
-const maxIdleConnsPerUpstream = 256
+const (
+	maxIdleConnsPerUpstream = 256
+	// maxResponseHeaderBytes limits a response's status line and headers. A faulty
+	// upstream may send a header without end.
+	maxResponseHeaderBytes = 64 << 10
+)
