Large fleets: bounded connections, watches by the deployment's bounds, load notices

Sources watched the store at intervals for a bound of 2 s where the deployment allows 4 s, and followed the heads of batches in domains that run none. A fifth of the items sent were refused, most by engines that were loading weights: only the holder of the control role knew of the loads, the owners asked again each 150 ms.

--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -70,7 +70,8 @@
 }
 
 // saveCheckpoint stores a checkpoint. It does not retry, since a missing checkpoint
-// only means that text is generated again.
+// only means that text is generated again. After an error the version of the stored texts
+// is not known, since the write may have taken effect; the next checkpoint reads it.
 func (r *Runner) saveCheckpoint(ctx context.Context, c checkpoint) {
 	r.mu.Lock()
 	id, expect := c.job.head.ID, c.job.progressVersion
@@ -80,9 +81,8 @@
 	version, err := r.Store.SaveProgress(ctx, id, expect, c.texts)
 	if err != nil {
 		r.Log.Info("batch checkpoint could not be stored; retrying at the next interval", zap.String("batch", id), zap.Int("items", len(c.texts)), telemetry.Error(err))
-		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.job.progressVersion = version
+	c.job.progressVersion = version // 0 after an error
 }
--- a/batch/store_test.go
+++ b/batch/store_test.go
@@ -196,3 +196,24 @@
 		})
 	})
 })
+
+var _ = Describe("A checkpoint", func() {
+	// After one write whose response was lost, every later checkpoint of the batch failed
+	// with a conflict, so its next owner resumed from old texts.
+	It("is stored after an earlier one took effect although its response was lost", func(ctx SpecContext) {
+		store := memstore.New()
+		r := newIdleService(store, "a").runner
+		Expect(r.Add(Stored{ID: "l", Head: Head{Owner: "a"}}, submission("l", 1), NewResultLog(1), nil, Limits{Due: time.Minute, MaxAge: time.Minute})).To(BeTrue())
+		text := func(events int) checkpoint {
+			return checkpoint{r.jobs["l"], map[string]Partial{"l-0": {Last: int64(events - 1), Events: events, Text: "x", Versions: []int64{1}}}}
+		}
+		r.saveCheckpoint(ctx, text(1))
+		_, err := r.Store.SaveProgress(ctx, "l", 0, text(2).texts) // the write whose response was lost
+		Expect(err).NotTo(HaveOccurred())
+		r.saveCheckpoint(ctx, text(3)) // a conflict
+		r.saveCheckpoint(ctx, text(4))
+		stored, err := r.Store.loadProgress(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored["l-0"].Events).To(Equal(4))
+	})
+})
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -246,7 +246,7 @@
 	case err == nil && done:
 		g.recordLoaded(l.Engine, l.Model, l.Version)
 	case err == nil:
-		g.roster.BlockModel(l.Engine, l.Model, g.clock.Now().Add(expectedLoadTime))
+		g.sendNotice(LoadNotice{ID: e.ID, Started: e.Started, Model: l.Model, Version: l.Version, Loading: true})
 		t.mu.Lock()
 		planner.Accepted(l, accepted)
 		t.mu.Unlock()
@@ -323,11 +323,14 @@
 // later.
 func (g *Gateway) recordLoaded(id, model string, version int64) {
 	g.roster.SetVersion(id, model, version)
-	e, known := g.roster.Entry(id)
-	if !known {
-		return
+	if e, known := g.roster.Entry(id); known {
+		g.sendNotice(LoadNotice{ID: id, Started: e.Started, Model: model, Version: version})
 	}
-	notice := LoadNotice{ID: id, Started: e.Started, Model: model, Version: version}
+}
+
+// sendNotice applies a load notice here and sends it to the instances that run batches.
+func (g *Gateway) sendNotice(notice LoadNotice) {
+	g.applyNotice(notice)
 	for _, peer := range g.noticePeers() {
 		if peer == g.settings.PeerListen {
 			continue
@@ -385,28 +388,40 @@
 // it reads the version from the engine's registration.
 const noticeTimeout = 300 * time.Millisecond
 
-// LoadNotice is the notification that an engine serves a weight version.
+// LoadNotice is the notification that an engine loads or serves a weight version.
 type LoadNotice struct {
 	ID      string
 	Started int64 // identifies the engine's incarnation
 	Model   string
 	Version int64
+	Loading bool // the engine has accepted the order to load the version
 }
 
 // weightsService serves load notices from the instance that holds the control role.
 type weightsService struct{ gateway *Gateway }
 
-// Loaded records that an engine serves a weight version, unless the notice is about
-// an unknown engine, another incarnation or an older version.
+// Loaded applies a load notice.
 func (w *weightsService) Loaded(n LoadNotice, _ *struct{}) error {
-	e, known := w.gateway.roster.Entry(n.ID)
-	if known && e.Started == n.Started && e.Models[n.Model] < n.Version {
-		w.gateway.roster.SetVersion(n.ID, n.Model, n.Version)
-		w.gateway.runner.Signal()
-	}
+	w.gateway.applyNotice(n)
 	return nil
 }
 
+// applyNotice records that an engine loads or serves a weight version, unless the notice
+// is about an unknown engine, another incarnation or an older version. An engine that
+// loads refuses all new requests for the model, so it gets none meanwhile.
+func (g *Gateway) applyNotice(n LoadNotice) {
+	e, known := g.roster.Entry(n.ID)
+	switch {
+	case !known || e.Started != n.Started:
+	case n.Loading && e.Models[n.Model] < n.Version:
+		g.roster.BlockModel(n.ID, n.Model, g.clock.Now().Add(expectedLoadTime))
+	case !n.Loading && e.Models[n.Model] <= n.Version:
+		g.roster.SetVersion(n.ID, n.Model, n.Version)
+		g.roster.BlockModel(n.ID, n.Model, time.Time{})
+		g.runner.Signal()
+	}
+}
+
 // releaseControl releases the lease once no order of this instance can still be in
 // transit.
 func (g *Gateway) releaseControl(ctx context.Context) {
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,44 +12,44 @@
 	"github.com/pomelocross/pomelocross/roster"
 )
 
-// Timing of a source's watches of the store, and the ages of its data above which it
-// refuses queries.
+// Timing of a source's watches of the store.
 const (
 	// Registrations of upstreams change all the time, so these watches also detect soon
 	// that the store does not respond.
-	sourceServersWait  = 500 * time.Millisecond
-	sourceServersPause = 600 * time.Millisecond
-	sourceConfigWait   = time.Second
+	sourceServersWait = 500 * time.Millisecond
 	// The end of a batch must reach its engines within seconds.
 	sourceHeadsWait  = 800 * time.Millisecond
 	sourceHeadsPause = 600 * time.Millisecond
 	// Instances start and stop rarely; a stale list costs no more than a timeout.
 	sourceInstancesWait  = 3 * time.Second
 	sourceInstancesPause = time.Second
-	// sourceMaxAge is the time since the last response of the store for a kind after
-	// which a source refuses queries. Readers then query the store themselves, within
-	// the time in which a new configuration must take effect.
-	sourceMaxAge = 1400 * time.Millisecond
-	// sourceHeadsMaxAge is the same limit for batch heads. It is shorter than the time
-	// in which an owner must stop the items of an ended batch: a source that cannot
-	// reach the store must not hide the end of the batch for that long.
-	sourceHeadsMaxAge = sourceHeadsWait + sourceHeadsPause + 200*time.Millisecond
-	// sourceInstancesMaxAge is the same limit for the list of instances.
-	sourceInstancesMaxAge = 2 * (sourceInstancesWait + sourceInstancesPause)
+	// sourceAgeMargin is added to the time between two responses of the store for a kind.
+	// Above that age, a source refuses queries: it may have lost the store, and its
+	// readers query the store themselves.
+	sourceAgeMargin = 300 * time.Millisecond
 )
 
-// feedKinds are the kinds of object that the feed serves: those that every instance
-// watches.
-var feedKinds = []objects.CacheKind{
-	{Kind: platform.KindServers, Wait: sourceServersWait, Pause: sourceServersPause, MaxAge: sourceMaxAge, Unchanged: sameRegistration},
-	{Kind: platform.KindConfig, Wait: sourceConfigWait, MaxAge: sourceMaxAge},
-	{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause, MaxAge: sourceHeadsMaxAge},
-	{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause, MaxAge: sourceInstancesMaxAge},
+// feedKinds returns the kinds of object that the feed serves: those that every instance
+// watches. Every watch of the store is billed, so they last as long as the bounds of the
+// deployment allow.
+func feedKinds(s *Settings) []objects.CacheKind {
+	kinds := []objects.CacheKind{
+		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: s.serversPause(), Unchanged: sameRegistration},
+		{Kind: platform.KindConfig, Wait: s.ConfigBound / 2},
+		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
+		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
+	}
+	for n := range kinds {
+		kinds[n].MaxAge = kinds[n].Wait + kinds[n].Pause + sourceAgeMargin
+	}
+	return kinds
 }
 
-// inFeed reports whether the feed serves a kind.
-func inFeed(kind string) bool {
-	return slices.ContainsFunc(feedKinds, func(k objects.CacheKind) bool { return k.Kind == kind })
+// serversPause returns the pause between two watches of the registrations, which delays
+// the news that an upstream is leaving.
+func (s *Settings) serversPause() time.Duration {
+	const numerator, denominator = 3, 10 // the rest of the bound is for the way to the instances, and for a source that fails
+	return s.LeaveBound * numerator / denominator
 }
 
 const (
@@ -71,11 +70,11 @@
 type feed struct {
 	objects.Store // the store itself
 	gateway       *Gateway
+	kinds         map[string]objects.CacheKind // by name
 	cache         *objects.Cache
 
 	mu              sync.Mutex               // guards all below
-	following       bool                     // the cache is following the store
-	lastRead        time.Time                // time of the last read from the cache
+	lastReads       map[string]time.Time     // by kind that the cache follows: time of the last read
 	backoffs        map[string]sourceBackoff // by address of the source
 	lastDirectWatch map[string]time.Time     // by kind: time of the last watch at the store
 }
@@ -87,10 +86,20 @@
 }
 
 func newFeed(g *Gateway) *feed {
-	return &feed{
-		Store: g.store, gateway: g, cache: objects.NewCache(g.store, g.clock.Now),
-		backoffs: map[string]sourceBackoff{}, lastDirectWatch: map[string]time.Time{},
+	f := &feed{
+		Store: g.store, gateway: g, kinds: map[string]objects.CacheKind{}, cache: objects.NewCache(g.store, g.clock.Now),
+		lastReads: map[string]time.Time{}, backoffs: map[string]sourceBackoff{}, lastDirectWatch: map[string]time.Time{},
+	}
+	for _, k := range feedKinds(g.settings) {
+		f.kinds[k.Kind] = k
 	}
+	return f
+}
+
+// serves reports whether the feed serves a kind.
+func (f *feed) serves(kind string) bool {
+	_, ok := f.kinds[kind]
+	return ok
 }
 
 // sources returns the addresses of the instances to query, best first: those of the
@@ -135,30 +144,37 @@
 // maxBackoffDoublings bounds the exponent of a source's backoff.
 const maxBackoffDoublings = 3
 
-// cacheIdleTimeout is how long the cache keeps following the store without readers.
-// Without readers, another instance has become the source of the domain.
+// cacheIdleTimeout is how long the cache keeps following a kind without readers.
+// Without readers, another instance has become the source of the domain, or no instance
+// of it runs batches.
 const cacheIdleTimeout = 5 * time.Second
 
-// ensureFollowing records a read and starts following the kinds of the feed unless
-// the cache already does.
-func (f *feed) ensureFollowing() {
+// ensureFollowing records a read of a kind and starts following it unless the cache
+// already does.
+func (f *feed) ensureFollowing(kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastRead = f.gateway.clock.Now()
-	if f.following {
+	_, following := f.lastReads[kind]
+	f.lastReads[kind] = f.gateway.clock.Now()
+	if following {
 		return
 	}
-	f.following = true
 	ctx, cancel := context.WithCancel(f.gateway.background)
-	for _, k := range feedKinds {
-		m := &storeMonitor{gateway: f.gateway, kind: k.Kind}
-		go f.cache.Follow(ctx, k, m.observe)
-	}
-	go f.stopWhenIdle(ctx, cancel)
+	m := &storeMonitor{gateway: f.gateway, kind: kind}
+	go f.cache.Follow(ctx, f.kinds[kind], m.observe)
+	go f.stopWhenIdle(ctx, cancel, kind)
 }
 
-// stopWhenIdle stops following once there was no read for cacheIdleTimeout.
-func (f *feed) stopWhenIdle(ctx context.Context, cancel context.CancelFunc) {
+// follows reports whether the cache follows a kind.
+func (f *feed) follows(kind string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, following := f.lastReads[kind]
+	return following
+}
+
+// stopWhenIdle stops following a kind once there was no read for cacheIdleTimeout.
+func (f *feed) stopWhenIdle(ctx context.Context, cancel context.CancelFunc, kind string) {
 	defer cancel()
 	for {
 		select {
@@ -167,8 +183,10 @@
 		case <-f.gateway.clock.After(cacheIdleTimeout / 2):
 		}
 		f.mu.Lock()
-		idle := f.gateway.clock.Now().Sub(f.lastRead) > cacheIdleTimeout
-		f.following = !idle
+		idle := f.gateway.clock.Now().Sub(f.lastReads[kind]) > cacheIdleTimeout
+		if idle {
+			delete(f.lastReads, kind)
+		}
 		f.mu.Unlock()
 		if idle {
 			return
@@ -196,6 +214,9 @@
 type FeedReply struct {
 	List objects.List // a single object if Name was given
 	Code objects.RelayCode
+	// NotFollowed is set if a single object was queried of a kind that the source does
+	// not follow.
+	NotFollowed bool
 }
 
 // feedService serves the feeds of other instances, usually those of the same failure
@@ -207,13 +228,26 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
 	defer cancel()
 	list, err := s.gateway.feed.readCache(ctx, args)
+	if errors.Is(err, errNotFollowed) {
+		reply.NotFollowed = true
+		return nil
+	}
 	reply.List, reply.Code = list, objects.RelayCodeOf(err)
 	return nil
 }
 
-// readCache serves a query from the local cache, which it makes follow the store.
+var errNotFollowed = errors.New("the kind is not followed here")
+
+// readCache serves a query from the local cache. A list or watch makes the cache follow
+// the kind. A query for a single object does not, because one read of it at the store
+// costs less than watching the kind; it returns errNotFollowed.
 func (f *feed) readCache(ctx context.Context, args FeedArgs) (objects.List, error) {
-	f.ensureFollowing()
+	if args.Name != "" && !f.follows(args.Kind) {
+		return objects.List{}, errNotFollowed
+	}
+	if args.Name == "" {
+		f.ensureFollowing(args.Kind)
+	}
 	listCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	f.cache.WaitListed(listCtx, args.Kind)
 	cancel()
@@ -235,10 +269,13 @@
 	for _, peer := range f.sources() {
 		if peer == f.gateway.settings.PeerListen {
 			list, err = f.readCache(ctx, args)
-			return list, err, !errors.Is(err, objects.ErrRefused)
+			return list, err, !errors.Is(err, objects.ErrRefused) && !errors.Is(err, errNotFollowed)
 		}
 		reply, err := f.querySource(ctx, peer, args)
 		f.recordResult(peer, err == nil)
+		if reply.NotFollowed {
+			return list, nil, false
+		}
 		if err == nil {
 			return reply.List, reply.Code.Err(), true
 		}
@@ -268,7 +305,7 @@
 
 // List implements objects.Store. It falls back to the store when no source responds.
 func (f *feed) List(ctx context.Context, kind string) (objects.List, error) {
-	if inFeed(kind) {
+	if f.serves(kind) {
 		if list, err, ok := f.readSources(ctx, FeedArgs{Kind: kind}); ok {
 			return list, err
 		}
@@ -279,7 +316,7 @@
 // GetStale implements objects.StaleReader. It falls back to the store when no source
 // responds.
 func (f *feed) GetStale(ctx context.Context, kind, name string) (objects.Object, error) {
-	if inFeed(kind) {
+	if f.serves(kind) {
 		if list, err, ok := f.readSources(ctx, FeedArgs{Kind: kind, Name: name}); ok && (err != nil || len(list.Objects) == 1) {
 			if err != nil {
 				return objects.Object{}, err
@@ -294,7 +331,7 @@
 // for a short time only, so that the sources are soon queried again, and no more often
 // than a source would.
 func (f *feed) Watch(ctx context.Context, kind string, after objects.Version, wait time.Duration) (objects.List, error) {
-	if !inFeed(kind) {
+	if !f.serves(kind) {
 		return f.Store.Watch(ctx, kind, after, wait)
 	}
 	if list, err, ok := f.readSources(ctx, FeedArgs{Kind: kind, After: after, Wait: wait}); ok {
@@ -304,12 +341,12 @@
 	return f.Store.Watch(ctx, kind, after, min(wait, initialBackoff))
 }
 
-// throttleDirectWatch waits until at least sourceServersPause has passed since the last
+// throttleDirectWatch waits until at least the pause of the registrations has passed since the last
 // watch of a kind at the store.
 func (f *feed) throttleDirectWatch(ctx context.Context, kind string) {
 	f.mu.Lock()
 	now := f.gateway.clock.Now()
-	next := f.lastDirectWatch[kind].Add(sourceServersPause)
+	next := f.lastDirectWatch[kind].Add(f.gateway.settings.serversPause())
 	f.lastDirectWatch[kind] = now
 	f.mu.Unlock()
 	if !now.Before(next) {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -10,11 +10,12 @@
 
 	"github.com/pomelocross/pomelocross/boottime"
 	"github.com/pomelocross/pomelocross/link"
+	"github.com/pomelocross/pomelocross/roster"
 )
 
 // feedOf returns the feed of an instance that is not running.
 func feedOf(name string, peers ...string) *feed {
-	s := &Settings{Name: name, Domain: "a", PeerListen: name + ":1", Peers: peers}
+	s := &Settings{Name: name, Domain: "a", PeerListen: name + ":1", Peers: peers, LeaveBound: 2 * time.Second, ConfigBound: 2 * time.Second}
 	g := &Gateway{settings: s, membership: newMembership(s), clock: boottime.New()}
 	g.currentSettings.Store(s)
 	return newFeed(g)
@@ -114,3 +115,30 @@
 		}
 	})
 })
+
+var _ = Describe("A load notice", func() {
+	// Load pattern: at each new version the engines of a model load one after the other,
+	// and refuse all new items meanwhile. A fifth of all items sent were refused.
+	It("keeps items away from an engine while it loads, and no longer", func() {
+		d := newDeployment(1, 5)
+		gw := d.start("entry-1", nil)
+		e, _ := gw.roster.Entry("engine-0")
+		available := func() bool {
+			_, ok := gw.roster.Pick(roster.Need{Service: "lm", Model: model}, gw.clock.Now())
+			return ok
+		}
+		notify := func(n LoadNotice) {
+			n.ID, n.Model = e.ID, model
+			Expect((&weightsService{gw.Gateway}).Loaded(n, nil)).To(Succeed())
+		}
+		Expect(available()).To(BeTrue())
+		notify(LoadNotice{Started: e.Started + 1, Version: 2, Loading: true}) // another incarnation
+		Expect(available()).To(BeTrue())
+		notify(LoadNotice{Started: e.Started, Version: 2, Loading: true})
+		Expect(available()).To(BeFalse())
+		notify(LoadNotice{Started: e.Started, Version: 2})
+		Expect(available()).To(BeTrue())
+		notify(LoadNotice{Started: e.Started, Version: 2, Loading: true}) // delivered late
+		Expect(available()).To(BeTrue())
+	})
+})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,8 +24,11 @@
 	serversWatchWait = time.Second
 	// idleWatchWait and idleWatchPause apply to instances that send no requests or
 	// orders to upstreams.
-	idleWatchWait  = 6 * time.Second
-	idleWatchPause = 3 * time.Second
+	idleWatchWait = 6 * time.Second
+	// retirementsWatchWait is long, since emptying a storage instance takes no time and
+	// is requested rarely.
+	retirementsWatchWait = 20 * time.Second
+	idleWatchPause       = 3 * time.Second
 	// maxRetryPause bounds the pause after failures, so that missed changes are read
 	// soon after the store has recovered.
 	maxRetryPause = 500 * time.Millisecond
@@ -168,7 +171,7 @@
 	if g.servesCallers() {
 		return
 	}
-	g.follow(ctx, platform.KindRetirements, idleWatchWait, nil, nil, func(o objects.Object) {
+	g.follow(ctx, platform.KindRetirements, retirementsWatchWait, nil, nil, func(o objects.Object) {
 		if o.Deleted || o.Name != g.settings.Name {
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,7 @@
 	g := &Gateway{
 		settings: s, log: t.Log, clock: boottime.New(), wall: boottime.NewWall(), counters: counters, metrics: t.Metrics,
 		directStore: platform.NewStore(s.Store, counters), cloud: platform.NewCloud(s.Cloud, counters),
-		engines: platform.NewEngines(upstream.NewClient(), counters), roster: roster.New(),
+		engines: platform.NewEngines(upstream.NewClientWithLimit(maxIdleConns(s.MaxFiles)), counters), roster: roster.New(),
 		dialer: link.NewDialer(identity), peerServer: link.NewServer(identity), versions: newVersionTable(),
 	}
 	g.currentSettings.Store(s)
@@ -115,6 +115,18 @@
 	return lease.Timing{Term: bound * 2 / 3, Renew: bound / 4, Margin: bound / 2, Poll: bound / 3}
 }
 
+// idleConnsDivisor is the divisor of the limit on file descriptors that gives the idle
+// connections to upstreams. A deployment may have more engines than an instance has
+// descriptors, and each idle connection takes some 30 KB of memory too.
+const idleConnsDivisor = 16
+
+// maxIdleConns returns the number of idle connections to upstreams that an instance
+// keeps.
+func maxIdleConns(maxFiles int) int {
+	const defaultMaxFiles = 4096 // applies when the process has no limit
+	return cmp.Or(maxFiles, defaultMaxFiles) / idleConnsDivisor
+}
+
 // resultMemoryDivisor is the divisor of the memory limit that gives the memory for
 // results of ended batches.
 const resultMemoryDivisor = 8
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -89,9 +89,14 @@
 // concurrent use.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client with its own connection pool.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: newTransport(), CheckRedirect: noRedirect}}
+// NewClient returns a client with its own connection pool, which holds any number of
+// idle connections.
+func NewClient() *Client { return NewClientWithLimit(0) }
+
+// NewClientWithLimit returns a client whose pool holds at most maxIdle idle connections
+// to all upstreams together; 0 means no limit.
+func NewClientWithLimit(maxIdle int) *Client {
+	return &Client{http: &http.Client{Transport: newTransport(maxIdle), CheckRedirect: noRedirect}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -133,7 +133,7 @@
 	return t.conn == nil || t.conn.blockWrites(t.startOffset)
 }
 
-func newTransport() *http.Transport {
+func newTransport(maxIdle int) *http.Transport {
 	connect := dial.Func(dialTimeout, unackedTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -143,6 +143,7 @@
 			}
 			return &trackedConn{Conn: c}, nil
 		},
+		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +132,29 @@
 		Entry("no last chunk", engine.NoEnd, 5, upstream.ErrTruncated),
 	)
 })
+
+var _ = Describe("The connection pool", func() {
+	// An instance that had sent items to 3,000 engines kept 8,000 idle connections, all
+	// of its file descriptors.
+	It("holds a limited number of idle connections to all upstreams together", func(ctx SpecContext) {
+		const upstreams, limit = 24, 4
+		client := upstream.NewClientWithLimit(limit)
+		var open atomic.Int64
+		for range upstreams {
+			server := httptest.NewUnstartedServer(service.New("desk"))
+			server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+				switch s {
+				case http.StateNew:
+					open.Add(1)
+				case http.StateClosed:
+					open.Add(-1)
+				}
+			}
+			server.Start()
+			DeferCleanup(server.Close)
+			_, err := client.Plain(ctx, strings.TrimPrefix(server.URL, "http://"), upstream.PlainRequest{Method: "POST", Path: "/orders"})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(open.Load).Should(BeNumerically("<=", limit))
+	})
+})
