Followers keep up with a store whose changes exceed a response

Cause: at 295 instances with 3,006 engines registrations are renewed 2,500 times a second, more than a megabyte for each pause between two watches, and the store limits a response to that.

Ruled out: a limit of 500 changes a response, which the earlier pause would have met too.

Change: after a response of 256 KB or more the next watch follows without a pause. Sources decode each registration once instead of twice; one that is valid again after it was not is a change, also if it is as before.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -34,7 +34,7 @@
 // deployment allow.
 func feedKinds(s *Settings) []objects.CacheKind {
 	kinds := []objects.CacheKind{
-		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: s.serversPause(), Unchanged: sameRegistration},
+		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: s.serversPause(), Content: registrationContent, Same: sameRegistration},
 		{Kind: platform.KindConfig, Wait: s.ConfigBound / 2},
 		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
 		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
@@ -194,11 +194,18 @@
 	}
 }
 
+// registrationContent returns the decoded registration, or nil if it is invalid.
+func registrationContent(o objects.Object) any {
+	e, err := platform.DecodeServer(o)
+	if err != nil {
+		return nil // readers get the change and log the error
+	}
+	return e
+}
+
 // sameRegistration reports whether a registration was renewed without other changes.
-func sameRegistration(before, after objects.Object) bool {
-	a, errA := platform.DecodeServer(before)
-	b, errB := platform.DecodeServer(after)
-	return errA == nil && errB == nil && roster.Same(a, b)
+func sameRegistration(before, after any) bool {
+	return roster.Same(before.(roster.Entry), after.(roster.Entry))
 }
 
 // FeedArgs is a query to a source for one object, for all objects of a kind or for their
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -26,6 +26,7 @@
 // cachedKind is the cached state of one kind.
 type cachedKind struct {
 	objects      map[string]Object
+	contents     map[string]any // by name; empty without CacheKind.Content
 	changes      []Object
 	changesFrom  Version // changes holds all changes after this version
 	version      Version
@@ -48,15 +49,17 @@
 	// MaxAge is the age of the store's last response from which reads of the kind
 	// return ErrRefused. It must be longer than Wait and Pause together.
 	MaxAge time.Duration
-	// Unchanged reports whether a change is irrelevant to readers. Such changes are
-	// not returned by Watch. Nil means that every change is relevant.
-	Unchanged func(before, after Object) bool
+	// Content returns what readers need of an object, or nil if that cannot be decoded,
+	// and Same whether two contents are equal. Watch does not return changes that leave the content of an object the same.
+	// Without Content, every change is relevant.
+	Content func(Object) any
+	Same    func(before, after any) bool
 }
 
 // Follow follows a kind until ctx ends. It calls onCall with the result of each call to
 // the store.
 func (c *Cache) Follow(ctx context.Context, k CacheKind, onCall func(error)) {
-	kind := &cachedKind{objects: map[string]Object{}, updated: make(chan struct{}), maxAge: k.MaxAge}
+	kind := &cachedKind{objects: map[string]Object{}, contents: map[string]any{}, updated: make(chan struct{}), maxAge: k.MaxAge}
 	c.mu.Lock()
 	c.kinds[k.Kind] = kind
 	c.mu.Unlock()
@@ -70,7 +73,7 @@
 			onCall(err)
 		},
 		OnProgress: func(v Version) { c.advance(kind, v) },
-	}, func(o Object) { c.apply(kind, k.Unchanged, o) })
+	}, func(o Object) { c.apply(kind, &k, o) })
 }
 
 // remove drops the state of a Follow unless another Follow of the kind has replaced it.
@@ -91,17 +94,26 @@
 	kind.lastResponse = c.now()
 }
 
-func (c *Cache) apply(kind *cachedKind, unchanged func(before, after Object) bool, o Object) {
+func (c *Cache) apply(kind *cachedKind, k *CacheKind, o Object) {
+	var content any
+	if k.Content != nil && !o.Deleted {
+		content = k.Content(o)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before, known := kind.objects[o.Name]
+	before, known := kind.contents[o.Name]
 	if o.Deleted {
 		delete(kind.objects, o.Name)
 	} else {
 		kind.objects[o.Name] = o
 	}
-	if known && !o.Deleted && unchanged != nil && unchanged(before, o) {
-		return
+	if content == nil {
+		delete(kind.contents, o.Name) // the next content is a change, whatever the last one was
+	} else {
+		kind.contents[o.Name] = content
+		if known && k.Same(before, content) {
+			return
+		}
 	}
 	kind.changes = append(kind.changes, o)
 	if excess := len(kind.changes) - maxCachedChanges; excess > 0 {
--- a/objects/cache_test.go
+++ b/objects/cache_test.go
@@ -53,8 +53,14 @@
 		cache = objects.NewCache(store, func() time.Time { return time.UnixMilli(now.Load()) })
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		sameValue := func(a, b objects.Object) bool { return string(a.Value) == string(b.Value) }
-		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second, Unchanged: sameValue}, func(error) {})
+		content := func(o objects.Object) any {
+			if string(o.Value) == `"invalid"` {
+				return nil
+			}
+			return string(o.Value)
+		}
+		same := func(before, after any) bool { return before == after }
+		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second, Content: content, Same: same}, func(error) {})
 		Eventually(func() error { _, err := cache.List("k"); return err }).Should(Succeed())
 	})
 
@@ -82,6 +88,14 @@
 		Expect(l.Objects).To(Equal([]objects.Object{object("a", 9, `2`)}))
 	})
 
+	It("returns an object that is valid again, also if it is as before it was invalid", func() {
+		store.updates <- objects.List{Version: 8, Objects: []objects.Object{object("a", 8, `"invalid"`)}}
+		store.updates <- objects.List{Version: 9, Objects: []objects.Object{object("a", 9, `1`)}}
+		Eventually(func() objects.Version { l, _ := watch(5); return l.Version }).Should(Equal(objects.Version(9)))
+		l, _ := watch(5)
+		Expect(l.Objects).To(Equal([]objects.Object{object("a", 8, `"invalid"`), object("a", 9, `1`)}))
+	})
+
 	It("returns single objects, and ErrRefused once its state is too old", func() {
 		o, err := cache.Get("k", "a")
 		Expect(err).NotTo(HaveOccurred())
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -14,6 +14,10 @@
 	// Delays after a failed list or watch, before jitter.
 	followMinRetryDelay = 200 * time.Millisecond
 	followMaxRetryDelay = 10 * time.Second
+	// behindBytes is the size of the values in a response from which the next watch
+	// follows without a pause. A store limits its responses to about a megabyte; a
+	// follower that pauses after each of them falls further and further behind.
+	behindBytes = 256 << 10
 )
 
 // FollowOptions configures the calls of FollowWith and its callbacks. The callbacks may
@@ -22,7 +26,8 @@
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
 	// Pause returns the minimum time between two watches, which limits the call rate
-	// for a kind that changes continuously. Nil means no pause.
+	// for a kind that changes continuously. Nil means no pause. There is no pause after a
+	// response so large that the store may have more changes.
 	Pause func() time.Duration
 	// MaxPause is the maximum delay after consecutive failures.
 	MaxPause time.Duration
@@ -56,6 +61,8 @@
 		switch {
 		case err != nil:
 			sleep(ctx, delays.NextBackOff())
+		case watching && f.behind: // the store may have more changes than fit into a response
+			delays.Reset()
 		case watching: // a list alone does not reset the delay: the watch may fail permanently
 			delays.Reset()
 			if o.Pause != nil {
@@ -73,6 +80,7 @@
 	options FollowOptions
 	version Version // all changes up to this one were delivered
 	listed  bool
+	behind  bool               // the last watch returned behindBytes or more
 	known   map[string]Version // by object name
 }
 
@@ -86,9 +94,12 @@
 		f.listed = !errors.Is(err, ErrGap)
 		return err
 	}
+	size := 0
 	for _, o := range changes.Objects {
+		size += len(o.Value)
 		f.deliver(o)
 	}
+	f.behind = size >= behindBytes
 	f.version = max(f.version, changes.Version)
 	f.reportProgress()
 	return nil
