Weight loads: each model gets a usable engine before another gets more

The control role had no holder for 5 s; then three models were two or more versions behind, and two engines may load at once. Loads were ordered by how far an engine is behind, so the trainer that was furthest behind got every load; items of another one waited 9.4 s for an engine.

Change: among engines whose version is no longer usable, the model with the smallest share of usable engines comes first; then as before.

--- a/fleet/load_planner.go
+++ b/fleet/load_planner.go
@@ -98,13 +98,16 @@
 	slots := max(minConcurrentLoads, int(math.Round(maxLoadingShare*float64(len(engines))))) - p.countLoading(now, "")
 	var loads []Load
 	busy := map[string]bool{}
-	for _, l := range p.dueLoads(engines, now) {
-		if len(loads) >= slots {
+	queues := p.loadQueues(engines, now)
+	for len(loads) < slots {
+		l, ok := nextLoad(queues)
+		if !ok {
 			break
 		}
 		if busy[l.Engine] || (l.oneBehind && p.countLoading(now, l.Model) >= max(1, len(p.assigned[l.Model])/modelLoadDivisor)) {
 			continue
 		}
+		queues[l.Model].add(l)
 		busy[l.Engine] = true
 		state := p.engines[l.Engine]
 		state.pending, state.sentAt = l.Load, now
@@ -228,28 +231,111 @@
 	oneBehind     bool // lag is 1: the served version is still usable for current requests
 }
 
-// dueLoads returns the loads that are due, those of the most outdated engines
-// first.
-func (p *LoadPlanner) dueLoads(engines []Engine, now time.Time) []dueLoad {
-	var due []dueLoad
+// loadQueue holds the due loads of one model, those of the most outdated engines first,
+// and the state of the engines that are assigned to the model.
+type loadQueue struct {
+	loads    []dueLoad
+	assigned int
+	usable   int // engines that serve or load a version at most one behind the newest
+	current  int // engines that serve or load the newest version
+}
+
+// add counts an engine that loads the newest version.
+func (q *loadQueue) add(l dueLoad) {
+	q.current++
+	if !l.oneBehind {
+		q.usable++
+	}
+}
+
+// share returns the fraction of the model's engines that need no load as urgent as l.
+func (q *loadQueue) share(l dueLoad) float64 {
+	if l.oneBehind {
+		return float64(q.current) / float64(max(1, q.assigned))
+	}
+	return float64(q.usable) / float64(max(1, q.assigned))
+}
+
+// loadQueues returns the due loads by model.
+func (p *LoadPlanner) loadQueues(engines []Engine, now time.Time) map[string]*loadQueue {
+	queues := map[string]*loadQueue{}
+	for model := range p.newest {
+		queues[model] = &loadQueue{assigned: len(p.assigned[model])}
+	}
 	for _, e := range engines {
-		state := p.engines[e.ID]
-		if state.pending.Model != "" || now.Before(state.retryAt) {
-			continue
-		}
 		for model, newest := range p.newest {
-			lag := newest.version - e.Models[model]
-			if !p.assigned[model][e.ID] || lag <= 0 {
-				continue
+			if p.assigned[model][e.ID] {
+				p.addEngine(queues[model], e, model, newest, now)
 			}
-			l := Load{Engine: e.ID, Model: model, Version: newest.version, Accepted: state.accepted}
-			due = append(due, dueLoad{Load: l, lag: lag, versionSeenAt: newest.seenAt, oneBehind: lag == 1})
 		}
 	}
-	slices.SortFunc(due, func(a, b dueLoad) int {
-		return cmp.Or(cmp.Compare(b.lag, a.lag), a.versionSeenAt.Compare(b.versionSeenAt), cmp.Compare(hashID(a.Engine), hashID(b.Engine)), cmp.Compare(a.Model, b.Model))
-	})
-	return due
+	for _, q := range queues {
+		slices.SortFunc(q.loads, func(a, b dueLoad) int {
+			return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(hashID(a.Engine), hashID(b.Engine)))
+		})
+	}
+	return queues
+}
+
+// addEngine adds the state of an engine, and its load if one is due, to the queue of a
+// model that is assigned to it.
+func (p *LoadPlanner) addEngine(q *loadQueue, e Engine, model string, newest modelVersion, now time.Time) {
+	state := p.engines[e.ID]
+	expected := e.Models[model] // version after the pending load
+	if state.pending.Model == model {
+		expected = max(expected, state.pending.Version)
+	}
+	if newest.version-expected <= 1 {
+		q.usable++
+	}
+	if expected >= newest.version {
+		q.current++
+	}
+	lag := newest.version - e.Models[model]
+	if state.pending.Model != "" || now.Before(state.retryAt) || lag <= 0 {
+		return
+	}
+	l := Load{Engine: e.ID, Model: model, Version: newest.version, Accepted: state.accepted}
+	q.loads = append(q.loads, dueLoad{Load: l, lag: lag, versionSeenAt: newest.seenAt, oneBehind: lag == 1})
+}
+
+// nextLoad removes the most urgent load from the queues: first that of an engine whose
+// version is no longer usable, then that of the model with the smallest share of such
+// engines, then that of the most outdated engine.
+//
+// Load pattern: after an outage several models have new versions at the same moment, and
+// few engines may load at once. A trainer that is further behind than others must not
+// keep all loads from a model that no engine can serve.
+func nextLoad(queues map[string]*loadQueue) (dueLoad, bool) {
+	var best *loadQueue
+	for _, q := range queues {
+		if len(q.loads) > 0 && (best == nil || compareLoads(q, best) < 0) {
+			best = q
+		}
+	}
+	if best == nil {
+		return dueLoad{}, false
+	}
+	l := best.loads[0]
+	best.loads = best.loads[1:]
+	return l, true
+}
+
+func compareLoads(a, b *loadQueue) int {
+	x, y := a.loads[0], b.loads[0]
+	return cmp.Or(compareBool(x.oneBehind, y.oneBehind), cmp.Compare(a.share(x), b.share(y)), cmp.Compare(y.lag, x.lag),
+		x.versionSeenAt.Compare(y.versionSeenAt), cmp.Compare(hashID(x.Engine), hashID(y.Engine)), cmp.Compare(x.Model, y.Model))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
 // countLoading returns the number of engines that load model, or any model if
--- a/fleet/load_planner_test.go
+++ b/fleet/load_planner_test.go
@@ -101,6 +101,33 @@
 		}
 	})
 
+	// Nine engines serve three models, and two may load at once. The control role had no
+	// holder for some seconds; one trainer is further behind than the others and goes on
+	// publishing. Another model had no usable engine for ten seconds.
+	It("gives every model a usable engine before it loads more engines of one that is further behind", func() {
+		models := []string{"m0", "m1", "m2"}
+		engines := newEngines(9, models...)
+		planner := NewLoadPlanner()
+		simulate(planner, engines, models, always(map[string]int64{"m0": 1, "m1": 1, "m2": 1}), time.Second, 900*time.Millisecond)
+		usableSince := map[string]time.Duration{}
+		newest := func(at time.Duration) map[string]int64 {
+			versions := map[string]int64{"m0": 4 + int64(at/(1500*time.Millisecond)), "m1": 3, "m2": 3}
+			for m, v := range versions {
+				for _, e := range engines {
+					if _, seen := usableSince[m]; !seen && e.Models[m] >= v-1 {
+						usableSince[m] = at
+					}
+				}
+			}
+			return versions
+		}
+		simulate(planner, engines, models, newest, 10*time.Second, 900*time.Millisecond)
+		Expect(usableSince).To(HaveLen(3))
+		for m, at := range usableSince {
+			Expect(at).To(BeNumerically("<=", 2*time.Second), m)
+		}
+	})
+
 	It("loads a version on all assigned engines before the next is published", func() {
 		engines := newEngines(11, "a")
 		simulate(NewLoadPlanner(), engines, []string{"a"}, always(map[string]int64{"a": 2}), 6*time.Second, 900*time.Millisecond)
