--- a/gateway/control.go
+++ b/gateway/control.go
@@ -352,9 +352,7 @@
 	recipientsTTL = time.Second
 )
 
-// noticePeers returns the addresses of the instances that have run batches within
-// recipientWindow. If there are none or they cannot be listed, it returns all other
-// instances that serve callers.
+// noticePeers returns the addresses of the instances that get load notices.
 func (g *Gateway) noticePeers() []string {
 	now := g.clock.Now()
 	g.noticeRecipients.mu.Lock()
@@ -365,18 +363,41 @@
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 	heads, err := g.feed.List(ctx, batch.KindHead)
-	var peers []string
+	var owners []string
 	if err == nil {
-		peers, err = batch.RecentOwners(heads.Objects, g.wall.Now().Add(-recipientWindow))
+		owners, err = batch.RecentOwners(heads.Objects, g.wall.Now().Add(-recipientWindow))
 	}
-	if err != nil || len(peers) == 0 {
-		g.log.Info("no recent batch owners known; sending load notices to all instances that serve callers", telemetry.Error(err))
-		peers = g.membership.callerPeers()
+	if err != nil {
+		g.log.Info("recent batch owners could not be listed; sending load notices to the last known ones", telemetry.Error(err))
 	}
+	peers := selectRecipients(owners, err, g.noticeRecipients.peers, g.membership.callerPeers())
 	g.noticeRecipients.peers, g.noticeRecipients.listedAt = peers, now
 	return peers
 }
 
+// maxBroadcastPeers is the number of instances to which notices are sent if none of them
+// is known to run batches.
+const maxBroadcastPeers = 16
+
+// selectRecipients returns the addresses that get load notices: the recent owners of
+// batches, or the last known ones if listing the owners failed. While no owner is known,
+// all callers of a small deployment get them, and nobody of a large one: instances read
+// the versions from the registrations of engines a second or two later.
+//
+// Load pattern: thousands of engines load in each minute, while the list of owners times
+// out under load. A notice of each load to each of 300 instances would be the larger load.
+func selectRecipients(owners []string, listErr error, last, callers []string) []string {
+	switch {
+	case listErr == nil && len(owners) > 0:
+		return owners
+	case listErr != nil && len(last) > 0:
+		return last
+	case len(callers) <= maxBroadcastPeers:
+		return callers
+	}
+	return nil
+}
+
 // noticeRecipients caches the addresses of the instances that receive load notices.
 type noticeRecipients struct {
 	mu       sync.Mutex // guards all below
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -142,3 +143,17 @@
 		Expect(available()).To(BeTrue())
 	})
 })
+
+var _ = Describe("The recipients of load notices", func() {
+	// Each load was told to all 280 instances when the list of owners timed out.
+	It("are never all instances of a large deployment", func() {
+		callers := make([]string, 280)
+		failed := errors.New("timeout")
+		owners, few := []string{"a", "b"}, callers[:7]
+		Expect(selectRecipients(owners, nil, nil, callers)).To(Equal(owners))
+		Expect(selectRecipients(nil, failed, owners, callers)).To(Equal(owners))
+		Expect(selectRecipients(nil, failed, nil, callers)).To(BeEmpty())
+		Expect(selectRecipients(nil, nil, owners, callers)).To(BeEmpty())
+		Expect(selectRecipients(nil, nil, nil, few)).To(Equal(few))
+	})
+})
