Silent engines are left sooner, and not for a pause of this instance

And an instance that was suspended took every engine for unresponsive when it ran again, and moved all items.

Change: 0.6 s if no item of the engine had an event, 1.2 s as before for an item that pauses alone; time in which the check itself did not run does not count.

The spec of the pause fails without the guard.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -58,6 +58,8 @@
 	mu            sync.Mutex // guards all below and every job
 	jobs          map[string]*job
 	texts         *textCache
+	lastCheck     time.Time            // of stragglers
+	resumed       time.Time            // when this instance was last found to have been paused
 	eventInterval time.Duration        // moving average of the time between events of an item
 	endNotices    map[string]time.Time // batches not running here whose end was reported, and when
 	stopping      bool
@@ -255,6 +257,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
+	r.resumed = resumeTime(r.lastCheck, r.resumed, now)
+	r.lastCheck = now
 	typicalIntervals := map[string]time.Duration{} // by service, computed once per pass
 	for _, j := range r.jobs {
 		for _, s := range j.items {
@@ -275,9 +279,9 @@
 func (r *Runner) checkAttempt(j *job, s *itemState, typicalInterval time.Duration, now time.Time) {
 	eventInterval := r.Roster.EventInterval(s.running.upstream, now)
 	status := AttemptStatus{
-		Started: s.running.started, LastActivity: s.running.lastActivity, Events: s.running.events,
+		Started: s.running.started, LastActivity: later(s.running.lastActivity, r.resumed), Events: s.running.events,
 		EventInterval: eventInterval, TypicalInterval: typicalInterval, Moves: s.moves, RemainingEvents: remainingEvents(s),
-		EngineActivity: r.Roster.LastActivity(s.running.upstream), FasterAvailable: true, FreeElsewhere: true,
+		EngineActivity: later(r.Roster.LastActivity(s.running.upstream), r.resumed), FasterAvailable: true, FreeElsewhere: true,
 	}
 	reason := ShouldMove(status, now)
 	if reason == Slow || reason == Queued { // evaluated last, since they scan all engines
@@ -299,6 +303,14 @@
 	s.running.cancel(errMoved)
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // fasterEngineAvailable reports whether an engine that is faster than the item's engine
 // by slowRatio has capacity for it.
 func (r *Runner) fasterEngineAvailable(j *job, s *itemState, now time.Time) bool {
--- a/batch/straggler.go
+++ b/batch/straggler.go
@@ -30,6 +30,9 @@
 	// swaps weights pauses for a while.
 	maxIdleIntervals = 12
 	minIdleTimeout   = 1200 * time.Millisecond
+	// minEngineIdleTimeout applies instead of minIdleTimeout if the engine has sent no
+	// event of any other item either. A preempted item pauses alone.
+	minEngineIdleTimeout = 600 * time.Millisecond
 	// slowRatio is the ratio of an engine's event interval to the typical interval above
 	// which its items are moved. It can be low, since reading the prompt and the
 	// generated text again takes only some tens of milliseconds.
@@ -60,6 +63,22 @@
 	Queued       MoveReason = "queued" // the item waits in the queue of a full engine
 )
 
+// pauseThreshold is the time between two checks for stragglers above which this instance
+// itself was paused, for example because its machine was suspended.
+const pauseThreshold = 5 * stragglerInterval
+
+// resumeTime returns the time since which missing events can be the engines' fault: the
+// time of this check if the instance was paused before it, otherwise the last one known.
+//
+// Load pattern: an instance with hundreds of running items is paused for a second or more
+// and then finds that none of them had an event.
+func resumeTime(lastCheck, resumed, now time.Time) time.Time {
+	if !lastCheck.IsZero() && now.Sub(lastCheck) > pauseThreshold {
+		return now
+	}
+	return resumed
+}
+
 // ShouldMove decides whether an item is moved to another engine.
 //
 // Load pattern: an engine becomes slow or unresponsive while it runs the longest items
@@ -70,7 +89,11 @@
 	if status.Events == 0 {
 		return shouldMoveUnstarted(status, idle, now)
 	}
-	idleTimeout := max(minIdleTimeout, maxIdleIntervals*status.EventInterval)
+	idleTimeout := minIdleTimeout
+	if now.Sub(status.EngineActivity) > minEngineIdleTimeout {
+		idleTimeout = minEngineIdleTimeout
+	}
+	idleTimeout = max(idleTimeout, maxIdleIntervals*status.EventInterval)
 	if status.Moves >= maxMoves {
 		idleTimeout *= patientMultiplier
 	}
--- a/batch/straggler_test.go
+++ b/batch/straggler_test.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/internal/memstore"
 )
 
 var _ = Describe("ShouldMove", func() {
@@ -24,6 +27,9 @@
 		Expect(ShouldMove(v, now)).To(Equal(expected))
 	},
 		Entry("a healthy attempt stays", healthy, ms(1040), Stay),
+		Entry("an item that pauses alone on its engine", with(func(v *AttemptStatus) { v.EngineActivity = ms(1690) }), ms(1700), Stay),
+		Entry("an engine that stopped sending events of all items", healthy, ms(1700), Unresponsive),
+		Entry("a short pause of all items of an engine", healthy, ms(1500), Stay),
 		Entry("an engine that stopped sending events", healthy, ms(1000+1300), Unresponsive),
 		Entry("an engine that never sends an event", AttemptStatus{Started: baseTime, LastActivity: baseTime}, ms(800), Unresponsive),
 		Entry("the first event may take longer", AttemptStatus{Started: baseTime, LastActivity: baseTime}, ms(500), Stay),
@@ -44,3 +50,29 @@
 		Entry("an engine with a long event interval may pause longer", with(func(v *AttemptStatus) { v.EventInterval = 4 * interval; v.TypicalInterval = 4 * interval }), ms(1000+1500), Stay),
 	)
 })
+
+var _ = Describe("An instance that was paused", func() {
+	// An owner whose machine was suspended for two seconds took all engines for
+	// unresponsive when it ran again, and moved every item at once.
+	It("does not move its items for the events that it missed", func() {
+		clock := clockwork.NewFakeClock()
+		r := newIdleService(memstore.New(), "a").runner
+		r.Clock = clock
+		now := clock.Now()
+		j := newJob(Stored{ID: "l"}, submission("l", 3), NewResultLog(3), func(*Item) *Partial { return nil }, Limits{Due: time.Minute, MaxAge: time.Minute}, now)
+		r.jobs["l"] = j
+		moved := 0
+		for _, s := range j.items {
+			s.running = &attempt{upstream: "u", service: "lm", started: now, lastActivity: now, events: 3, cancel: func(error) { moved++ }}
+		}
+		r.checkStragglers()
+		clock.Advance(2 * time.Second) // the pause
+		r.checkStragglers()
+		Expect(moved).To(BeZero())
+		for range 8 { // no event after the pause either
+			clock.Advance(stragglerInterval)
+			r.checkStragglers()
+		}
+		Expect(moved).To(BeNumerically(">=", 3))
+	})
+})
