--- a/batch/service.go
+++ b/batch/service.go
@@ -438,7 +438,7 @@
 	return func(h *Head) bool { return h.Owner == "" || slices.Contains(names, h.Owner) }
 }
 
-// ownedByAny allows a claim whoever owns the batch.
+// ownedByAny allows a claim of a batch of any owner.
 func ownedByAny(*Head) bool { return true }
 
 // readLocal reads a batch that this instance owns, without waiting for results.
--- a/fleet/load_planner.go
+++ b/fleet/load_planner.go
@@ -323,21 +323,11 @@
 
 func compareLoads(a, b *loadQueue) int {
 	x, y := a.loads[0], b.loads[0]
-	return cmp.Or(compareBool(x.oneBehind, y.oneBehind), cmp.Compare(a.share(x), b.share(y)), cmp.Compare(y.lag, x.lag),
+	const unusableLag = 2 // of a version that requests of the current step may no longer use
+	return cmp.Or(cmp.Compare(min(y.lag, unusableLag), min(x.lag, unusableLag)), cmp.Compare(a.share(x), b.share(y)), cmp.Compare(y.lag, x.lag),
 		x.versionSeenAt.Compare(y.versionSeenAt), cmp.Compare(hashID(x.Engine), hashID(y.Engine)), cmp.Compare(x.Model, y.Model))
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // countLoading returns the number of engines that load model, or any model if
 // model is empty.
 func (p *LoadPlanner) countLoading(now time.Time, model string) int {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -381,8 +381,8 @@
 
 // selectRecipients returns the addresses that get load notices: the recent owners of
 // batches, or the last known ones if listing the owners failed. While no owner is known,
-// all callers of a small deployment get them, and nobody of a large one: instances read
-// the versions from the registrations of engines a second or two later.
+// every instance that serves callers gets them in a small deployment, and none in a large
+// one: instances read the versions from the registrations a second or two later.
 //
 // Load pattern: thousands of engines load in each minute, while the list of owners times
 // out under load. A notice of each load to each of 300 instances would be the larger load.
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -145,7 +145,7 @@
 })
 
 var _ = Describe("The recipients of load notices", func() {
-	// Each load was told to all 280 instances when the list of owners timed out.
+	// Every load was announced to all 280 instances when the list of owners timed out.
 	It("are never all instances of a large deployment", func() {
 		callers := make([]string, 280)
 		failed := errors.New("timeout")
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -33,6 +33,18 @@
 // unread rejects requests without reading their body.
 func unread(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) }
 
+// dial starts a server that serves handler and connects to it.
+func dial(t *testing.T, handler http.Handler) net.Conn {
+	server := httptest.NewServer(httpdrain.Handler(handler))
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 // A caller that was still sending its body when it was rejected got a reset connection
 // instead of the response.
 func TestSlowCallerGetsResponse(t *testing.T) {
@@ -42,13 +54,7 @@
 		want    int
 	}{{"too large", tooLarge, 413}, {"unread", unread, 401}} {
 		t.Run(c.name, func(t *testing.T) {
-			server := httptest.NewServer(httpdrain.Handler(c.handler))
-			defer server.Close()
-			conn, err := net.Dial("tcp", server.Listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
+			conn := dial(t, c.handler)
 			fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodySize)
 			half := make([]byte, bodySize/2)
 			for _, part := range [][]byte{half, half} {
@@ -67,13 +73,7 @@
 
 // A caller that never ends its body must not hold its connection for good.
 func TestEndlessBodyIsBounded(t *testing.T) {
-	server := httptest.NewServer(httpdrain.Handler(http.HandlerFunc(unread)))
-	defer server.Close()
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	conn := dial(t, http.HandlerFunc(unread))
 	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
 	start := time.Now()
 	for time.Since(start) < 10*time.Second {
@@ -87,13 +87,7 @@
 
 // A connection whose body was read to its end serves the next request.
 func TestConnectionIsReused(t *testing.T) {
-	server := httptest.NewServer(httpdrain.Handler(http.HandlerFunc(unread)))
-	defer server.Close()
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	conn := dial(t, http.HandlerFunc(unread))
 	reader := bufio.NewReader(conn)
 	for range 3 {
 		fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,14 +56,13 @@
 
 // Roster is the set of known upstreams. It is safe for concurrent use.
 type Roster struct {
-	mu       sync.Mutex // guards the fields below
-	states   map[string]*state
-	departed map[string]time.Time // incarnations that have left, by ID; currently unused
+	mu     sync.Mutex // guards states
+	states map[string]*state
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{states: map[string]*state{}, departed: map[string]time.Time{}}
+	return &Roster{states: map[string]*state{}}
 }
 
 // Put adds or replaces a registration. A new incarnation or address resets the state of
