A checkpoint no longer starts while or after its instance stops

A checkpoint that was collected just before the stop could also be stored after it, with older texts than those that the handover stores, so that the next owner generated them again.

Cause: dueCheckpoints looked at the stopping flag and released the mutex; the goroutine was added to the group afterwards. Ruled out: attempts and reward calls, which are added under the mutex after a look at the flag, and the group of writers (Add, under the mutex too).

startCheckpoint now looks at the flag and adds to the group under the mutex. Two specs force the order: one starts a collected checkpoint after the stop, one queues the stop before the checkpoint at the mutex.

--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -34,11 +34,22 @@
 		case <-ticker.Chan():
 		}
 		for _, c := range r.dueCheckpoints() {
-			r.attempts.Go(func() { r.saveCheckpoint(ctx, c) })
+			r.startCheckpoint(ctx, c)
 		}
 	}
 }
 
+// startCheckpoint stores a checkpoint in a new goroutine, unless the runner is stopping:
+// Stop waits for the attempts, and the handover stores newer texts.
+func (r *Runner) startCheckpoint(ctx context.Context, c checkpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return
+	}
+	r.attempts.Go(func() { r.saveCheckpoint(ctx, c) })
+}
+
 // checkpoint holds the texts of one batch that are to be stored.
 type checkpoint struct {
 	job   *job
