The goroutine that writes chunks no longer reads the head without the mutex

The goroutine that stores the results of a batch, and a reader that looks for the chunks of another writer, took the ID of the batch from its head without the mutex, while applyHead replaces the head.

Cause: the ID was kept only in the head, which changes as a whole. Looking for more of the kind found the log of an attempt (logItem), which reads the head on the goroutine of the attempt. Ruled out: the other uses of the head in batch, which hold the mutex, and the submission, which is never replaced.

The job keeps the ID in a field that does not change.

--- a/batch/job.go
+++ b/batch/job.go
@@ -92,8 +92,10 @@
 	return Result{ID: s.item.ID, State: Complete, Text: s.text.String(), Versions: versions, Reward: s.reward.value}
 }
 
-// job is a batch that this instance runs. It is guarded by Runner.mu.
+// job is a batch that this instance runs. It is guarded by Runner.mu, except for id, sub,
+// due, expires and flush, which do not change.
 type job struct {
+	id         string // of the batch
 	head       Stored
 	sub        *Submission
 	results    *ResultLog
@@ -124,7 +126,7 @@
 // or nil.
 func newJob(h Stored, s *Submission, results *ResultLog, partialOf func(*Item) *Partial, limits Limits, now time.Time) *job {
 	j := &job{
-		head: h, sub: s, results: results, items: map[string]*itemState{}, due: now.Add(limits.Due), expires: now.Add(limits.MaxAge), ended: h.Ended,
+		id: h.ID, head: h, sub: s, results: results, items: map[string]*itemState{}, due: now.Add(limits.Due), expires: now.Add(limits.MaxAge), ended: h.Ended,
 		verifiedAt: now, changed: make(chan struct{}), flush: make(chan struct{}, 1),
 	}
 	if j.ended {
--- a/batch/send.go
+++ b/batch/send.go
@@ -167,7 +167,7 @@
 
 // logItem logs a message about an item at an engine.
 func (r *Runner) logItem(q queuedItem, choice roster.Choice, message string, fields ...zap.Field) {
-	r.Log.Info(message, append(fields, zap.String("batch", q.job.head.ID), zap.String("item", q.state.item.ID), zap.String("upstream", choice.ID))...)
+	r.Log.Info(message, append(fields, zap.String("batch", q.job.id), zap.String("item", q.state.item.ID), zap.String("upstream", choice.ID))...)
 }
 
 // failuresPerAttempt is the number of error responses that an item may get for each
--- a/batch/write.go
+++ b/batch/write.go
@@ -103,15 +103,15 @@
 		return false
 	}
 	sent := r.Clock.Now()
-	written, err := r.Store.Append(context.Background(), j.head.ID, n, results)
+	written, err := r.Store.Append(context.Background(), j.id, n, results)
 	if err != nil {
-		r.Log.Warn("results could not be stored; retrying", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(results)), telemetry.Error(err))
+		r.Log.Warn("results could not be stored; retrying", zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", len(results)), telemetry.Error(err))
 		r.Clock.Sleep(storeRetryDelay)
 		return true
 	}
 	if !written {
 		if _, err := r.applyForeignChunk(context.Background(), j, n); err != nil {
-			r.Log.Warn("chunk of another writer could not be read; retrying", zap.String("batch", j.head.ID), zap.Int("chunk", n), telemetry.Error(err))
+			r.Log.Warn("chunk of another writer could not be read; retrying", zap.String("batch", j.id), zap.Int("chunk", n), telemetry.Error(err))
 			r.Clock.Sleep(storeRetryDelay)
 		}
 		return true
@@ -131,7 +131,7 @@
 func (r *Runner) applyForeignChunk(ctx context.Context, j *job, n int) (bool, error) {
 	next := NewResultLog(0)
 	next.chunks = n
-	found, err := r.Store.ApplyNext(ctx, j.head.ID, next)
+	found, err := r.Store.ApplyNext(ctx, j.id, next)
 	if err != nil || !found {
 		return false, err
 	}
@@ -140,7 +140,7 @@
 	if j.results.Chunks() != n {
 		return true, nil // applied in the meantime
 	}
-	r.Log.Info("found results stored by another instance; adding them to the batch", zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Int("results", len(next.stored)))
+	r.Log.Info("found results stored by another instance; adding them to the batch", zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", len(next.stored)))
 	j.results.Apply(next.stored)
 	r.dropStoredItems(j)
 	j.notifyReaders()
--- a/batch/write_test.go
+++ b/batch/write_test.go
@@ -5,6 +5,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/internal/memstore"
+	"github.com/pomelocross/pomelocross/roster"
 )
 
 var _ = Describe("The results of a step", func() {
@@ -25,3 +28,56 @@
 		Expect(maxDelay).To(BeNumerically("<=", 600*time.Millisecond))
 	})
 })
+
+var _ = Describe("A chunk that is stored while the head of its batch changes", func() {
+	// The race detector ended the process: the writer read the head without the mutex. The
+	// test waits without synchronisation, which would hide the race.
+	It("is stored without access to the head", func(ctx SpecContext) {
+		store := memstore.New()
+		a := newIdleService(store, "a")
+		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		proceed := make(chan struct{})
+		store.Fault = func(string, string, bool) memstore.Fault { <-proceed; return memstore.None }
+		a.runner.mu.Lock()
+		a.runner.jobs["l"].recordResult(Result{ID: "l-0", State: Complete, Text: "x"})
+		a.runner.mu.Unlock()
+		time.Sleep(queueDelay)
+		h.Version++
+		a.runner.applyHead(h)
+		close(proceed)
+		Eventually(func() []string { return store.Names(KindChunk) }).Should(HaveLen(1))
+	})
+
+	It("is read from another writer without access to the head", func(ctx SpecContext) {
+		store := memstore.New()
+		a := newIdleService(store, "a")
+		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.store.Append(ctx, "l", 0, completeResults("l-0"))
+		Expect(err).NotTo(HaveOccurred())
+		proceed := make(chan struct{})
+		store.Fault = func(string, string, bool) memstore.Fault { <-proceed; return memstore.None }
+		verified := make(chan error, 1)
+		go func() { verified <- a.runner.verifyStored(ctx, "l") }()
+		time.Sleep(queueDelay)
+		h.Version++
+		a.runner.applyHead(h)
+		close(proceed)
+		Expect(<-verified).To(Succeed())
+	})
+
+	It("does not share its head with the log of an attempt", func(ctx SpecContext) {
+		a := newIdleService(memstore.New(), "a")
+		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		j := a.runner.jobs["l"]
+		q := queuedItem{job: j, state: j.items["l-0"]}
+		logged := make(chan struct{})
+		go func() { defer close(logged); a.runner.logItem(q, roster.Choice{}, "test") }()
+		time.Sleep(queueDelay)
+		h.Version++
+		a.runner.applyHead(h)
+		Eventually(logged).Should(BeClosed())
+	})
+})
