--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 	sh scripts/demo.sh
 
 # GINKGO runs suites and writes a report, from which testreport gives the verdict: failures
-# listed in KNOWN-RED.txt are printed and set aside.
-GINKGO = $(GO) tool ginkgo run --keep-going --no-color --seed=1 --output-dir=bin
+# listed in KNOWN-RED.txt are printed and set aside. The output is kept for suites that end
+# without a report; Ginkgo doesn't intercept it, since that hides a panic when a suite runs
+# in several processes.
+GINKGO = $(GO) tool ginkgo run --keep-going --no-color --seed=1 --output-dir=bin --output-interceptor-mode=none
 TESTREPORT = bin/testreport
 
 $(TESTREPORT): FORCE
@@ -28,9 +30,9 @@
 # test runs every suite and every other test.
 test: build $(TESTREPORT)
 	rm -f bin/report.json
-	-$(GINKGO) -r --procs=4 --timeout=40m --json-report=report.json $(GINKGOFLAGS)
+	-$(GINKGO) -r --procs=4 --timeout=40m --json-report=report.json $(GINKGOFLAGS) 2>&1 | tee bin/report.log
 	$(PLAIN) ./...
-	$(TESTREPORT) bin/report.json KNOWN-RED.txt .
+	$(TESTREPORT) bin/report.json bin/report.log KNOWN-RED.txt .
 
 lint:
 	@test -z "$$(gofmt -l .)" || (gofmt -l .; echo "run gofmt"; exit 1)
@@ -43,9 +45,9 @@
 race: export GORACE = halt_on_error=1
 race: $(TESTREPORT)
 	rm -f bin/race.json
-	-$(GINKGO) --race --json-report=race.json $(addprefix ./,$(CONCURRENT))
+	-$(GINKGO) --race --json-report=race.json $(addprefix ./,$(CONCURRENT)) 2>&1 | tee bin/race.log
 	$(PLAIN) -race $(addprefix ./,$(CONCURRENT))
-	$(TESTREPORT) bin/race.json KNOWN-RED.txt $(CONCURRENT)
+	$(TESTREPORT) bin/race.json bin/race.log KNOWN-RED.txt $(CONCURRENT)
 
 # fuzz searches for input that the parsers of ours do not bear.
 FUZZTIME ?= 20s
--- a/internal/tools/testreport/main.go
+++ b/internal/tools/testreport/main.go
@@ -1,5 +1,7 @@
 // Command testreport reads the JSON report of a Ginkgo run and prints the failed
-// specs and a summary for CI. It exits with status 1 if a spec that is not listed in
+// specs, with the reason of each failure, and a summary for CI. For a suite that ended
+// without a report it prints the data race, the panic or the last lines from the output of
+// the run, so that the last lines of a CI log name the cause. It exits with status 1 if a spec that is not listed in
 // KNOWN-RED.txt failed, if a suite failed without a failed spec, if a suite of the named
 // folders is missing from the report, or if no spec passed.
 package main
@@ -8,10 +10,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2/types"
@@ -22,17 +26,17 @@
 const testPrefix = "test: "
 
 func main() {
-	if len(os.Args) < 4 {
-		fmt.Fprintln(os.Stderr, "usage: testreport REPORT.json KNOWN-RED.txt FOLDER...")
+	if len(os.Args) < 5 {
+		fmt.Fprintln(os.Stderr, "usage: testreport REPORT.json OUTPUT KNOWN-RED.txt FOLDER...")
 		os.Exit(2)
 	}
-	if err := run(os.Args[1], os.Args[2], os.Args[3:]); err != nil {
+	if err := run(os.Args[1], os.Args[2], os.Args[3], os.Args[4:]); err != nil {
 		fmt.Fprintln(os.Stderr, "testreport:", err)
 		os.Exit(1)
 	}
 }
 
-func run(reportFile, knownFile string, folders []string) error {
+func run(reportFile, outputFile, knownFile string, folders []string) error {
 	known, err := readKnownFailures(knownFile)
 	if err != nil {
 		return err
@@ -49,11 +53,16 @@
 	if err := json.Unmarshal(data, &suites); err != nil {
 		return err
 	}
+	output, err := os.ReadFile(outputFile)
+	if err != nil {
+		return err
+	}
 	v := judge(suites, known, expected)
-	for _, line := range v.lines {
-		fmt.Println(line)
+	explained, err := explainEnded(string(output), v.ended)
+	if err != nil {
+		return err
 	}
-	fmt.Printf("%d passed, %d failed\n", v.passed, v.failed)
+	v.print(os.Stdout, explained)
 	if v.unexpected > 0 || v.passed == 0 {
 		return errors.New("unexpected test failures, or no test passed")
 	}
@@ -65,6 +74,16 @@
 	passed, failed int // specs
 	unexpected     int // failures that KNOWN-RED.txt does not list
 	lines          []string
+	details        []string // reasons of failed specs
+	ended          []string // folders of suites without a report, or that failed without a failed spec
+}
+
+// print writes the verdict. The names of what failed come last, after all causes.
+func (v *verdict) print(w io.Writer, explained []string) {
+	for _, line := range slices.Concat(v.details, explained, v.lines) {
+		fmt.Fprintln(w, line)
+	}
+	fmt.Fprintf(w, "%d passed, %d failed\n", v.passed, v.failed)
 }
 
 // judge returns the verdict on the reported suites. known holds the full texts of the
@@ -78,6 +97,7 @@
 	}
 	for _, path := range expected {
 		if !reported[path] {
+			v.ended = append(v.ended, path)
 			v.addUnexpected("suite without a report: " + path)
 		}
 	}
@@ -90,6 +110,9 @@
 	failed := 0
 	for i := range suite.SpecReports {
 		spec := &suite.SpecReports[i]
+		if spec.Failed() {
+			v.details = append(v.details, reason(spec))
+		}
 		switch {
 		case spec.State.Is(types.SpecStatePassed) && spec.LeafNodeType.Is(types.NodeTypeIt):
 			v.passed++
@@ -103,6 +126,7 @@
 	}
 	v.failed += failed
 	if !suite.SuiteSucceeded && (failed == 0 || len(suite.SpecialSuiteFailureReasons) > 0) {
+		v.ended = append(v.ended, suite.SuitePath)
 		v.addUnexpected("suite failed: " + suite.SuitePath + " " + strings.Join(suite.SpecialSuiteFailureReasons, "; "))
 	}
 }
