An upstream that says that it leaves gets no new work

Callers saw: requests went to an engine for seconds after its responses had said that it leaves, because only its registration in the store was believed. With the store away, or with a registration that came late or was read late, they went on until the engine had gone.

Cause: the header of the responses was passed on to the caller but not read. Ruled out: long connects as a further cause. A request is chosen and handed to the client at once, and a connection takes 1 s at most, which is the least leave bound.

Change: the client for engines reads the header of every response, to requests, items, reward calls, orders and reports, except of a misdirected one, which another upstream has answered. The roster records it for the incarnation (id and start time; the address where a registration has no start time) and never makes it ready again; it remembers 4096 incarnations. Every choice of an upstream and the list of engines for load orders read that state. Other instances learn it from their own responses, so no notice is sent. A target carries the start time.

--- a/batch/send.go
+++ b/batch/send.go
@@ -47,9 +47,8 @@
 // send sends an item to an engine and reads its events. It returns the outcome of the
 // attempt.
 func (r *Runner) send(ctx context.Context, q queuedItem, f upstream.Forward, choice roster.Choice) outcome {
-	target := upstream.Target{ID: choice.ID, Address: choice.Address}
 	started := r.Clock.Now()
-	response, err := r.Engines.Forward(ctx, target, f)
+	response, err := r.Engines.Forward(ctx, choice.Target(), f)
 	if err != nil {
 		return r.attemptFailed(ctx, q, choice, err)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -217,7 +217,7 @@
 
 // exchange sends a request to one upstream and reads the complete response.
 func (f *Forwarder) exchange(ctx context.Context, to roster.Choice, forward upstream.Forward) attemptResult {
-	reply, err := f.Upstreams.Forward(ctx, upstream.Target{ID: to.ID, Address: to.Address}, forward)
+	reply, err := f.Upstreams.Forward(ctx, to.Target(), forward)
 	if err != nil {
 		return f.sendFailed(ctx, to, err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -125,7 +125,7 @@
 	if s.request.Route.Resumable {
 		idleTimer.Reset(streamIdleTimeout)
 	}
-	reply, err := f.Upstreams.Forward(ctx, upstream.Target{ID: choice.ID, Address: choice.Address}, s.forward(now))
+	reply, err := f.Upstreams.Forward(ctx, choice.Target(), s.forward(now))
 	if err != nil {
 		r := f.sendFailed(ctx, choice, err)
 		return r.outcome, nil, err
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -223,7 +223,7 @@
 		g.recordRejected(t, planner, l, fleet.UnknownOrders)
 		return
 	}
-	to := upstream.Target{ID: e.ID, Address: e.Address}
+	to := e.Target()
 	accepted := l.Accepted
 	if accepted == fleet.UnknownOrders {
 		report, err := g.engines.Report(t.ctx, to)
@@ -233,9 +233,11 @@
 		}
 		accepted = report.Accepted
 	}
-	// Waiting and the report take time, in which the lease may have expired.
+	// Waiting and the report take time, in which the lease may have expired. The report
+	// may also say that the engine leaves.
 	holder, err := g.holder()
-	if err != nil || holder.Epoch != t.epoch {
+	now, known := g.roster.Entry(l.Engine)
+	if err != nil || holder.Epoch != t.epoch || !known || !now.Ready || now.Started != e.Started {
 		g.recordRejected(t, planner, l, accepted)
 		return
 	}
@@ -293,7 +295,7 @@
 	t.lastPolled[l] = now
 	go func() {
 		defer func() { <-t.calls }()
-		g.refreshReport(t, planner, l, upstream.Target{ID: e.ID, Address: e.Address}, false)
+		g.refreshReport(t, planner, l, e.Target(), false)
 	}()
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -11,6 +11,7 @@
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/telemetry"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 const (
@@ -137,11 +138,20 @@
 		return
 	}
 	before, known := g.roster.Entry(e.ID)
+	registeredReady := e.Ready
+	e = g.roster.Put(e)
 	if !known || before.Ready != e.Ready || before.Started != e.Started || before.Address != e.Address {
 		g.log.Info("upstream registration changed", zap.String("id", e.ID), zap.String("service", e.Service), zap.String("domain", e.Domain),
-			zap.String("address", e.Address), zap.Bool("ready", e.Ready), zap.Duration("leaves", e.Leaves), zap.Int64("revision", int64(o.Version)))
+			zap.String("address", e.Address), zap.Bool("ready", e.Ready), zap.Bool("registeredReady", registeredReady), zap.Duration("leaves", e.Leaves), zap.Int64("revision", int64(o.Version)))
+	}
+}
+
+// upstreamLeaves records that an upstream has reported in a response that it leaves. It
+// gets no new work from then on, since its registration may say so late or never.
+func (g *Gateway) upstreamLeaves(u upstream.Target) {
+	if g.roster.MarkLeaving(u) {
+		g.log.Info("upstream reports in a response that it leaves; sending it no new work", zap.String("id", u.ID), zap.Int64("started", u.Started), zap.String("address", u.Address))
 	}
-	g.roster.Put(e)
 }
 
 // removeServer removes an upstream from the roster. Shortly after an outage of the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	g.background, g.stopBackground = context.WithCancel(context.Background())
 	g.store = objects.NewRelay(g.directStore, g.relay, g.storePathChanged)
 	g.feed = newFeed(g)
+	g.engines.OnLeaving = g.upstreamLeaves
 	g.meter = newMeter(s.UsageWindow)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Upstreams: g.engines, Clock: g.clock, Log: t.Log,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,7 +20,7 @@
 	Address string // IP:port
 	Domain  string
 	Slots   int
-	Ready   bool // false while the upstream is leaving
+	Ready   bool // false if the upstream leaves, by its registration or its responses
 	// Leaves is the time until the upstream leaves, as of its last registration; zero
 	// if unknown.
 	Leaves time.Duration
@@ -31,6 +31,11 @@
 	Cheap   bool             // preemptible at short notice
 }
 
+// Target returns the incarnation as the target of a request.
+func (e Entry) Target() upstream.Target {
+	return upstream.Target{ID: e.ID, Address: e.Address, Started: e.Started}
+}
+
 // Same reports whether two registrations are equal, with Leaves compared to the second.
 func Same(a, b Entry) bool {
 	modelsA, modelsB := a.Models, b.Models
@@ -42,6 +47,7 @@
 // state is the known state of one upstream.
 type state struct {
 	Entry
+	leaving             bool // the upstream has reported in a response that it leaves
 	load                upstream.Occupancy
 	loadAt              time.Time
 	otherRequests       int                      // open requests of other instances as of loadAt
@@ -56,8 +62,9 @@
 
 // Roster is the set of known upstreams. It is safe for concurrent use.
 type Roster struct {
-	mu     sync.Mutex // guards states
-	states map[string]*state
+	mu      sync.Mutex // guards all below
+	states  map[string]*state
+	leaving []upstream.Target // incarnations that have reported that they leave, oldest first
 }
 
 // New returns an empty roster.
@@ -66,20 +73,23 @@
 }
 
 // Put adds or replaces a registration. A new incarnation or address resets the state of
-// the upstream, except for the open requests of this instance.
-func (r *Roster) Put(e Entry) {
+// the upstream, except for the open requests of this instance. An incarnation that has
+// reported that it leaves does not become ready again. Put returns the entry as recorded.
+func (r *Roster) Put(e Entry) Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[e.ID]
 	if s == nil || s.Started != e.Started || s.Address != e.Address {
-		fresh := &state{memoryByRequest: map[string]requestMemory{}, blockedUntil: map[string]time.Time{}}
+		fresh := &state{leaving: r.isLeaving(e.Target()), memoryByRequest: map[string]requestMemory{}, blockedUntil: map[string]time.Time{}}
 		if s != nil {
 			fresh.ownRequests, fresh.memoryByRequest = s.ownRequests, s.memoryByRequest
 		}
 		s = fresh
 		r.states[e.ID] = s
 	}
+	e.Ready = e.Ready && !s.leaving
 	s.Entry = e
+	return e
 }
 
 // Retain removes every upstream that is not in ids.
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -9,8 +9,9 @@
 
 // Target is one incarnation of an upstream, that is, one run of its process.
 type Target struct {
-	ID      string // identifies the incarnation
+	ID      string
 	Address string // IP:port
+	Started int64  // start time, Unix ms; 0 if unknown
 }
 
 // Forward is a caller's request as it is forwarded to an upstream.
