A follower does not go back to an older list

Callers saw: after the history of a kind had expired, an instance could list it at a source that was behind the one it had read before, and applied the older state: an upstream that it knew to leave was ready again, and one that had been removed was back.

Cause: a list replaced the delivered state whatever its version. Ruled out: watches, which only return changes after the version they are asked for, and the configuration, whose own version is compared when it is applied.

Change: a list older than the delivered state is an error and is repeated after the usual delay. The store's versions only rise, and a source refuses reads once its state is older than its limit, so the repetition ends with that source or with the store.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -54,6 +54,10 @@
 		m.gateway.log.Info("the store's watch history has expired; listing again", zap.String("kind", m.kind))
 		return
 	}
+	if errors.Is(err, objects.ErrOldList) {
+		m.gateway.log.Info("a source's list is older than the state known here; listing again", zap.String("kind", m.kind), telemetry.Error(err))
+		return
+	}
 	now := m.gateway.clock.Now()
 	m.gateway.outage.record(now, err)
 	m.mu.Lock()
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/oops"
 )
 
 const (
@@ -47,7 +48,8 @@
 // FollowWith passes every object of a kind to handle, first the existing ones, then each
 // change in order, until ctx ends. After a failure it resumes watching at the version
 // it had reached. After ErrGap it lists the kind again and passes on the objects that
-// changed since, and those that no longer exist as deleted.
+// changed since, and those that no longer exist as deleted. It repeats a list that is
+// older than what it has delivered.
 func FollowWith(ctx context.Context, s Store, kind string, o FollowOptions, handle func(Object)) {
 	f := follower{store: s, kind: kind, handle: handle, options: o, known: map[string]Version{}}
 	delays := backoff.NewExponentialBackOff()
@@ -105,11 +107,18 @@
 	return nil
 }
 
+// ErrOldList means that a list is older than the state that was delivered. A store of
+// which several caches exist may be read at one that is behind the last.
+var ErrOldList = errors.New("the list is older than the delivered state")
+
 func (f *follower) list(ctx context.Context) error {
 	listed, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return err
 	}
+	if listed.Version < f.version {
+		return oops.In("objects").With("step", "list", "kind", f.kind, "version", listed.Version, "delivered", f.version).Wrap(ErrOldList)
+	}
 	removed := f.known
 	f.known = map[string]Version{}
 	for _, o := range listed.Objects {
