The age of a source's state counts from the call, not from the arrival

Callers saw: an instance could act on registrations or a configuration that were older than the source's limit. A response that reached the source late counted as current when it arrived, up to the time-out of a call, and readers trusted the source for its whole maximum age again. The answer that the history of the kind is lost did the same, though the state behind it had missed changes.

Cause: the time was taken when a call had returned, and after each definitive answer. Ruled out: the way from a source to its reader.

Change: the follower says as of when the delivered state was that of the store: the sending of a list; of a watch, its arrival but at most the end of its wait after it was sent. Through a relay this holds too, since the wait begins at the store. What stays: a response with changes may be delayed within its wait (0.5 s for registrations, 1 s for the configuration) unnoticed.

--- a/objects/age_test.go
+++ b/objects/age_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -58,6 +59,48 @@
 	return objects.Object{Kind: "k", Name: name, Version: version, Value: json.RawMessage(value)}
 }
 
+var _ = Describe("A cache", func() {
+	var (
+		store *sequenceStore
+		cache *objects.Cache
+		now   atomic.Int64 // milliseconds
+		calls atomic.Int32
+	)
+	BeforeEach(func() {
+		now.Store(1000)
+		calls.Store(0)
+		store = newSequenceStore()
+		cache = objects.NewCache(store, func() time.Time { return time.UnixMilli(now.Load()) })
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		store.lists <- listOf(5, valueOf("a", 3, `1`))
+		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second}, func(error) { calls.Add(1) })
+		Eventually(calls.Load).Should(Equal(int32(1)))
+	})
+
+	// A response that was delayed on the way to the source counted as current when it
+	// arrived, and readers trusted the source for as long again.
+	It("counts the age of a late response from the time for which it was requested", func() {
+		time.Sleep(20 * time.Millisecond) // the watch has been sent
+		now.Store(3500)                   // 1.5 s after the end of its wait
+		store.watches <- listOf(6)
+		Eventually(calls.Load).Should(Equal(int32(2)))
+		_, err := cache.List("k")
+		Expect(err).To(MatchError(objects.ErrRefused))
+	})
+
+	// The news that its changes are lost made a source count as current.
+	It("is not current because the store has lost the history of the kind", func() {
+		time.Sleep(20 * time.Millisecond)
+		now.Store(1900)
+		store.watches <- response{err: objects.ErrGap}
+		Eventually(calls.Load).Should(BeNumerically(">=", 3), "the list that follows fails too")
+		now.Store(2100)
+		_, err := cache.List("k")
+		Expect(err).To(MatchError(objects.ErrRefused))
+	})
+})
+
 var _ = Describe("A follower", func() {
 	// After a gap, an instance listed the kind at a source that was behind the last one,
 	// and sent requests to an upstream that it knew to have left.
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -25,15 +25,15 @@
 
 // cachedKind is the cached state of one kind.
 type cachedKind struct {
-	objects      map[string]Object
-	contents     map[string]any // by name; empty without CacheKind.Content
-	changes      []Object
-	changesFrom  Version // changes holds all changes after this version
-	version      Version
-	listed       bool
-	lastResponse time.Time     // time of the store's last response
-	maxAge       time.Duration // age of lastResponse from which reads are refused
-	updated      chan struct{} // closed and replaced after each list or watch
+	objects     map[string]Object
+	contents    map[string]any // by name; empty without CacheKind.Content
+	changes     []Object
+	changesFrom Version // changes holds all changes after this version
+	version     Version
+	listed      bool
+	asOf        time.Time     // the state was that of the store then
+	maxAge      time.Duration // age from which reads are refused
+	updated     chan struct{} // closed and replaced after each list or watch
 }
 
 // NewCache returns a Cache that follows no kinds.
@@ -46,8 +46,8 @@
 	Kind  string
 	Wait  time.Duration // how long one watch waits for a change
 	Pause time.Duration // between two watches
-	// MaxAge is the age of the store's last response from which reads of the kind
-	// return ErrRefused. It must be longer than Wait and Pause together.
+	// MaxAge is the age of the state from which reads of the kind return ErrRefused. It
+	// must be longer than Wait and Pause together.
 	MaxAge time.Duration
 	// Content returns what readers need of an object, or nil if that cannot be decoded,
 	// and Same whether two contents are equal. Watch does not return changes that leave the content of an object the same.
@@ -66,12 +66,8 @@
 	defer c.remove(k.Kind, kind)
 	FollowWith(ctx, c.store, k.Kind, FollowOptions{
 		Wait: k.Wait, MaxPause: maxCacheRetryDelay, Pause: func() time.Duration { return k.Pause },
-		OnCall: func(err error) {
-			if IsDefinitive(err) {
-				c.recordResponse(kind)
-			}
-			onCall(err)
-		},
+		OnCall: onCall, Now: c.now,
+		OnCurrent:  func(asOf time.Time) { c.setCurrent(kind, asOf) },
 		OnProgress: func(v Version) { c.advance(kind, v) },
 	}, func(o Object) { c.apply(kind, &k, o) })
 }
@@ -88,10 +84,11 @@
 // maxCacheRetryDelay is the maximum delay after failed calls.
 const maxCacheRetryDelay = 500 * time.Millisecond
 
-func (c *Cache) recordResponse(kind *cachedKind) {
+// setCurrent records the time as of which the state of a kind is that of the store.
+func (c *Cache) setCurrent(kind *cachedKind, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind.lastResponse = c.now()
+	kind.asOf = asOf
 }
 
 func (c *Cache) apply(kind *cachedKind, k *CacheKind, o Object) {
@@ -129,15 +126,14 @@
 	if !kind.listed {
 		kind.listed, kind.changesFrom, kind.changes = true, v, nil
 	}
-	kind.version, kind.lastResponse = max(kind.version, v), c.now() // readers may run before recordResponse
+	kind.version = max(kind.version, v)
 	close(kind.updated)
 	kind.updated = make(chan struct{})
 }
 
-// isFresh reports whether the kind was listed and the last response of the store is
-// recent enough.
+// isFresh reports whether the kind was listed and its state is recent enough.
 func (c *Cache) isFresh(kind *cachedKind) bool {
-	return kind != nil && kind.listed && c.now().Sub(kind.lastResponse) < kind.maxAge
+	return kind != nil && kind.listed && c.now().Sub(kind.asOf) < kind.maxAge
 }
 
 // List returns all objects of a kind, or ErrRefused if the cached state is missing or
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -34,6 +34,10 @@
 	MaxPause time.Duration
 	// OnCall is called with the result of each list or watch.
 	OnCall func(error)
+	// OnCurrent is called after each call with the time as of which the delivered state was
+	// that of the store. It requires Now.
+	OnCurrent func(asOf time.Time)
+	Now       func() time.Time
 	// OnProgress is called with the version up to which all changes were delivered.
 	OnProgress func(Version)
 	// OnListed is called after all objects of a list were delivered.
@@ -91,6 +95,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
+	sent := f.now()
 	changes, err := f.store.Watch(ctx, f.kind, f.version, f.options.Wait)
 	if err != nil {
 		f.listed = !errors.Is(err, ErrGap)
@@ -103,15 +108,24 @@
 	}
 	f.behind = size >= behindBytes
 	f.version = max(f.version, changes.Version)
-	f.reportProgress()
+	f.reportProgress(sent, f.options.Wait)
 	return nil
 }
 
+// now returns the time of the options' clock; zero without one.
+func (f *follower) now() time.Time {
+	if f.options.Now == nil {
+		return time.Time{}
+	}
+	return f.options.Now()
+}
+
 // ErrOldList means that a list is older than the state that was delivered. A store of
 // which several caches exist may be read at one that is behind the last.
 var ErrOldList = errors.New("the list is older than the delivered state")
 
 func (f *follower) list(ctx context.Context) error {
+	sent := f.now()
 	listed, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return err
@@ -132,14 +146,23 @@
 		f.handle(Object{Kind: f.kind, Name: name, Version: listed.Version, Deleted: true})
 	}
 	f.version, f.listed = listed.Version, true
-	f.reportProgress()
+	f.reportProgress(sent, 0)
 	if f.options.OnListed != nil {
 		f.options.OnListed()
 	}
 	return nil
 }
 
-func (f *follower) reportProgress() {
+// reportProgress reports the delivered version and its time. A response that arrives later
+// than the wait after its request was sent was delayed, so its state may be that old.
+func (f *follower) reportProgress(sent time.Time, wait time.Duration) {
+	if f.options.OnCurrent != nil {
+		asOf := sent.Add(wait)
+		if received := f.now(); received.Before(asOf) {
+			asOf = received
+		}
+		f.options.OnCurrent(asOf)
+	}
 	if f.options.OnProgress != nil {
 		f.options.OnProgress(f.version)
 	}
