Upstreams of an evacuated failure domain get no new work

The gateway did not read evacuations at all; a late belief is ruled out, since no instance listed or watched the kind.

Each instance now follows evacuations through the source of its domain, as it follows registrations, and chooses no upstream of an evacuated domain. It is ready only once it has listed them. Running requests go on. Where the platform sets no bound, nothing is watched.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -23,6 +23,9 @@
 	// Instances start and stop rarely; a stale list costs no more than a timeout.
 	sourceInstancesWait  = 3 * time.Second
 	sourceInstancesPause = time.Second
+	// evacuationWaits is the number of waits for an evacuation within its bound: the age of
+	// a source's state, the wait of its reader and the search for another source.
+	evacuationWaits = 4
 	// sourceAgeMargin is added to the time between two responses of the store for a kind.
 	// Above that age, a source refuses queries: it may have lost the store, and its
 	// readers query the store themselves.
@@ -39,6 +42,9 @@
 		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
 		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
 	}
+	if s.EvacuationBound > 0 {
+		kinds = append(kinds, objects.CacheKind{Kind: platform.KindEvacuations, Wait: s.EvacuationBound / evacuationWaits})
+	}
 	for n := range kinds {
 		kinds[n].MaxAge = kinds[n].Wait + kinds[n].Pause + sourceAgeMargin
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,13 +59,16 @@
 	background     context.Context
 	stopBackground context.CancelFunc
 
-	catalog          atomic.Pointer[catalog.Catalog]
-	upstreamsListed  atomic.Bool // set once the upstreams have been listed
-	outage           outage
-	versions         *versionTable
-	noticeRecipients noticeRecipients
-	draining         atomic.Bool // the readiness check fails
-	closing          atomic.Bool // new requests are rejected because connections are being closed
+	catalog         atomic.Pointer[catalog.Catalog]
+	upstreamsListed atomic.Bool // set once the upstreams have been listed
+	// evacuationsListed is set once the evacuated failure domains have been listed, or at
+	// the start if there are none on this platform.
+	evacuationsListed atomic.Bool
+	outage            outage
+	versions          *versionTable
+	noticeRecipients  noticeRecipients
+	draining          atomic.Bool // the readiness check fails
+	closing           atomic.Bool // new requests are rejected because connections are being closed
 }
 
 // New returns an instance that opens no listeners until Run is called.
@@ -189,7 +192,7 @@
 // backgroundTasks returns the functions that run until background ends.
 func (g *Gateway) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		g.wall.Run, g.followCatalog, g.followServers, g.pollMembership, g.followRetirements,
+		g.wall.Run, g.followCatalog, g.followServers, g.followEvacuations, g.pollMembership, g.followRetirements,
 		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.runTallyPublisher, g.maintainControlLease, g.runControl,
 	}
 }
@@ -254,7 +257,7 @@
 
 // ready reports whether the load balancer may send requests to this instance.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.catalog.Load() != nil && g.upstreamsListed.Load()
+	return !g.draining.Load() && g.catalog.Load() != nil && g.upstreamsListed.Load() && g.evacuationsListed.Load()
 }
 
 // serveReady serves the readiness check: status 200 if ready, else 503.
--- a/roster/pick.go
+++ b/roster/pick.go
@@ -62,7 +62,7 @@
 	var best *state
 	bestScore, medianInterval := 0.0, r.medianEventInterval(n.Service, now)
 	for _, s := range r.states {
-		if !s.isEligible(n, now) {
+		if !r.canTake(s, n, now) {
 			continue
 		}
 		score := s.score(n, medianInterval, now)
@@ -148,7 +148,7 @@
 	}
 	limit := float64(current.interval.value(now)) / ratio
 	for _, s := range r.states {
-		if s.ID != id && s.isEligible(n, now) && float64(s.interval.value(now)) < limit {
+		if s.ID != id && r.canTake(s, n, now) && float64(s.interval.value(now)) < limit {
 			return true
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -65,11 +65,13 @@
 	mu      sync.Mutex // guards all below
 	states  map[string]*state
 	leaving []upstream.Target // incarnations that have reported that they leave, oldest first
+	// evacuated holds the failure domains whose upstreams must get no new work.
+	evacuated map[string]bool
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{states: map[string]*state{}}
+	return &Roster{states: map[string]*state{}, evacuated: map[string]bool{}}
 }
 
 // Put adds or replaces a registration. A new incarnation or address resets the state of
