New weights stay in time after load reports were late once

Cause, in the product: the duration of a load was measured from the first report that showed it. When reports are late, for example because the instance lacks processor time, a load is first seen when it is nearly done. The fastest load ever seen is the base to which all later ones are compared and is never forgotten, so that all later loads counted as slowed by the weight store, and the estimate of the store's capacity fell to a few concurrent loads. Ruled out: the rate of the store in the harness (53 versions take 5.3 s), the limiter under a single processor, and orders lost to the failing engines.

A load is now measured from its order. A load whose order is not known, or that an earlier order may have started, doesn't count.

--- a/fleet/swap.go
+++ b/fleet/swap.go
@@ -60,8 +60,8 @@
 // swapState is the swapper's state for one engine.
 type swapState struct {
 	orderedAt  time.Time // zero if no order is pending
-	loadStart  time.Time // when it was first reported as loading
-	concurrent int       // unavailable engines when it was ordered
+	loadStart  time.Time // when the load in progress was ordered; zero if none is reported
+	concurrent int       // unavailable engines when it was ordered; 0 if the start of the load is not known
 	retryAt    time.Time // earliest time of the next order
 	failures   int       // consecutive orders without effect
 }
@@ -103,6 +103,9 @@
 func (s *Swapper) setWanted(model string, wanted int64, now time.Time) {
 	s.model, s.wanted, s.wantedSince = model, wanted, now
 	for _, e := range s.engines {
+		if e.loadStart.IsZero() {
+			e.concurrent = 0
+		}
 		*e = swapState{loadStart: e.loadStart, concurrent: e.concurrent}
 	}
 }
@@ -144,7 +147,7 @@
 	switch {
 	case e.Load.Loading > 0:
 		if state.loadStart.IsZero() {
-			state.loadStart = now
+			state.loadStart = cmp.Or(state.orderedAt, now)
 		}
 		return engineUnavailable
 	case current:
@@ -177,12 +180,17 @@
 	delay := s.limits.RetryDelay << min(state.failures, 16)
 	state.retryAt = now.Add(min(delay, s.limits.MaxRetryDelay))
 	state.failures++
-	state.orderedAt, state.loadStart = time.Time{}, time.Time{}
+	state.orderedAt, state.loadStart, state.concurrent = time.Time{}, time.Time{}, 0
 }
 
-// recordLoad updates the estimates with a finished load.
+// recordLoad updates the estimates with a finished load, unless its start is not known.
+//
+// Load pattern: the load reports of a busy instance are late, so that loads are reported
+// when they are nearly done. The duration of a load is measured from its order: measured
+// from its first report it would be a fraction of the fastest possible load, and every
+// later load would seem to be slowed by the weight store.
 func (s *Swapper) recordLoad(state *swapState, now time.Time) {
-	if state.loadStart.IsZero() {
+	if state.loadStart.IsZero() || state.concurrent == 0 {
 		return
 	}
 	took := float64(now.Sub(state.loadStart))
@@ -209,7 +217,11 @@
 func (s *Swapper) issue(engines []upstream.Upstream, unavailable int, now time.Time) []Swap {
 	swaps := make([]Swap, 0, len(engines))
 	for _, e := range engines {
-		s.engines[e.Name].orderedAt, s.engines[e.Name].concurrent = now, unavailable
+		state := s.engines[e.Name]
+		state.orderedAt, state.concurrent = now, unavailable
+		if state.failures > 0 {
+			state.concurrent = 0 // an earlier order may have started the load
+		}
 		swaps = append(swaps, Swap{Upstream: e.Name, Address: e.Address, Model: s.model, WeightVersion: s.wanted})
 	}
 	return swaps
--- a/fleet/swap_test.go
+++ b/fleet/swap_test.go
@@ -98,6 +98,32 @@
 		Expect(last.Elapsed).To(BeNumerically("<=", limits.CompleteWithin), "%+v", last)
 	})
 
+	// Once a load report was late, so that a load seemed to take a quarter of its time, every
+	// later load counted as slowed by the weight store. The versions after it took up to 18 s.
+	It("load later versions in time after the load reports of one version were late", func() {
+		const loadTime = time.Second
+		s, reports := fleet.NewSwapper(limits), experiment.Engines(domainEngines, 1)
+		ordered := map[string]bool{}
+		for _, swap := range s.Next(reports, "m", 2, start) {
+			ordered[swap.Upstream] = true
+		}
+		report := func(loading, version int64, at time.Duration) {
+			for n := range reports {
+				if ordered[reports[n].Name] {
+					reports[n].Load.Loading, reports[n].Load.WeightVersion = loading, version
+				}
+			}
+			s.Next(reports, "m", 2, start.Add(at))
+		}
+		report(2, 1, loadTime-tick)
+		report(0, 2, loadTime)
+		d := experiment.NewDomain(domainEngines, loadTime, domainEngines)
+		d.SwapWeights(s, time.Minute) // the rest of version 2
+		for range 3 {
+			Expect(d.SwapWeights(s, time.Minute).Elapsed).To(BeNumerically("<=", limits.CompleteWithin))
+		}
+	})
+
 	It("load a version in time when the first loads of some engines fail", func() {
 		d := experiment.NewDomain(domainEngines, time.Second, domainEngines)
 		d.LoadFails = func(name string, attempt int) bool { return attempt == 1 && name < "lm-006" }
