The control role no longer returns to a machine within the bound of the lease

Where the platform checks no fencing numbers, holders that act in the order A, B, A within the bound count as two holders. Stops in turn did it without any fault: A releases, B takes over at once and stops, A is back and takes over at once. A stopping instance also took the role back that it had just released, and left it vacant until that lease expired.

Cause: a released lease was free for all, and an instance that stops goes on to renew. Ruled out: late writes and pauses, which the property test of grants covers, and the expiry of a lease on its own, since a candidate waits longer than the bound.

The lease names the earlier holders whose acts may be recent; such a candidate waits as for an expired lease, all others take over at once. The names go when a holder has held for as long.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -443,11 +443,11 @@
 	}
 }
 
-// releaseControl releases the lease once no order of this instance can still be in
-// transit.
+// releaseControl releases the lease for good once no order of this instance can still be
+// in transit.
 func (g *Gateway) releaseControl(ctx context.Context) {
 	g.clock.Sleep(orderLeaseMargin)
-	if err := g.controlLease.Release(ctx); err != nil {
+	if err := g.controlLease.Retire(ctx); err != nil {
 		g.warn("release the control role", err)
 	}
 }
--- a/lease/candidate.go
+++ b/lease/candidate.go
@@ -19,6 +19,7 @@
 	value     Value           // last seen value of the stored lease
 	changedAt time.Time       // when version last changed, on the local clock
 	until     time.Time       // end of the own term; zero if the role is not held
+	takenAt   time.Time       // when the write of the first own value of the epoch was sent
 	writes    int64           // attempted writes; makes each written value unique
 	pending   pendingWrite
 }
@@ -40,7 +41,7 @@
 		c.until, c.pending = time.Time{}, pendingWrite{}
 		return
 	}
-	if !c.pending.sentAt.IsZero() && value == c.pending.value {
+	if !c.pending.sentAt.IsZero() && value.sameWrite(c.pending.value) {
 		c.extend(c.pending.sentAt)
 	}
 }
@@ -63,19 +64,36 @@
 // held it in the meantime.
 func (c *candidate) nextWrite(now time.Time) (value Value, ok bool) {
 	if c.isOwn(c.value) {
-		return c.ownValue(c.value.Epoch), true
+		return c.ownValue(c.value.Epoch, c.recentAt(now)), true
 	}
 	free := c.version == 0 || c.value.Holder == ""
-	expired := now.Sub(c.changedAt) >= c.timing.Term+c.timing.Margin
-	if free || expired {
-		return c.ownValue(c.value.Epoch + 1), true
+	expired := now.Sub(c.changedAt) >= c.timing.wait()
+	var recent []string
+	switch {
+	case expired && !free:
+		recent = []string{c.value.Holder} // the ones before it acted before its last renewal
+	case expired:
+	case free && c.value.mayReturn(c.self.Name):
+		recent = c.value.Recent
+	default:
+		return Value{}, false
+	}
+	c.takenAt = now
+	return c.ownValue(c.value.Epoch+1, recent), true
+}
+
+// recentAt returns the earlier holders that may have acted within a candidate's wait
+// before now, while the role is held.
+func (c *candidate) recentAt(now time.Time) []string {
+	if now.Sub(c.takenAt) >= c.timing.wait() {
+		return nil
 	}
-	return Value{}, false
+	return c.value.Recent
 }
 
 // ownValue returns the value that makes this process the holder under epoch.
-func (c *candidate) ownValue(epoch int64) Value {
-	return Value{Holder: c.self.Name, Incarnation: c.self.Incarnation, Epoch: epoch, Renewal: c.writes + 1}
+func (c *candidate) ownValue(epoch int64, recent []string) Value {
+	return Value{Holder: c.self.Name, Incarnation: c.self.Incarnation, Epoch: epoch, Renewal: c.writes + 1, Recent: recent}
 }
 
 // beginWrite records that value is about to be written.
@@ -95,13 +113,13 @@
 	c.until, c.pending = sentAt.Add(c.timing.Term), pendingWrite{}
 }
 
-// release ends the own term and returns the value that releases the role; ok is
+// release ends the own term and returns the value that releases the role at now; ok is
 // false if this process does not hold the role.
-func (c *candidate) release() (value Value, ok bool) {
+func (c *candidate) release(now time.Time) (value Value, ok bool) {
 	if !c.isOwn(c.value) {
 		return Value{}, false
 	}
 	c.until, c.pending = time.Time{}, pendingWrite{}
 	c.writes++
-	return Value{Epoch: c.value.Epoch, Renewal: c.writes}, true
+	return Value{Epoch: c.value.Epoch, Renewal: c.writes, Recent: withLast(c.recentAt(now), c.self.Name)}, true
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -33,6 +33,7 @@
 
 	mu        sync.Mutex // serialises attempts; held during store calls so that writes never overlap
 	candidate candidate
+	retired   bool // Retire was called
 }
 
 // NewKeeper returns a Keeper for role with a new incarnation of the instance self.
@@ -106,6 +107,9 @@
 func (k *Keeper) Attempt(ctx context.Context) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.retired {
+		return nil
+	}
 	if k.candidate.mustRead() {
 		if err := k.read(ctx); err != nil {
 			return err
@@ -161,7 +165,23 @@
 	k.grant.Store(nil)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	value, held := k.candidate.release()
+	return k.release(ctx)
+}
+
+// Retire releases the role, as Release does, and does not acquire it again. It is for an
+// instance that stops, whose Run goes on until its end.
+func (k *Keeper) Retire(ctx context.Context) error {
+	k.grant.Store(nil)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+	return k.release(ctx)
+}
+
+// release writes the release of the role if it is held. The caller holds mu.
+func (k *Keeper) release(ctx context.Context) error {
+	k.grant.Store(nil) // an attempt may have stored one before the lock was taken
+	value, held := k.candidate.release(k.clock.Now())
 	if !held {
 		return nil
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -6,9 +6,13 @@
 // clock. A candidate waits for a full term plus a margin after it last observed a
 // change of the object's version, measured on its own clock. Clocks of different
 // machines are never compared.
+//
+// A lease that its holder has released can be taken over at once, but not by an instance
+// that held the role shortly before the last holder: the lease names these.
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,6 +38,9 @@
 	Poll   time.Duration // how often a candidate reads the lease; Renew if 0
 }
 
+// wait returns how long a candidate waits after it last observed a change of the lease.
+func (t Timing) wait() time.Duration { return t.Term + t.Margin }
+
 // DefaultTiming returns the default timing.
 func DefaultTiming() Timing {
 	return Timing{Term: DefaultTerm, Renew: DefaultRenew, Margin: DefaultMargin}
@@ -59,6 +66,31 @@
 	// Renewal counts the writes of the holder's process, so that each written value
 	// is unique.
 	Renewal int64 `json:"renewal"`
+	// Recent holds the names of the earlier holders that may have acted within the wait of
+	// a candidate, in the order of their last turns. After a release its last element is
+	// the holder that released.
+	Recent []string `json:"recent,omitempty"`
+}
+
+// sameWrite reports whether v and other are the value of the same write of a holder.
+func (v Value) sameWrite(other Value) bool {
+	return v.Holder == other.Holder && v.Incarnation == other.Incarnation && v.Renewal == other.Renewal
+}
+
+// mayReturn reports whether an instance may take over the released lease v at once.
+//
+// Load pattern: instances are stopped and restarted in turn. A role that returned to an
+// instance while the acts of the holder in between are recent would count as two holders
+// at once. The last holder itself may return: no other one has acted since.
+func (v Value) mayReturn(name string) bool {
+	at := slices.Index(v.Recent, name)
+	return at < 0 || at == len(v.Recent)-1
+}
+
+// withLast returns names with name as the last element.
+func withLast(names []string, name string) []string {
+	others := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+	return append(others, name)
 }
 
 // Grant states that a process holds a role until a given time.
