Strict revocation: keys are not accepted with an unconfirmed configuration

Callers saw: a gateway that reached neither the store nor a source went on accepting keys that had been withdrawn, for as long as that lasted, also where the deployment's settings demand strict revocation within a bound. The settings were not read at all.

Cause: the configuration had no age. Ruled out: open connections, whose key is checked with each request; and an instance whose source is behind, because the age of the source's state is in its reply now and counts, with the ways there and back, as age of the configuration.

With strict revocation, requests that need a key get status 503 with Retry-After once the configuration has not been confirmed for the bound; 503 also for an unknown key, which may have been granted meanwhile. Routes without keys are served. A confirmation is a response of the store, direct, relayed or by a source, dated as in the follower. Running requests and accepted batches go on. Without strict revocation nothing changes.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -35,7 +35,7 @@
 func feedKinds(s *Settings) []objects.CacheKind {
 	kinds := []objects.CacheKind{
 		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: s.serversPause(), Content: registrationContent, Same: sameRegistration},
-		{Kind: platform.KindConfig, Wait: s.ConfigBound / 2},
+		{Kind: platform.KindConfig, Wait: s.maxConfigWait(s.ConfigBound / 2)},
 		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
 		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
 	}
@@ -224,6 +224,9 @@
 	// NotFollowed is set if a single object was queried of a kind that the source does
 	// not follow.
 	NotFollowed bool
+	// Age is the age of the list's state when the source responded, and Held the time for
+	// which it held the query.
+	Age, Held time.Duration
 }
 
 // feedService serves the feeds of other instances, usually those of the same failure
@@ -234,11 +237,15 @@
 func (s *feedService) Read(args FeedArgs, reply *FeedReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
 	defer cancel()
+	received := s.gateway.clock.Now()
 	list, err := s.gateway.feed.readCache(ctx, args)
 	if errors.Is(err, errNotFollowed) {
 		reply.NotFollowed = true
 		return nil
 	}
+	now := s.gateway.clock.Now()
+	reply.Age, reply.Held = now.Sub(list.AsOf), now.Sub(received)
+	list.AsOf = time.Time{} // of this machine's clock
 	reply.List, reply.Code = list, objects.RelayCodeOf(err)
 	return nil
 }
@@ -303,7 +310,9 @@
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+queryTimeout)
 	defer cancel()
 	var reply FeedReply
+	sent := f.gateway.clock.Now()
 	err := f.gateway.dialer.Call(ctx, peer, "Feed.Read", args, &reply)
+	reply.List.AsOf = sent.Add(reply.Held - reply.Age) // the ways there and back count as age
 	if replyErr := reply.Code.Err(); err == nil && !objects.IsDefinitive(replyErr) {
 		err = replyErr
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -75,18 +75,23 @@
 // follow lists and watches a kind of object through the feed until ctx ends. It calls
 // apply for each object and onListed, unless nil, after each complete list.
 func (g *Gateway) follow(ctx context.Context, kind string, wait time.Duration, pause func() time.Duration, onListed func(), apply func(objects.Object)) {
+	g.followWith(ctx, kind, objects.FollowOptions{Wait: wait, Pause: pause, OnListed: onListed}, apply)
+}
+
+// followWith is follow with further options.
+func (g *Gateway) followWith(ctx context.Context, kind string, o objects.FollowOptions, apply func(objects.Object)) {
 	m := &storeMonitor{gateway: g, kind: kind}
-	o := objects.FollowOptions{Wait: wait, Pause: pause, MaxPause: maxRetryPause, OnCall: m.observe, OnListed: onListed}
+	o.MaxPause, o.OnCall, o.Now = maxRetryPause, m.observe, g.clock.Now
 	objects.FollowWith(ctx, g.feed, kind, o, apply)
 }
 
 // followCatalog follows the configuration until ctx ends.
 func (g *Gateway) followCatalog(ctx context.Context) {
-	wait := configWatchWait
+	wait := g.settings.maxConfigWait(configWatchWait)
 	if !g.servesCallers() {
 		wait = idleWatchWait
 	}
-	g.follow(ctx, platform.KindConfig, wait, nil, nil, g.applyCatalog)
+	g.followWith(ctx, platform.KindConfig, objects.FollowOptions{Wait: wait, OnCurrent: g.confirmation.confirm}, g.applyCatalog)
 }
 
 // servesCallers reports whether this instance listens for callers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,8 @@
 	stopBackground context.CancelFunc
 
 	catalog          atomic.Pointer[catalog.Catalog]
-	upstreamsListed  atomic.Bool // set once the upstreams have been listed
+	confirmation     confirmation // of catalog
+	upstreamsListed  atomic.Bool  // set once the upstreams have been listed
 	outage           outage
 	versions         *versionTable
 	noticeRecipients noticeRecipients
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -130,6 +130,10 @@
 // rejectionNoConfig rejects requests that arrive before a configuration is known.
 var rejectionNoConfig = rejection{http.StatusServiceUnavailable, "no configuration is known yet", 500 * time.Millisecond}
 
+// rejectionUnconfirmed rejects requests whose key may have been withdrawn, or granted,
+// without this instance knowing.
+var rejectionUnconfirmed = rejection{http.StatusServiceUnavailable, "the configuration has not been confirmed; keys are not known", 500 * time.Millisecond}
+
 // serveRouted serves requests on the configured routes.
 func (g *Gateway) serveRouted(w http.ResponseWriter, r *http.Request) {
 	c := g.catalog.Load()
@@ -142,6 +146,10 @@
 		g.reject(w, r, rejection{status: http.StatusNotFound, reason: "no route"})
 		return
 	}
+	if c.NeedsKey(route) && !g.keysConfirmed() {
+		g.reject(w, r, rejectionUnconfirmed)
+		return
+	}
 	caller := platform.ReadCaller(r.Header)
 	team, known := c.Team(caller.Key)
 	if !known && c.NeedsKey(route) {
@@ -302,6 +310,10 @@
 			g.reject(w, r, rejection{status: http.StatusNotFound, reason: "no route"})
 			return
 		}
+		if !g.keysConfirmed() {
+			g.reject(w, r, rejectionUnconfirmed)
+			return
+		}
 		team, known := c.Team(platform.ReadCaller(r.Header).Key)
 		if !known {
 			g.reject(w, r, rejection{status: http.StatusUnauthorized, reason: "unknown key"})
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -145,7 +145,7 @@
 	if !c.isFresh(kind) {
 		return List{}, oops.In("objects").With("step", "cached list", "kind", name).Wrap(ErrRefused)
 	}
-	l := List{Version: kind.version}
+	l := List{Version: kind.version, AsOf: kind.asOf}
 	for _, o := range kind.objects {
 		l.Objects = append(l.Objects, o)
 	}
@@ -224,7 +224,7 @@
 	if after < kind.changesFrom {
 		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrGap)
 	}
-	l := List{Version: max(after, kind.version)}
+	l := List{Version: max(after, kind.version), AsOf: kind.asOf}
 	for _, o := range kind.changes {
 		if o.Version > after {
 			l.Objects = append(l.Objects, o)
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -108,7 +108,7 @@
 	}
 	f.behind = size >= behindBytes
 	f.version = max(f.version, changes.Version)
-	f.reportProgress(sent, f.options.Wait)
+	f.reportProgress(changes, sent, f.options.Wait)
 	return nil
 }
 
@@ -146,7 +146,7 @@
 		f.handle(Object{Kind: f.kind, Name: name, Version: listed.Version, Deleted: true})
 	}
 	f.version, f.listed = listed.Version, true
-	f.reportProgress(sent, 0)
+	f.reportProgress(listed, sent, 0)
 	if f.options.OnListed != nil {
 		f.options.OnListed()
 	}
@@ -154,13 +154,17 @@
 }
 
 // reportProgress reports the delivered version and its time. A response that arrives later
-// than the wait after its request was sent was delayed, so its state may be that old.
-func (f *follower) reportProgress(sent time.Time, wait time.Duration) {
+// than the wait after its request was sent was delayed, so its state may be that old. A
+// cache says how old its state is.
+func (f *follower) reportProgress(response List, sent time.Time, wait time.Duration) {
 	if f.options.OnCurrent != nil {
 		asOf := sent.Add(wait)
 		if received := f.now(); received.Before(asOf) {
 			asOf = received
 		}
+		if !response.AsOf.IsZero() {
+			asOf = response.AsOf
+		}
 		f.options.OnCurrent(asOf)
 	}
 	if f.options.OnProgress != nil {
--- a/objects/platform.go
+++ b/objects/platform.go
@@ -42,6 +42,9 @@
 type List struct {
 	Version Version  `json:"version"`
 	Objects []Object `json:"objects"`
+	// AsOf is the time as of which a cache knows this to be the state of the store, by
+	// the cache's clock; zero in a response of the store itself.
+	AsOf time.Time `json:"-"`
 }
 
 // Errors of the object API. OutcomeOf maps the error of a write to its outcome.
