An upstream that is gone is removed though the store fails during the check

Callers saw: requests went on to the address of an upstream that had been removed from the store, and failed, until the instance was restarted.

Cause: a registration that goes missing shortly after an outage is checked once more before the removal. If the store failed again at that moment, the check was dropped; the removal is delivered only once, so nothing repeated it. Ruled out: a list after a gap in the history, which delivers missing registrations again only if it is needed for another reason.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -173,15 +173,27 @@
 		return
 	}
 	g.log.Info("upstream registration is missing after an outage of the store; checking again before removal", zap.String("id", o.Name))
-	go func() {
-		g.clock.Sleep(registrationGrace)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		if _, err := g.store.Get(ctx, platform.KindServers, o.Name); errors.Is(err, objects.ErrNotFound) {
-			g.log.Info("upstream removed", zap.String("id", o.Name))
-			g.roster.Remove(o.Name)
+	go g.removeUnregistered(g.background, o.Name)
+}
+
+// removeUnregistered removes an upstream after registrationGrace if the store lacks its
+// registration. The removal is delivered only once, so the read is repeated until the
+// store has responded or ctx ends.
+func (g *Gateway) removeUnregistered(ctx context.Context, id string) {
+	for pause := registrationGrace; ctx.Err() == nil; pause = maxRetryPause {
+		g.clock.Sleep(pause)
+		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := g.store.Get(readCtx, platform.KindServers, id)
+		cancel()
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, objects.ErrNotFound):
+			g.log.Info("upstream removed", zap.String("id", id))
+			g.roster.Remove(id)
+			return
 		}
-	}()
+	}
 }
 
 // followRetirements confirms a request to retire a storage instance at once, because
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -101,3 +101,23 @@
 		Consistently(d.engines[0].Fences, "1s").Should(BeEmpty())
 	})
 })
+
+var _ = Describe("An upstream whose registration is missing after an outage of the store", func() {
+	// The store failed again when the registration was to be checked, and requests went to
+	// the address of the upstream until the instance was restarted.
+	It("is removed once the store is back, if it failed during the check", func() {
+		d := newDeployment(0, 0)
+		proxy := &breakableProxy{target: d.store}
+		gw := d.start("entry-1", func(s *Settings) { s.Store = serve(proxy) })
+		known := func() bool { _, ok := gw.roster.Entry(d.desk.ID); return ok }
+		proxy.down.Store(true)
+		Eventually(func() bool { return gw.outage.recent(gw.clock.Now(), time.Second) }).WithTimeout(3 * time.Second).Should(BeTrue())
+		d.store.Remove("servers", d.desk.ID)
+		proxy.down.Store(false)
+		Consistently(known, "1500ms").Should(BeTrue(), "it may be registered again")
+		proxy.down.Store(true)
+		time.Sleep(registrationGrace)
+		proxy.down.Store(false)
+		Eventually(known).WithTimeout(4 * time.Second).Should(BeFalse())
+	})
+})
