Soak: upstreams that leave, and a key withdrawn on open connections

Cause: the soak had neither, so nothing showed under overlapping faults that what must end does end.

Change: an upstream says for a while that it leaves, its registration goes on saying ready, and it restarts as another incarnation. A gateway that has passed such a response on may send that incarnation no request that a caller sent later, except after a signal to the gateway. A caller with open connections uses a key that is withdrawn early; the last gateway runs with strict revocation and may not accept it beyond the bound. The other gateways are not judged for keys, nor items for leaving.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -11,9 +11,8 @@
 )
 
 // restart registers an engine that leaves as a new incarnation at a new address.
-func (d *deployment) restart(e *standin.Engine, started int64) {
-	e.SetLeaving(false)
-	e.Started = started
+func (d *deployment) restart(e *standin.Engine) {
+	e.Restart()
 	d.store.Set("servers", e.ID, e.Registration(serve(e), "a", "ready"))
 }
 
@@ -43,7 +42,7 @@
 		Consistently(rejected, "700ms").Should(Equal(http.StatusServiceUnavailable), "after the registration was back")
 		Expect(d.desk.Runs()).To(HaveLen(1))
 
-		d.restart(d.desk, 2)
+		d.restart(d.desk)
 		Eventually(rejected).WithTimeout(3 * time.Second).Should(Equal(http.StatusOK))
 	})
 
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -36,6 +36,10 @@
 	unsafe bool
 	status int // 0 if no complete response was received
 	body   string
+	// gateway took the request; the response said that its upstream leaves.
+	gateway    string
+	leaving    bool
+	sent, done time.Time
 }
 
 // observations holds everything the callers observed.
@@ -52,9 +56,23 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-// send sends a request through a random gateway. It returns status 0 if no complete
-// response arrives within timeout.
+// reply is the response to a request and the gateway that took it; status is 0 if no
+// complete response was received.
+type reply struct {
+	gateway string
+	status  int
+	header  http.Header
+	body    []byte
+}
+
+// send is exchange without gateway and header.
 func send(d *deployment, r *rand.Rand, method, path, key, id string, body []byte, timeout time.Duration) (int, []byte) {
+	a := exchange(d, r, method, path, key, id, body, timeout)
+	return a.status, a.body
+}
+
+// exchange sends a request through a random gateway and waits for timeout at most.
+func exchange(d *deployment, r *rand.Rand, method, path, key, id string, body []byte, timeout time.Duration) reply {
 	g := d.gateways[r.IntN(len(d.gateways))]
 	request, err := http.NewRequest(method, "http://"+g.listen+path, bytes.NewReader(body))
 	if err != nil {
@@ -68,14 +86,14 @@
 	client := &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, nil
+		return reply{gateway: g.name}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil
+		return reply{gateway: g.name}
 	}
-	return response.StatusCode, data
+	return reply{g.name, response.StatusCode, response.Header, data}
 }
 
 // sendRequests sends single requests, half of them unsafe, until stop is closed.
@@ -91,8 +109,11 @@
 		if request.unsafe {
 			path = "/orders/1"
 		}
-		status, body := send(d, r, "POST", path, "key-north", request.id, []byte("pins"), time.Second)
-		request.status, request.body = status, string(body)
+		request.sent = time.Now()
+		reply := exchange(d, r, "POST", path, "key-north", request.id, []byte("pins"), time.Second)
+		request.done = time.Now()
+		request.status, request.body = reply.status, string(reply.body)
+		request.gateway, request.leaving = reply.gateway, reply.header.Get("Server-Leaving") == "1"
 		obs.mu.Lock()
 		obs.requests = append(obs.requests, request)
 		obs.mu.Unlock()
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -31,6 +31,7 @@
 type gateway struct {
 	name, listen, peer string
 	storeProxy         *proxy
+	beliefs            *beliefs
 	binary, folder     string
 	args               []string
 
@@ -53,6 +54,7 @@
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.beliefs.disturb(g.name)
 	_ = g.process.Process.Signal(s) // fails only if the process has exited
 }
 
@@ -74,6 +76,7 @@
 	services        []*standin.Engine
 	upstreamProxies []*proxy // in front of engines and services
 	gateways        []*gateway
+	beliefs         beliefs
 
 	mu            sync.Mutex // guards the fields below
 	configVersion int64
@@ -104,7 +107,7 @@
 func newDeployment(binary, folder string, seed uint64, gateways int) *deployment {
 	d := &deployment{
 		rng: rand.New(rand.NewPCG(seed, seed)), folder: folder, store: standin.NewStore(), cloud: &standin.Cloud{},
-		weightVersion: 1, keys: map[string]string{"key-north": "north", "key-south": "south"}, started: time.Now(),
+		weightVersion: 1, keys: map[string]string{"key-north": "north", "key-south": "south", guestKey: "north"}, started: time.Now(),
 	}
 	d.store.SetFault(d.storeFault)
 	storeAddress, cloudAddress := serve(d.store), serve(d.cloud)
@@ -123,6 +126,8 @@
 	for n := range gateways {
 		d.gateways = append(d.gateways, d.newGateway(n, binary, storeAddress, cloudAddress))
 	}
+	strict := d.gateways[gateways-1]
+	strict.args = append(strict.args, "--strict-revoke", "--revoke-bound", strictRevokeBound.String())
 	for _, g := range d.gateways {
 		g.start()
 		DeferCleanup(func() {
@@ -152,7 +157,7 @@
 }
 
 func (d *deployment) newGateway(n int, binary, storeAddress, cloudAddress string) *gateway {
-	g := &gateway{name: fmt.Sprint("entry-", n), listen: freeAddress(), peer: freeAddress(), storeProxy: newProxy(storeAddress), binary: binary, folder: d.folder}
+	g := &gateway{name: fmt.Sprint("entry-", n), listen: freeAddress(), peer: freeAddress(), storeProxy: newProxy(storeAddress), beliefs: &d.beliefs, binary: binary, folder: d.folder}
 	g.args = []string{
 		"--name", g.name, "--domain", "a", "--secret", "0123456789abcdef", "--listen", g.listen, "--ready-listen", freeAddress(), "--peer-listen", g.peer,
 		"--store", g.storeProxy.address, "--cloud", cloudAddress, "--control", "first", "--lease-bound", "1s", "--grace", "4s", "--drain-grace", "100ms",
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +55,10 @@
 		time.Sleep(duration)
 		d.setStoreFault(nil)
 	}},
+	{"an upstream leaves", func(d *deployment, r *rand.Rand, duration time.Duration) {
+		all := slices.Concat(d.services, d.engines)
+		leaveAndRestart(d, all[r.IntN(len(all))], duration)
+	}},
 	{"compact the store's history", func(d *deployment, _ *rand.Rand, _ time.Duration) { d.store.Compact() }},
 	{"change the configuration", func(d *deployment, _ *rand.Rand, _ time.Duration) { d.writeConfig() }},
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -110,6 +110,11 @@
 		r := rand.New(rand.NewPCG(seed, uint64(200+caller)))
 		callers.Go(func() { submitBatches(d, obs, r, caller, stopCallers) })
 	}
+	callers.Go(func() { sendAsGuest(d, rand.New(rand.NewPCG(seed, 400)), faultDuration/4, stopCallers) })
+	callers.Go(func() { // at least one leaves, early and for most of the time
+		time.Sleep(faultDuration / 8)
+		leaveAndRestart(d, d.services[seed%uint64(len(d.services))], faultDuration/2)
+	})
 	time.AfterFunc(faultDuration, func() { close(stopFaults) })
 	injectFaults(d, stopFaults)
 	close(stopCallers)
@@ -152,6 +157,9 @@
 			obs.violationf("%s accepted orders with fencing tokens out of order: %v", e.ID, fences)
 		}
 	}
+	afterLeave, afterWithdrawal := checkBeliefs(d, obs)
+	GinkgoWriter.Printf("judged %d requests after an upstream's leaving and %d after the withdrawal of their key\n", afterLeave, afterWithdrawal)
+	d.logf("judged %d requests after an upstream's leaving and %d after the withdrawal of their key", afterLeave, afterWithdrawal)
 	for _, b := range obs.batches {
 		checkBatch(obs, b, runs)
 	}
