--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -75,18 +75,23 @@
 // follow lists and watches a kind of object through the feed until ctx ends. It calls
 // apply for each object and onListed, unless nil, after each complete list.
 func (g *Gateway) follow(ctx context.Context, kind string, wait time.Duration, pause func() time.Duration, onListed func(), apply func(objects.Object)) {
+	g.followWith(ctx, kind, objects.FollowOptions{Wait: wait, Pause: pause, OnListed: onListed}, apply)
+}
+
+// followWith is follow with further options.
+func (g *Gateway) followWith(ctx context.Context, kind string, o objects.FollowOptions, apply func(objects.Object)) {
 	m := &storeMonitor{gateway: g, kind: kind}
-	o := objects.FollowOptions{Wait: wait, Pause: pause, MaxPause: maxRetryPause, OnCall: m.observe, OnListed: onListed}
+	o.MaxPause, o.OnCall, o.Now = maxRetryPause, m.observe, g.clock.Now
 	objects.FollowWith(ctx, g.feed, kind, o, apply)
 }
 
 // followCatalog follows the configuration until ctx ends.
 func (g *Gateway) followCatalog(ctx context.Context) {
-	wait := configWatchWait
+	wait := g.settings.maxConfigWait(configWatchWait)
 	if !g.servesCallers() {
 		wait = idleWatchWait
 	}
-	g.follow(ctx, platform.KindConfig, wait, nil, nil, g.applyCatalog)
+	g.followWith(ctx, platform.KindConfig, objects.FollowOptions{Wait: wait, OnCurrent: g.confirmation.confirm}, g.applyCatalog)
 }
 
 // servesCallers reports whether this instance listens for callers.
@@ -168,15 +173,27 @@
 		return
 	}
 	g.log.Info("upstream registration is missing after an outage of the store; checking again before removal", zap.String("id", o.Name))
-	go func() {
-		g.clock.Sleep(registrationGrace)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		if _, err := g.store.Get(ctx, platform.KindServers, o.Name); errors.Is(err, objects.ErrNotFound) {
-			g.log.Info("upstream removed", zap.String("id", o.Name))
-			g.roster.Remove(o.Name)
+	go g.removeUnregistered(g.background, o.Name)
+}
+
+// removeUnregistered removes an upstream after registrationGrace if the store lacks its
+// registration. The removal is delivered only once, so the read is repeated until the
+// store has responded or ctx ends.
+func (g *Gateway) removeUnregistered(ctx context.Context, id string) {
+	for pause := registrationGrace; ctx.Err() == nil; pause = maxRetryPause {
+		g.clock.Sleep(pause)
+		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := g.store.Get(readCtx, platform.KindServers, id)
+		cancel()
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, objects.ErrNotFound):
+			g.log.Info("upstream removed", zap.String("id", id))
+			g.roster.Remove(id)
+			return
 		}
-	}()
+	}
 }
 
 // followRetirements confirms a request to retire a storage instance at once, because
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -28,9 +28,11 @@
 	Cloud       string   `env:"POMELOCROSS_CLOUD" flag:"cloud" usage:"IP:port of the platform's usage and scaling interface" validate:"omitempty,ip_port"`
 	Control     string   `env:"POMELOCROSS_CONTROL" envDefault:"standby" flag:"control" usage:"how eagerly this instance seeks the control role: first or standby" validate:"oneof=first standby"`
 
-	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
-	LeaveBound  time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
-	ConfigBound time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
+	LeaseBound   time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
+	LeaveBound   time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
+	ConfigBound  time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
+	StrictRevoke bool          `env:"POMELOCROSS_STRICT_REVOKE" envDefault:"false" flag:"strict-revoke" usage:"reject requests that need a key, with status 503, while the configuration has not been confirmed for --revoke-bound; otherwise they are served with the last known one"`
+	RevokeBound  time.Duration `env:"POMELOCROSS_REVOKE_BOUND" envDefault:"5s" flag:"revoke-bound" usage:"age of the last confirmation of the configuration from which keys are not accepted with --strict-revoke" validate:"min=1s"`
 	// EvacuationBound is 0 on a platform whose operators do not evacuate failure domains.
 	EvacuationBound time.Duration `env:"POMELOCROSS_EVACUATION_BOUND" envDefault:"0s" flag:"evacuation-bound" usage:"time within which the upstreams of an evacuated failure domain must get no new work; 0 if domains are not evacuated" validate:"omitempty,min=1s"`
 	Grace           time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the stop signal until the process is killed" validate:"min=1s" reload:"true"`
