Record how old the confirmed head of a batch is when its items are sent

Logs and metrics could not show which hypothesis holds: whether an end was lost, came late, or was known and an older decision was carried out.

Each job now keeps the start of the last call to the store that showed its head to be open and owned here. The metric pomelocross_head_age_seconds has that age at each sending of an item or reward call; the lines for an end or a new owner carry it as headAge; one line is written when a head is too old at a sending, and one when it is confirmed again. What is sent does not change.

--- a/batch/heads.go
+++ b/batch/heads.go
@@ -71,7 +71,9 @@
 		return 0 // the store client logs the error
 	}
 	for _, id := range s.runner.openIDs() {
+		began := s.runner.Clock.Now()
 		h, err := s.store.Head(ctx, id)
+		h.readAt = began
 		if err != nil {
 			s.log.Warn("batch head could not be read after a gap in the change history; retrying", zap.String("batch", id), telemetry.Error(err))
 			return 0
--- a/batch/job.go
+++ b/batch/job.go
@@ -112,6 +112,10 @@
 	// when the last checkpoint was started.
 	progressVersion objects.Version
 	progressSavedAt time.Time
+	// confirmedAt is the start of the last call to the store that showed the head to be
+	// open and owned by this instance; zero if there was none.
+	confirmedAt    time.Time
+	untrustedSince time.Time // when logTrust found the confirmation too old; zero if it is recent
 }
 
 // Limits are the time limits of a batch, relative to the current time.
@@ -125,7 +129,7 @@
 func newJob(h Stored, s *Submission, results *ResultLog, partialOf func(*Item) *Partial, limits Limits, now time.Time) *job {
 	j := &job{
 		head: h, sub: s, results: results, items: map[string]*itemState{}, due: now.Add(limits.Due), expires: now.Add(limits.MaxAge), ended: h.Ended,
-		verifiedAt: now, changed: make(chan struct{}), flush: make(chan struct{}, 1),
+		verifiedAt: now, changed: make(chan struct{}), flush: make(chan struct{}, 1), confirmedAt: h.readAt,
 	}
 	if j.ended {
 		j.endedAt = now
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -113,17 +113,20 @@
 		return
 	}
 	j.head = h
+	age := r.Clock.Now().Sub(j.confirmedAt)
 	if h.Owner != r.Name {
-		r.Log.Info("another instance has taken over the batch; cancelling its items here", zap.String("batch", h.ID), zap.String("owner", h.Owner))
+		r.Log.Info("another instance has taken over the batch; cancelling its items here", zap.String("batch", h.ID), zap.String("owner", h.Owner), zap.Duration("headAge", age))
 		j.superseded = true
 		j.cancelAttempts(errOwnerChanged)
 		j.notifyReaders()
 		j.wakeWriter()
 		return
 	}
-	if h.Ended {
+	if h.Ended && !j.ended {
+		r.Log.Info("end of the batch was read from the store", zap.String("batch", h.ID), zap.Duration("headAge", age))
 		r.endJob(j)
 	}
+	j.confirm(h.readAt)
 }
 
 // MarkEnded handles a notification from another instance that the end of a batch is
@@ -137,7 +140,7 @@
 		return
 	}
 	if !j.ended {
-		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.results.StoredCount()), zap.Int("open", len(j.items)))
+		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.results.StoredCount()), zap.Int("open", len(j.items)), zap.Duration("headAge", r.Clock.Now().Sub(j.confirmedAt)))
 		r.endJob(j)
 	}
 }
--- a/batch/reward_calls.go
+++ b/batch/reward_calls.go
@@ -107,6 +107,7 @@
 		Route: route, ReservedSlots: rewardReservedSlots,
 		Forward: upstream.Forward{ID: call.ID, Method: "POST", Host: call.Host, Target: call.Path, Body: call.Body, Budget: route.Timeout},
 	}
+	r.recordHeadAge(w.job, now)
 	r.attempts.Go(func() {
 		response := r.Rewards.Do(ctx, request)
 		cancel(nil)
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -44,6 +44,13 @@
 	// Record is called after each attempt that got a response from an engine, with
 	// its outcome and duration; it may be nil.
 	Record func(outcome string, took time.Duration)
+	// EndBound is the time within which the end of a batch, once it is stored, must stop
+	// items from reaching engines. It must exceed upstream.DeliveryTimeout; 0 means that
+	// items are sent whatever the age of the head.
+	EndBound time.Duration
+	// RecordHeadAge is called at each sending of an item or reward call with the time
+	// since the head of its batch was confirmed by the store; it may be nil.
+	RecordHeadAge func(age time.Duration)
 	// Retention and RetentionBytes limit how long, and with how many bytes in total, the
 	// results of ended batches stay in memory for reads.
 	Retention      time.Duration
@@ -244,6 +251,7 @@
 		ID: item.ID, Method: "POST", Host: route.Host, Target: item.Path, Header: item.Header,
 		Body: item.Body, Team: q.job.head.Team, LastEventID: last,
 	}
+	r.recordHeadAge(q.job, now)
 	r.attempts.Go(func() {
 		result := r.send(ctx, q, f, choice)
 		cancel(nil)
--- a/batch/service.go
+++ b/batch/service.go
@@ -466,6 +466,7 @@
 		return Stored{}, oops.In("batch").With("batch", id).Wrapf(ErrStateUnknown, "instance is stopping")
 	}
 	claimed, err, _ := s.claims.Do(id, func() (any, error) {
+		began := s.runner.Clock.Now()
 		h, err := s.store.UpdateHead(ctx, id, func(h *Head) bool {
 			if h.Ended || !allowed(h) {
 				return false
@@ -476,6 +477,7 @@
 		if err != nil || h.Owner != s.runner.Name && !h.Ended {
 			return h, err
 		}
+		h.readAt = began
 		sub, results, partials, err := s.store.Load(ctx, h)
 		if err != nil {
 			return h, err
--- a/batch/store.go
+++ b/batch/store.go
@@ -58,6 +58,9 @@
 	Head
 	ID      string
 	Version objects.Version
+	// readAt is a time of the boot clock before the head was read from the store or
+	// written to it; zero if it came from elsewhere.
+	readAt time.Time
 }
 
 // Create stores a batch. It returns the stored head and whether this call created it.
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -104,7 +104,9 @@
 func (s *Service) SubmitHere(ctx context.Context, args SubmitArgs, now time.Time) (Stored, error) {
 	sub := args.Submission
 	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: args.Team, Route: args.Route, Submitted: now.UnixMilli()}
+	began := s.runner.Clock.Now()
 	stored, created, err := s.store.Create(ctx, sub, h)
+	stored.readAt = began
 	if errors.Is(err, ErrOutcomeUnknown) {
 		go s.recheckSubmission(sub.ID)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,7 @@
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Store: batch.NewStore(g.store, incarnation),
 		Roster: g.roster, Engines: g.engines, Rewards: g.forward, Catalog: g.catalog.Load, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
-		Record: counters.recordItem, RecordReward: counters.recordReward,
+		Record: counters.recordItem, RecordReward: counters.recordReward, RecordHeadAge: counters.recordHeadAge, EndBound: s.EndBound,
 		Retention: s.Keep, RetentionBytes: resultMemoryBytes(s.MemoryMB),
 	})
 	g.batches = batch.NewService(g.runner, g.feed, &peerClient{g}, g.batchLimits)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,7 @@
 	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
 	LeaveBound  time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
 	ConfigBound time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
+	EndBound    time.Duration `env:"POMELOCROSS_END_BOUND" envDefault:"3s" flag:"end-bound" usage:"time within which the end of a batch must stop its items from reaching engines" validate:"min=2500ms"`
 	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the stop signal until the process is killed" validate:"min=1s" reload:"true"`
 	DrainGrace  time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time for which a planned stop still accepts new requests after readiness fails; the load balancer checks once a second and acts on the second failure" validate:"min=0" reload:"true"`
 	UsageWindow time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -14,9 +14,10 @@
 
 const (
 	dialTimeout = time.Second
-	// unackedTimeout is the time after which a connection with unacknowledged sent
-	// bytes is closed. Round trips within a deployment take milliseconds.
-	unackedTimeout = 2 * time.Second
+	// DeliveryTimeout is the time after which a connection with unacknowledged sent
+	// bytes is closed, so that no byte reaches the upstream later than this after it was
+	// written. Round trips within a deployment take milliseconds.
+	DeliveryTimeout = 2 * time.Second
 )
 
 // SendError is the error of a request that failed before its response was complete.
@@ -134,7 +135,7 @@
 }
 
 func newTransport(maxIdle int) *http.Transport {
-	connect := dial.Func(dialTimeout, unackedTimeout)
+	connect := dial.Func(dialTimeout, DeliveryTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := connect(ctx, network, address)
