Keep a head that changes while its batch is loaded

Cause: an instance that claims a batch writes the head, then reads parts, results and texts, and only then adds the job. A head that arrived meanwhile was dropped, unless it came as a notification from another instance: an end requested through the owner itself, an end or a new owner reported by the watch. The watch may have moved on for another open batch and reports no change twice, so the job stayed open for as long as the process ran.

The runner now keeps the newest reported head of a batch that does not run here for 10 s and applies it when the batch is added; a batch with another owner by then is not added. A claim applies the head that it has read, also to a batch that runs already.

--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/samber/oops"
@@ -104,12 +103,16 @@
 }
 
 // applyHead applies the stored head of a batch to its job. It ignores versions older
-// than the known one.
+// than the known one. A head of a batch that does not run here is kept for Add.
 func (r *Runner) applyHead(h Stored) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[h.ID]
-	if j == nil || j.superseded || h.Version < j.head.Version {
+	if j == nil || j.superseded {
+		r.noteHead(h)
+		return
+	}
+	if h.Version < j.head.Version {
 		return
 	}
 	j.head = h
@@ -136,7 +139,7 @@
 	defer r.mu.Unlock()
 	j := r.jobs[id]
 	if j == nil {
-		r.recordEnd(id)
+		r.noteEnd(id)
 		return
 	}
 	if !j.ended {
@@ -173,18 +176,6 @@
 	return r.stopping
 }
 
-// endNoticeTTL is how long the end of a batch that does not run here is remembered. The
-// batch may be about to be added with a head that was read before the end was stored.
-const endNoticeTTL = 10 * time.Second
-
-// recordEnd remembers that a batch has ended and drops expired notices. The caller
-// holds mu.
-func (r *Runner) recordEnd(id string) {
-	now := r.Clock.Now()
-	maps.DeleteFunc(r.endNotices, func(_ string, at time.Time) bool { return now.Sub(at) > endNoticeTTL })
-	r.endNotices[id] = now
-}
-
 // Runs reports whether a batch runs here.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -65,10 +65,10 @@
 	mu            sync.Mutex // guards all below and every job
 	jobs          map[string]*job
 	texts         *textCache
-	lastCheck     time.Time            // of stragglers
-	resumed       time.Time            // when this instance was last found to have been paused
-	eventInterval time.Duration        // moving average of the time between events of an item
-	endNotices    map[string]time.Time // batches not running here whose end was reported, and when
+	lastCheck     time.Time     // of stragglers
+	resumed       time.Time     // when this instance was last found to have been paused
+	eventInterval time.Duration // moving average of the time between events of an item
+	headNotices   map[string]headNotice
 	stopping      bool
 	attempts      sync.WaitGroup // running attempts and checkpoints
 	writers       sync.WaitGroup // goroutines that write chunks
@@ -79,7 +79,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, texts: newTextCache(), eventInterval: initialEventInterval, endNotices: map[string]time.Time{}}
+	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, texts: newTextCache(), eventInterval: initialEventInterval, headNotices: map[string]headNotice{}}
 }
 
 const (
--- a/batch/service.go
+++ b/batch/service.go
@@ -474,10 +474,14 @@
 			h.Owner, h.Peer = s.runner.Name, s.runner.Peer
 			return true
 		})
-		if err != nil || h.Owner != s.runner.Name && !h.Ended {
+		if err != nil {
 			return h, err
 		}
 		h.readAt = began
+		s.runner.applyHead(h)
+		if h.Owner != s.runner.Name && !h.Ended {
+			return h, nil
+		}
 		sub, results, partials, err := s.store.Load(ctx, h)
 		if err != nil {
 			return h, err
--- a/batch/write.go
+++ b/batch/write.go
@@ -25,8 +25,8 @@
 )
 
 // Add starts a batch that this instance owns. partials are stored texts of its unfinished
-// items, by item ID. It returns false if the batch already runs here or the runner is
-// stopping.
+// items, by item ID. It returns false if the batch already runs here, another instance has become
+// its owner or the runner is stopping.
 func (r *Runner) Add(h Stored, s *Submission, results *ResultLog, partials map[string]Partial, limits Limits) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -34,8 +34,10 @@
 		return false
 	}
 	now := r.Clock.Now()
-	if _, ended := r.endNotices[h.ID]; ended {
-		h.Ended = true // the end was stored after h was read
+	h = r.headNotices[h.ID].apply(h)
+	if h.Owner != r.Name {
+		r.Log.Info("another instance has taken over the batch while it was loaded; not running it here", zap.String("batch", h.ID), zap.String("owner", h.Owner))
+		return false
 	}
 	partialOf := func(item *Item) *Partial {
 		if p, ok := partials[item.ID]; ok {
