Send nothing of a batch whose head was not confirmed recently

An owner acted on the belief that a batch was open and its own for as long as it heard nothing else: a lost end, a new owner that it was not notified of, a suspension of the process between decision and first byte all had no bound.

The age counts from the start of the call, for batches that are created, claimed and loaded too, and by the boot clock. Right before the first byte the connection asks again (upstream.Forward.Permit); a request that is not permitted is cancelled and not attributed to the engine. Running items go on. A watch confirms nothing, since it may hear nothing while changes are made.

--- a/batch/headnotice_test.go
+++ b/batch/headnotice_test.go
@@ -15,11 +15,12 @@
 	// after the head was written and before the batch runs.
 	duringLoad := func(ctx context.Context, store *memstore.Store, b *Service, do func()) {
 		called := false
-		results := NewStore(hookedStore{store, func(kind string) {
+		results := NewStore(hookedStore{store, func(kind string) error {
 			if kind == KindChunk && !called {
 				called = true
 				do()
 			}
+			return nil
 		}}, "b")
 		b.store, b.runner.Store = results, results
 		_, err := b.claim(ctx, "l", ownedByAny)
--- a/batch/job.go
+++ b/batch/job.go
@@ -114,8 +114,11 @@
 	progressSavedAt time.Time
 	// confirmedAt is the start of the last call to the store that showed the head to be
 	// open and owned by this instance; zero if there was none.
-	confirmedAt    time.Time
-	untrustedSince time.Time // when logTrust found the confirmation too old; zero if it is recent
+	confirmedAt     time.Time
+	untrustedSince  time.Time // when work was first held back because of confirmedAt; zero if none is
+	untrustedLogged bool
+	confirming      bool      // a read of the head is in progress
+	confirmAfter    time.Time // no read of the head starts before, after one that failed
 }
 
 // Limits are the time limits of a batch, relative to the current time.
--- a/batch/reward_calls.go
+++ b/batch/reward_calls.go
@@ -41,6 +41,9 @@
 		if !found || running[route.Name] >= RewardCapacity(r.routeSlots(route)) {
 			continue
 		}
+		if !r.mayStart(ctx, w.job, now) {
+			continue
+		}
 		running[route.Name]++
 		r.startReward(ctx, w, route, now)
 	}
@@ -105,7 +108,10 @@
 	call := w.state.item.Reward
 	request := forward.Request{
 		Route: route, ReservedSlots: rewardReservedSlots,
-		Forward: upstream.Forward{ID: call.ID, Method: "POST", Host: call.Host, Target: call.Path, Body: call.Body, Budget: route.Timeout},
+		Forward: upstream.Forward{
+			ID: call.ID, Method: "POST", Host: call.Host, Target: call.Path, Body: call.Body, Budget: route.Timeout,
+			Permit: r.permit(ctx, w.job, w.state.item.ID, cancel),
+		},
 	}
 	r.recordHeadAge(w.job, now)
 	r.attempts.Go(func() {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
@@ -69,6 +70,7 @@
 	resumed       time.Time     // when this instance was last found to have been paused
 	eventInterval time.Duration // moving average of the time between events of an item
 	headNotices   map[string]headNotice
+	headReads     singleflight.Group // by batch ID
 	stopping      bool
 	attempts      sync.WaitGroup // running attempts and checkpoints
 	writers       sync.WaitGroup // goroutines that write chunks
@@ -142,6 +144,7 @@
 	if config == nil {
 		return
 	}
+	defer r.logTrusts(now)
 	noCapacity := map[requirement]bool{}
 	for _, q := range r.queue() {
 		route, ok := config.Route(q.job.head.Route)
@@ -162,7 +165,7 @@
 		service = route.ServiceOf(hashFraction(q.state.item.ID))
 	}
 	required := requirement{service, q.state.item.Model, q.job.sub.MinVersion}
-	if noCapacity[required] {
+	if noCapacity[required] || q.job.awaitsConfirmation(now, r.trusts(q.job, now)) {
 		return
 	}
 	need := r.need(q.job, q.state, config.Services[service])
@@ -176,6 +179,9 @@
 		noCapacity[required] = true
 		return
 	}
+	if !r.mayStart(ctx, q.job, now) {
+		return
+	}
 	r.start(ctx, q, route, choice, need.Memory, now)
 }
 
@@ -249,7 +255,7 @@
 	item := q.state.item
 	f := upstream.Forward{
 		ID: item.ID, Method: "POST", Host: route.Host, Target: item.Path, Header: item.Header,
-		Body: item.Body, Team: q.job.head.Team, LastEventID: last,
+		Body: item.Body, Team: q.job.head.Team, LastEventID: last, Permit: r.permit(ctx, q.job, item.ID, cancel),
 	}
 	r.recordHeadAge(q.job, now)
 	r.attempts.Go(func() {
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -136,14 +136,22 @@
 // Send sends r with body, without automatic retries by net/http. The caller must
 // close the body of the response. Errors are of type *SendError.
 func (c *Client) Send(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
+	return c.SendPermitted(ctx, r, body, nil)
+}
+
+// SendPermitted is Send with a Permit as in Forward.
+func (c *Client) SendPermitted(ctx context.Context, r *http.Request, body []byte, permit func() bool) (*http.Response, error) {
 	setSingleUseBody(r, body)
-	return c.send(ctx, r)
+	return c.sendTracked(ctx, r, &sendTracker{permit: permit})
 }
 
 // send sends r, whose body is already set. Errors are of type *SendError.
 func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
+	return c.sendTracked(ctx, r, &sendTracker{})
+}
+
+func (c *Client) sendTracked(ctx context.Context, r *http.Request, tracker *sendTracker) (*http.Response, error) {
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
-	var tracker sendTracker
 	resp, err := c.http.Do(r.WithContext(tracker.withTrace(ctx)))
 	if err != nil {
 		wrapped := oops.In("upstream").With("step", "send", "peer", r.URL.Host).Wrap(err)
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -26,6 +26,10 @@
 	Budget time.Duration
 	// LastEventID is the ID of the last known event of the response; nil if none.
 	LastEventID *int64
+	// Permit, unless nil, is called right before the first byte is written to a
+	// connection. If it returns false, nothing is written and the error has NotSent set.
+	// It may block.
+	Permit func() bool
 }
 
 // Reply is the response of an upstream. The receiver must close Body.
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -33,21 +33,29 @@
 // Unwrap returns the underlying error.
 func (e *SendError) Unwrap() error { return e.Err }
 
-var errWritesBlocked = errors.New("writes on the connection are blocked because its request was abandoned")
+var (
+	errWritesBlocked = errors.New("writes on the connection are blocked because its request was abandoned")
+	errNotPermitted  = errors.New("the request is no longer to be sent")
+)
 
 // trackedConn counts the bytes written to an upstream. HTTP/1 has one request in
 // flight on a connection, so the count shows whether sending a request has started.
 type trackedConn struct {
 	net.Conn
 
-	mu      sync.Mutex // guards started and blocked; not held while writing
-	started int64      // bytes that were or are being passed to the kernel
-	blocked bool       // no further write may start
+	mu      sync.Mutex  // guards all below; not held while writing
+	started int64       // bytes that were or are being passed to the kernel
+	blocked bool        // no further write may start
+	permit  func() bool // Permit of a request of which no byte was written yet; may be nil
 }
 
 // Write implements net.Conn. It counts bytes before it writes them: if a request is
 // abandoned during a write, it must not be reported as not sent.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if permit := c.takePermit(); permit != nil && !permit() {
+		c.blockWrites(c.startedBytes())
+		return 0, errNotPermitted
+	}
 	if !c.addStarted(len(p)) {
 		return 0, errWritesBlocked
 	}
@@ -58,6 +66,24 @@
 	return n, err
 }
 
+// beginRequest sets the Permit of the next request and returns the number of bytes counted
+// before it.
+func (c *trackedConn) beginRequest(permit func() bool) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.permit = permit
+	return c.started
+}
+
+// takePermit returns the Permit of the request that is about to be written, once.
+func (c *trackedConn) takePermit() func() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	permit := c.permit
+	c.permit = nil
+	return permit
+}
+
 // addStarted counts n bytes. It returns false if writes are blocked.
 func (c *trackedConn) addStarted(n int) bool {
 	c.mu.Lock()
@@ -99,6 +125,8 @@
 // sendTracker records which connections net/http uses for one request and whether
 // the request was written to them.
 type sendTracker struct {
+	permit func() bool // Permit of the request; may be nil
+
 	mu          sync.Mutex // guards all below; gotConn may run on another goroutine
 	conn        *trackedConn
 	startOffset int64 // bytes written to conn before this request
@@ -119,7 +147,7 @@
 	}
 	t.conn, _ = info.Conn.(*trackedConn)
 	if t.conn != nil {
-		t.startOffset = t.conn.startedBytes()
+		t.startOffset = t.conn.beginRequest(t.permit)
 	}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -158,3 +158,48 @@
 		Eventually(open.Load).Should(BeNumerically("<=", limit))
 	})
 })
+
+var _ = Describe("A request that is no longer to be sent", func() {
+	// It was decided on, waited for its connection and was sent seconds later.
+	It("is not written to a new or a kept connection, and is reported as not sent", func(ctx SpecContext) {
+		var received, opened atomic.Int32
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		client := upstream.NewClient()
+		send := func(permit func() bool) error {
+			r, err := http.NewRequest(http.MethodPost, server.URL, nil)
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := client.SendPermitted(ctx, r, []byte("item"), permit)
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err
+		}
+		refuse := func() bool { return false }
+		Expect(isNotSent(send(refuse))).To(BeTrue(), "on a new connection")
+		Expect(send(func() bool { return true })).To(Succeed())
+		Expect(isNotSent(send(refuse))).To(BeTrue(), "on a kept connection")
+		Expect(send(nil)).To(Succeed())
+		Expect(received.Load()).To(BeEquivalentTo(2))
+		Expect(opened.Load()).To(BeEquivalentTo(3), "the refused request used the kept connection")
+	})
+
+	It("is asked about once, after the connection was opened", func(ctx SpecContext) {
+		fake, client := service.New("desk"), upstream.NewClient()
+		address := serve(fake)
+		asked := 0
+		body := []byte(strings.Repeat("a", 1<<20)) // written in several parts
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/orders", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := client.SendPermitted(ctx, r, body, func() bool { asked++; return true })
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(asked).To(Equal(1))
+	})
+})
