Clear the owner of a batch only while this instance owns it

Callers would see a batch start its items anew during a planned stop: an instance that stops offers its batches to other instances, and if the response of one that has adopted a batch is lost and no other adopts it, it cleared the owner in the store although that was the new one. The new owner read there that it was replaced and cancelled its items.

The owner is now cleared only if the stored head still names the stopping instance.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -77,7 +77,14 @@
 		}
 		s.log.Info("instance did not adopt the batch; trying the next one", zap.String("batch", id), zap.String("peer", peer), telemetry.Error(err))
 	}
-	if _, err := s.store.UpdateHead(ctx, id, func(h *Head) bool { h.Owner, h.Peer = "", ""; return !h.Ended }); err != nil {
+	_, err := s.store.UpdateHead(ctx, id, func(h *Head) bool {
+		clearOwner := !h.Ended && h.Owner == s.runner.Name // a response to Adopt may have been lost
+		if clearOwner {
+			h.Owner, h.Peer = "", ""
+		}
+		return clearOwner
+	})
+	if err != nil {
 		s.log.Warn("owner of the batch could not be cleared; the next read takes it over", zap.String("batch", id), telemetry.Error(err))
 	}
 }
--- a/batch/ownership_test.go
+++ b/batch/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"syscall"
 	"time"
 
@@ -232,3 +233,29 @@
 		Expect(left).To(BeNumerically("~", 15*time.Second, time.Second))
 	})
 })
+
+// adoptingPeers simulates a successor that adopts a batch and whose response is lost.
+type adoptingPeers struct {
+	unresponsivePeers
+	successor *Service
+}
+
+func (p adoptingPeers) Owners(string) []string { return []string{p.successor.runner.Peer} }
+func (p adoptingPeers) Adopt(ctx context.Context, _, id string) error {
+	return errors.Join(p.successor.Adopt(ctx, id), context.DeadlineExceeded)
+}
+
+var _ = Describe("A batch that is handed over while the response of its next owner is lost", func() {
+	// The stopping owner cleared the owner that had adopted the batch: its items were
+	// cancelled and started anew with the next reader.
+	It("stays with its next owner", func(ctx SpecContext) {
+		store := memstore.New()
+		stopping, successor := newIdleService(store, "a"), newIdleService(store, "b")
+		Expect(stopping.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		stopping.peers = adoptingPeers{successor: successor}
+		stopping.handOverBatch(ctx, "l", unfinishedBatch{})
+		h, err := successor.store.Head(ctx, "l")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Owner).To(Equal("b"))
+	})
+})
