--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -115,7 +115,9 @@
 	if h.Version < j.head.Version {
 		return
 	}
-	j.head = h
+	if h.Version > j.head.Version {
+		j.head = h
+	}
 	age := r.Clock.Now().Sub(j.confirmedAt)
 	if h.Owner != r.Name {
 		r.Log.Info("another instance has taken over the batch; cancelling its items here", zap.String("batch", h.ID), zap.String("owner", h.Owner), zap.Duration("headAge", age))
