--- a/batch/job.go
+++ b/batch/job.go
@@ -114,6 +114,13 @@
 	// when the last checkpoint was started.
 	progressVersion objects.Version
 	progressSavedAt time.Time
+	// confirmedAt is the start of the last call to the store that showed the head to be
+	// open and owned by this instance; zero if there was none.
+	confirmedAt     time.Time
+	untrustedSince  time.Time // when work was first held back because of confirmedAt; zero if none is
+	untrustedLogged bool
+	confirming      bool      // a read of the head is in progress
+	confirmAfter    time.Time // no read of the head starts before, after one that failed
 }
 
 // Limits are the time limits of a batch, relative to the current time.
@@ -127,7 +134,7 @@
 func newJob(h Stored, s *Submission, results *ResultLog, partialOf func(*Item) *Partial, limits Limits, now time.Time) *job {
 	j := &job{
 		id: h.ID, head: h, sub: s, results: results, items: map[string]*itemState{}, due: now.Add(limits.Due), expires: now.Add(limits.MaxAge), ended: h.Ended,
-		verifiedAt: now, changed: make(chan struct{}), flush: make(chan struct{}, 1),
+		verifiedAt: now, changed: make(chan struct{}), flush: make(chan struct{}, 1), confirmedAt: h.readAt,
 	}
 	if j.ended {
 		j.endedAt = now
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/samber/oops"
@@ -104,26 +103,35 @@
 }
 
 // applyHead applies the stored head of a batch to its job. It ignores versions older
-// than the known one.
+// than the known one. A head of a batch that does not run here is kept for Add.
 func (r *Runner) applyHead(h Stored) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := r.jobs[h.ID]
-	if j == nil || j.superseded || h.Version < j.head.Version {
+	if j == nil || j.superseded {
+		r.noteHead(h)
 		return
 	}
-	j.head = h
+	if h.Version < j.head.Version {
+		return
+	}
+	if h.Version > j.head.Version {
+		j.head = h
+	}
+	age := r.Clock.Now().Sub(j.confirmedAt)
 	if h.Owner != r.Name {
-		r.Log.Info("another instance has taken over the batch; cancelling its items here", zap.String("batch", h.ID), zap.String("owner", h.Owner))
+		r.Log.Info("another instance has taken over the batch; cancelling its items here", zap.String("batch", h.ID), zap.String("owner", h.Owner), zap.Duration("headAge", age))
 		j.superseded = true
 		j.cancelAttempts(errOwnerChanged)
 		j.notifyReaders()
 		j.wakeWriter()
 		return
 	}
-	if h.Ended {
+	if h.Ended && !j.ended {
+		r.Log.Info("end of the batch was read from the store", zap.String("batch", h.ID), zap.Duration("headAge", age))
 		r.endJob(j)
 	}
+	j.confirm(h.readAt)
 }
 
 // MarkEnded handles a notification from another instance that the end of a batch is
@@ -133,11 +141,11 @@
 	defer r.mu.Unlock()
 	j := r.jobs[id]
 	if j == nil {
-		r.recordEnd(id)
+		r.noteEnd(id)
 		return
 	}
 	if !j.ended {
-		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.results.StoredCount()), zap.Int("open", len(j.items)))
+		r.Log.Info("batch ended", zap.String("batch", id), zap.Int("listed", j.results.StoredCount()), zap.Int("open", len(j.items)), zap.Duration("headAge", r.Clock.Now().Sub(j.confirmedAt)))
 		r.endJob(j)
 	}
 }
@@ -170,18 +178,6 @@
 	return r.stopping
 }
 
-// endNoticeTTL is how long the end of a batch that does not run here is remembered. The
-// batch may be about to be added with a head that was read before the end was stored.
-const endNoticeTTL = 10 * time.Second
-
-// recordEnd remembers that a batch has ended and drops expired notices. The caller
-// holds mu.
-func (r *Runner) recordEnd(id string) {
-	now := r.Clock.Now()
-	maps.DeleteFunc(r.endNotices, func(_ string, at time.Time) bool { return now.Sub(at) > endNoticeTTL })
-	r.endNotices[id] = now
-}
-
 // Runs reports whether a batch runs here.
 func (r *Runner) Runs(id string) bool {
 	r.mu.Lock()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/roster"
@@ -44,6 +45,13 @@
 	// Record is called after each attempt that got a response from an engine, with
 	// its outcome and duration; it may be nil.
 	Record func(outcome string, took time.Duration)
+	// EndBound is the time within which the end of a batch, once it is stored, must stop
+	// items from reaching engines. It must exceed upstream.DeliveryTimeout; 0 means that
+	// items are sent whatever the age of the head.
+	EndBound time.Duration
+	// RecordHeadAge is called at each sending of an item or reward call with the time
+	// since the head of its batch was confirmed by the store; it may be nil.
+	RecordHeadAge func(age time.Duration)
 	// Retention and RetentionBytes limit how long, and with how many bytes in total, the
 	// results of ended batches stay in memory for reads.
 	Retention      time.Duration
@@ -58,10 +66,11 @@
 	mu            sync.Mutex // guards all below and every job
 	jobs          map[string]*job
 	texts         *textCache
-	lastCheck     time.Time            // of stragglers
-	resumed       time.Time            // when this instance was last found to have been paused
-	eventInterval time.Duration        // moving average of the time between events of an item
-	endNotices    map[string]time.Time // batches not running here whose end was reported, and when
+	lastCheck     time.Time     // of stragglers
+	resumed       time.Time     // when this instance was last found to have been paused
+	eventInterval time.Duration // moving average of the time between events of an item
+	headNotices   map[string]headNotice
+	headReads     singleflight.Group // by batch ID
 	stopping      bool
 	attempts      sync.WaitGroup // running attempts and checkpoints
 	writers       sync.WaitGroup // goroutines that write chunks
@@ -72,7 +81,7 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
-	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, texts: newTextCache(), eventInterval: initialEventInterval, endNotices: map[string]time.Time{}}
+	return &Runner{Options: o, wake: make(chan struct{}, 1), jobs: map[string]*job{}, texts: newTextCache(), eventInterval: initialEventInterval, headNotices: map[string]headNotice{}}
 }
 
 const (
@@ -135,6 +144,7 @@
 	if config == nil {
 		return
 	}
+	defer r.logTrusts(now)
 	noCapacity := map[requirement]bool{}
 	for _, q := range r.queue() {
 		route, ok := config.Route(q.job.head.Route)
@@ -155,7 +165,7 @@
 		service = route.ServiceOf(hashFraction(q.state.item.ID))
 	}
 	required := requirement{service, q.state.item.Model, q.job.sub.MinVersion}
-	if noCapacity[required] {
+	if noCapacity[required] || q.job.awaitsConfirmation(now, r.trusts(q.job, now)) {
 		return
 	}
 	need := r.need(q.job, q.state, config.Services[service])
@@ -169,6 +179,9 @@
 		noCapacity[required] = true
 		return
 	}
+	if !r.mayStart(ctx, q.job, now) {
+		return
+	}
 	r.start(ctx, q, route, choice, need.Memory, now)
 }
 
@@ -242,8 +255,9 @@
 	item := q.state.item
 	f := upstream.Forward{
 		ID: item.ID, Method: "POST", Host: route.Host, Target: item.Path, Header: item.Header,
-		Body: item.Body, Team: q.job.head.Team, LastEventID: last,
+		Body: item.Body, Team: q.job.head.Team, LastEventID: last, Permit: r.permit(ctx, q.job, item.ID, cancel),
 	}
+	r.recordHeadAge(q.job, now)
 	r.attempts.Go(func() {
 		result := r.send(ctx, q, f, choice)
 		cancel(nil)
