Quarantine requests that crash the engines that run them

Callers of one service saw 502 for seconds at a time, and few of its engines were up at any moment, because one request of another caller ended each engine that began to run it and came again: no instance kept what a request had done to an engine.

An attempt whose connection the engine closes, while its address refuses new connections from then on, now counts as a crash of that incarnation under the request's digest (host, method, target, team, body). A suspected request is at one engine at a time, is not hedged, and other requests avoid that engine. After three crashes that no other quarantined request accounts for, it is rejected before any send; 503 only if this request was not sent. A complete response clears it. Suspicions are objects of the store that every instance follows through the feed; an instance reads them before it is ready. Items of batches and their reward calls have no digest.

A reset of the connection alone was ruled out as evidence: engines reset connections beyond their limit. A time-out is none either.

--- a/forward/decide.go
+++ b/forward/decide.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/catalog"
+	"github.com/pomelocross/pomelocross/quarantine"
 )
 
 // Outcome is the result of one attempt, i.e. of sending a request to one upstream.
@@ -66,6 +67,16 @@
 	return r.Repeatable() || (t.Open == 0 && !t.MayHaveRun)
 }
 
+// MaySendSuspect reports whether an attempt is allowed by the standing of the request: a
+// suspected request is at one upstream at a time, and a quarantined one at none.
+func MaySendSuspect(s quarantine.Standing, t Tally) bool {
+	return s == quarantine.Unsuspected || s == quarantine.Suspected && t.Open == 0
+}
+
+// quarantineRetryAfter is the Retry-After delay of quarantined requests. Repeating them
+// is futile until the quarantine ends, long after a caller's budget.
+const quarantineRetryAfter = 30 * time.Second
+
 // FinalStatus is the status returned to the caller.
 type FinalStatus struct {
 	Status int
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/catalog"
+	"github.com/pomelocross/pomelocross/quarantine"
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -35,6 +36,13 @@
 	// OnAttempt is called after each attempt of a request whose response is not a
 	// stream. It may be nil.
 	OnAttempt func(o Outcome, took time.Duration)
+	// Guard keeps track of requests that crash upstreams. It may be nil.
+	Guard Guard
+	// Gone reports whether no process listens at an address any more. It is required
+	// with Guard.
+	Gone func(ctx context.Context, address string) bool
+
+	isolated isolation
 }
 
 // Request is a caller's request whose route is known.
@@ -46,6 +54,9 @@
 	// for others. If it is positive, the request is not sent while no upstream has more
 	// free slots; 0 allows the request to wait at its upstream.
 	ReservedSlots int
+	// Digest returns the identity of the request's content, by which requests that crash
+	// upstreams are recognised. Requests for which it is nil are never suspected.
+	Digest func() quarantine.Digest
 }
 
 // Response is the response for the caller.
@@ -57,6 +68,8 @@
 	Signature string
 	From      string // ID of the upstream that responded
 	Tally     Tally
+	// Quarantined is true if the request was rejected because it crashes upstreams.
+	Quarantined bool
 }
 
 // attemptResult is the result of one attempt.
@@ -110,6 +123,7 @@
 	}
 	for {
 		delay, hedged := HedgeDelay(p.tally, p.request.Route, p.deadline.Sub(p.forwarder.Clock.Now()))
+		hedged = hedged && p.forwarder.standing(&p.request) == quarantine.Unsuspected
 		timer := neverFires
 		if hedged {
 			timer = p.forwarder.Clock.After(delay)
@@ -134,6 +148,7 @@
 func (p *plainRequest) handle(ctx context.Context, r attemptResult) (Response, bool) {
 	p.tally.Add(r.outcome)
 	if r.outcome == Answered {
+		p.forwarder.completed(&p.request)
 		return p.response(r), true
 	}
 	if r.outcome == NotSent {
@@ -165,7 +180,11 @@
 	if p.failure != nil {
 		return p.response(*p.failure)
 	}
-	return Response{FinalStatus: GiveUp(p.tally, timedOut, p.retryAfter()), Tally: p.tally}
+	retryAfter, quarantined := p.retryAfter(), p.forwarder.standing(&p.request) == quarantine.Quarantined
+	if quarantined {
+		retryAfter = quarantineRetryAfter
+	}
+	return Response{FinalStatus: GiveUp(p.tally, timedOut, retryAfter), Tally: p.tally, Quarantined: quarantined}
 }
 
 // Range of the Retry-After delay. It is random so that callers do not all retry at
@@ -184,9 +203,13 @@
 	if !MaySend(p.tally, p.request.Route) || ctx.Err() != nil {
 		return false
 	}
+	standing := f.standing(&p.request)
+	if !MaySendSuspect(standing, p.tally) {
+		return false
+	}
 	now := f.Clock.Now()
 	need := roster.Need{Service: p.service, Model: p.request.Model, Domain: f.Domain, Overflow: p.request.ReservedSlots == 0, ReservedSlots: p.request.ReservedSlots, Avoid: p.tried}
-	choice, ok := f.Roster.Pick(need, now)
+	choice, ok := f.pick(need)
 	if !ok {
 		return false
 	}
@@ -198,13 +221,16 @@
 	if forward.Budget > 0 {
 		forward.Budget = p.budgetEnds.Sub(now)
 	}
-	f.Roster.Begin(choice.ID, p.request.ID, roster.Memory{})
+	end := f.begin(choice.ID, p.request.ID, standing)
 	go func() {
 		r := f.exchange(ctx, choice, forward)
-		f.Roster.End(choice.ID, p.request.ID)
+		end()
 		if f.OnAttempt != nil {
 			f.OnAttempt(r.outcome, f.Clock.Now().Sub(now))
 		}
+		if r.outcome == Unknown {
+			f.brokeOff(ctx, &p.request, choice, r.err)
+		}
 		p.results <- r
 	}()
 	return true
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/quarantine"
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
@@ -73,11 +74,12 @@
 func (s *streamRequest) run(ctx context.Context) StreamResponse {
 	var err error
 	unsent := 0
-	for s.mayRetry(unsent) && ctx.Err() == nil {
+	for s.mayRetry(unsent) && ctx.Err() == nil && s.forwarder.standing(&s.request) != quarantine.Quarantined {
 		var outcome Outcome
 		var failure *Response
 		outcome, failure, err = s.attempt(ctx)
 		if outcome == Answered {
+			s.forwarder.completed(&s.request)
 			return StreamResponse{Complete: true, Response: Response{Tally: s.tally}}
 		}
 		if failure != nil {
@@ -92,8 +94,12 @@
 			break
 		}
 	}
-	final := GiveUp(s.tally, ctx.Err() != nil, minRetryAfter+rand.N(retryAfterSpread))
-	return StreamResponse{Response: Response{FinalStatus: final, Tally: s.tally}, Err: err}
+	retryAfter, quarantined := minRetryAfter+rand.N(retryAfterSpread), s.forwarder.standing(&s.request) == quarantine.Quarantined
+	if quarantined {
+		retryAfter = quarantineRetryAfter
+	}
+	final := GiveUp(s.tally, ctx.Err() != nil, retryAfter)
+	return StreamResponse{Response: Response{FinalStatus: final, Tally: s.tally, Quarantined: quarantined}, Err: err}
 }
 
 // mayRetry reports whether a further attempt is allowed.
@@ -108,7 +114,7 @@
 func (s *streamRequest) attempt(ctx context.Context) (outcome Outcome, failure *Response, err error) {
 	f, now := s.forwarder, s.forwarder.Clock.Now()
 	need := roster.Need{Service: s.service, Model: s.request.Model, Domain: f.Domain, Overflow: true, Avoid: s.tried}
-	choice, ok := f.Roster.Pick(need, now)
+	choice, ok := f.pick(need)
 	if !ok {
 		return NotSent, nil, errNoUpstream
 	}
@@ -116,8 +122,13 @@
 	s.tally.Sent++
 	s.tally.Open++
 	defer func() { s.tally.Add(outcome) }()
-	f.Roster.Begin(choice.ID, s.request.ID, roster.Memory{})
-	defer f.Roster.End(choice.ID, s.request.ID)
+	caller := ctx
+	defer func() {
+		if outcome == Unknown {
+			f.brokeOff(caller, &s.request, choice, err)
+		}
+	}()
+	defer f.begin(choice.ID, s.request.ID, f.standing(&s.request))()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(time.Hour, cancel)
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -21,6 +21,7 @@
 	attempts  metric.Float64Histogram
 	items     metric.Float64Histogram
 	rewards   metric.Float64Histogram
+	suspects  metric.Int64Counter
 }
 
 // latencyBuckets holds histogram bounds in seconds. They are dense around the latency
@@ -29,12 +30,13 @@
 
 func newCounters(meter metric.Meter) (*counters, error) {
 	c := &counters{}
-	var errs [5]error
+	var errs [6]error
 	c.calls, errs[0] = meter.Int64Counter("pomelocross.calls", metric.WithDescription("calls to the platform and orders to engines, by class and outcome"))
 	c.responses, errs[1] = meter.Float64Histogram("pomelocross.answers", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("answers to callers, by status"))
 	c.attempts, errs[2] = meter.Float64Histogram("pomelocross.sendings", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("single requests sent to upstreams, by outcome"))
 	c.items, errs[3] = meter.Float64Histogram("pomelocross.items", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("items of batches sent to engines, by ending"))
 	c.rewards, errs[4] = meter.Float64Histogram("pomelocross.rewards", metric.WithUnit("s"), latencyBuckets, metric.WithDescription("reward calls of batch items, by outcome"))
+	c.suspects, errs[5] = meter.Int64Counter("pomelocross.suspects", metric.WithDescription("requests suspected of crashing engines, by event"))
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, oops.In("gateway").With("step", "create metrics").Wrap(err)
 	}
@@ -82,3 +84,8 @@
 func (c *counters) recordReward(outcome string, took time.Duration) {
 	c.rewards.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
 }
+
+// recordSuspect counts an event of the quarantine.
+func (c *counters) recordSuspect(event string) {
+	c.suspects.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -38,6 +38,7 @@
 		{Kind: platform.KindConfig, Wait: s.ConfigBound / 2},
 		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
 		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
+		{Kind: kindQuarantine, Wait: s.quarantineWait()},
 	}
 	for n := range kinds {
 		kinds[n].MaxAge = kinds[n].Wait + kinds[n].Pause + sourceAgeMargin
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	peerServer   *link.Server
 	membership   *membership
 	feed         *feed
+	quarantine   *quarantineKeeper
 	// background is the context of all background tasks; stopBackground cancels it.
 	background     context.Context
 	stopBackground context.CancelFunc
@@ -90,9 +91,10 @@
 	g.store = objects.NewRelay(g.directStore, g.relay, g.storePathChanged)
 	g.feed = newFeed(g)
 	g.meter = newMeter(s.UsageWindow)
+	g.quarantine = newQuarantineKeeper(g)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Upstreams: g.engines, Clock: g.clock, Log: t.Log,
-		OnRun: g.countRequest, OnAttempt: counters.recordAttempt,
+		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: upstream.Gone,
 	}
 	incarnation := uuid.NewString()
 	g.runner = batch.NewRunner(batch.Options{
@@ -189,7 +191,7 @@
 func (g *Gateway) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
 		g.wall.Run, g.followCatalog, g.followServers, g.pollMembership, g.followRetirements,
-		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.runTallyPublisher, g.maintainControlLease, g.runControl,
+		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.runTallyPublisher, g.quarantine.run, g.maintainControlLease, g.runControl,
 	}
 }
 
@@ -253,7 +255,7 @@
 
 // ready reports whether the load balancer may send requests to this instance.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.catalog.Load() != nil && g.upstreamsListed.Load()
+	return !g.draining.Load() && g.catalog.Load() != nil && g.upstreamsListed.Load() && g.quarantine.listed.Load()
 }
 
 // serveReady serves the readiness check: status 200 if ready, else 503.
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	"github.com/pomelocross/pomelocross/forward"
 	"github.com/pomelocross/pomelocross/internal/httpdrain"
 	"github.com/pomelocross/pomelocross/platform"
+	"github.com/pomelocross/pomelocross/quarantine"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -165,8 +167,10 @@
 
 // request returns the forward request for a caller's request.
 func (g *Gateway) request(r *http.Request, caller platform.Caller, route catalog.Route, team catalog.Team, body []byte) forward.Request {
+	content := quarantine.Content{Host: hostOf(r), Method: r.Method, Target: targetOf(r), Team: team.Name, Body: body}
 	return forward.Request{
-		Route: route, Model: platform.ModelOf(r.Header),
+		Digest: sync.OnceValue(content.Digest),
+		Route:  route, Model: platform.ModelOf(r.Header),
 		Forward: upstream.Forward{
 			ID: caller.ID, Method: r.Method, Host: r.Host, Target: targetOf(r), Header: r.Header, Body: body,
 			Team: team.Name, Budget: caller.Budget, LastEventID: caller.LastEvent,
@@ -219,6 +223,10 @@
 		g.log.Info("caller disconnected", zap.String("request", request.ID), zap.Int("sent", response.Tally.Sent))
 		panic(http.ErrAbortHandler)
 	}
+	if response.Quarantined {
+		g.rejectQuarantined(w, r, response)
+		return
+	}
 	if response.Header == nil {
 		g.log.Info("no upstream responded to the request; rejecting it", zap.String("request", request.ID), zap.String("route", request.Route.Name), zap.String("team", request.Team),
 			zap.Duration("budget", request.Budget), zap.Duration("timeout", request.Route.Timeout), zap.Int("sent", response.Tally.Sent),
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,405 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/forward"
+	"github.com/pomelocross/pomelocross/objects"
+	"github.com/pomelocross/pomelocross/quarantine"
+)
+
+// kindQuarantine is the kind of the objects that hold the suspicions that requests crash
+// engines, one object per digest.
+const kindQuarantine = "quarantine"
+
+const (
+	// maxSuspects bounds the suspicions that an instance keeps. An engine that crashes
+	// leaves as many as it has slots.
+	maxSuspects = 512
+	// suspicionSettle is how long a single suspicion is kept from the store. Most requests
+	// that were beside the cause of a crash have run elsewhere by then.
+	suspicionSettle = 400 * time.Millisecond
+	// suspicionWait bounds how long an attempt is delayed until the suspicion is stored,
+	// so that other instances know it even if this one ends.
+	suspicionWait = 200 * time.Millisecond
+	// suspicionRetry is the pause after a failed write.
+	suspicionRetry = 300 * time.Millisecond
+	// suspicionTimeout bounds the calls of one write.
+	suspicionTimeout = 1500 * time.Millisecond
+	// maxSuspicionWrites bounds the writes in flight.
+	maxSuspicionWrites = 8
+	// crashReviewAge is the age of a crash at which the engine's registration must have
+	// been removed or replaced. An engine that is still registered then has not crashed:
+	// only the path to it was cut in a way that looked like it.
+	crashReviewAge = 8 * time.Second
+	// quarantineInterval is the pause between two passes over pending writes.
+	quarantineInterval = 100 * time.Millisecond
+	// sweepSpread spreads the deletion of expired records over the instances.
+	sweepSpread = time.Minute
+	// maxDescribedPath limits the path in a record, in bytes.
+	maxDescribedPath = 200
+)
+
+// reasonQuarantined is the reason given to the callers of a quarantined request.
+const reasonQuarantined = "the request is quarantined, because upstreams crash when they run it"
+
+// rejectQuarantined rejects a quarantined request. If it was sent before it was
+// quarantined, the status does not say that it has not run.
+func (g *Gateway) rejectQuarantined(w http.ResponseWriter, r *http.Request, response forward.Response) {
+	g.counters.recordSuspect("rejected")
+	g.reject(w, r, rejection{response.Status, reasonQuarantined, response.RetryAfter})
+}
+
+// quarantineWait returns how long a watch of the quarantine lasts. It bounds how long an
+// instance waits for a source that lost the store before it reads the store itself.
+func (s *Settings) quarantineWait() time.Duration { return s.ContactBound / 2 }
+
+// quarantineKeeper keeps this instance's list of suspected requests in line with the
+// store. It implements forward.Guard.
+type quarantineKeeper struct {
+	gateway *Gateway
+	list    *quarantine.List
+	listed  atomic.Bool  // the stored records were read
+	freshAt atomic.Int64 // boot time of the last response to a list or watch, in nanoseconds
+	writes  chan struct{}
+	wake    chan struct{}
+
+	mu      sync.Mutex // guards all below
+	stored  map[quarantine.Digest]storedSuspicion
+	pending map[quarantine.Digest]*pendingSuspicion
+	crashes map[quarantine.Engine]time.Time // that this instance reported, by time
+}
+
+// storedSuspicion is a record as last read or written.
+type storedSuspicion struct {
+	version objects.Version
+	record  quarantine.Record
+}
+
+// pendingSuspicion is a write that is due or in flight.
+type pendingSuspicion struct {
+	due     time.Time
+	writing bool
+	again   bool          // the suspicion changed during the write
+	done    chan struct{} // closed after a successful write
+}
+
+func newQuarantineKeeper(g *Gateway) *quarantineKeeper {
+	k := &quarantineKeeper{
+		gateway: g, list: quarantine.NewList(g.settings.Quarantine, maxSuspects), writes: make(chan struct{}, maxSuspicionWrites), wake: make(chan struct{}, 1),
+		stored: map[quarantine.Digest]storedSuspicion{}, pending: map[quarantine.Digest]*pendingSuspicion{}, crashes: map[quarantine.Engine]time.Time{},
+	}
+	k.listed.Store(!g.servesCallers()) // other instances send no requests
+	return k
+}
+
+// Active implements forward.Guard.
+func (k *quarantineKeeper) Active() bool { return !k.list.Empty() }
+
+// Standing implements forward.Guard.
+func (k *quarantineKeeper) Standing(d quarantine.Digest) quarantine.Standing {
+	return k.list.Standing(d, k.gateway.wall.Now())
+}
+
+// Crashed implements forward.Guard. A request that has crashed several engines is stored
+// before the next attempt, as is any suspicion while the stored ones are not known well.
+func (k *quarantineKeeper) Crashed(r *forward.Request, d quarantine.Digest, engine quarantine.Engine) {
+	g := k.gateway
+	now := g.clock.Now()
+	about := quarantine.Record{Host: r.Host, Path: r.Target[:min(len(r.Target), maxDescribedPath)], Team: r.Team}
+	crashes := k.list.Blame(d, engine, about, g.wall.Now())
+	standing := k.Standing(d)
+	k.event("suspected", "engine crashed while it ran the request", d, zap.String("request", r.ID), zap.String("upstream", engine.ID),
+		zap.Int("crashes", crashes), zap.Stringer("standing", standing))
+	if standing == quarantine.Quarantined {
+		k.quarantined(d, about, crashes)
+	}
+	k.mu.Lock()
+	k.crashes[engine] = now
+	k.mu.Unlock()
+	if crashes < 2 && k.fresh(now) && r.Route.Repeatable() {
+		k.schedule(d, now.Add(suspicionSettle))
+		return
+	}
+	select {
+	case <-k.schedule(d, now):
+	case <-g.clock.After(suspicionWait):
+	}
+}
+
+// Completed implements forward.Guard.
+func (k *quarantineKeeper) Completed(r *forward.Request, d quarantine.Digest) {
+	cleared, stored := k.list.Clear(d)
+	if !cleared {
+		return
+	}
+	k.event("cleared", "suspected request ran to its end", d, zap.String("request", r.ID))
+	if stored {
+		k.schedule(d, k.gateway.clock.Now())
+	}
+}
+
+// quarantined logs that a request is quarantined from now on.
+func (k *quarantineKeeper) quarantined(d quarantine.Digest, about quarantine.Record, crashes int) {
+	k.event("quarantined", "request is quarantined", d, zap.String("host", about.Host), zap.String("path", about.Path), zap.String("team", about.Team), zap.Int("crashes", crashes))
+}
+
+// event logs and counts an event of a suspicion.
+func (k *quarantineKeeper) event(name, message string, d quarantine.Digest, fields ...zap.Field) {
+	k.gateway.counters.recordSuspect(name)
+	k.gateway.log.Info(message, append(fields, zap.String("digest", string(d)))...)
+}
+
+// fresh reports whether the stored records were read within the bound.
+func (k *quarantineKeeper) fresh(now time.Time) bool {
+	return now.UnixNano()-k.freshAt.Load() < k.gateway.settings.ContactBound.Nanoseconds()
+}
+
+// schedule arranges that a suspicion is written at due. The returned channel is closed
+// after the write.
+func (k *quarantineKeeper) schedule(d quarantine.Digest, due time.Time) <-chan struct{} {
+	k.mu.Lock()
+	p := k.pending[d]
+	if p == nil {
+		p = &pendingSuspicion{due: due, done: make(chan struct{})}
+		k.pending[d] = p
+	}
+	p.again = p.writing
+	if due.Before(p.due) {
+		p.due = due
+	}
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return p.done
+}
+
+// run follows the stored records and writes this instance's until ctx ends.
+func (k *quarantineKeeper) run(ctx context.Context) {
+	if !k.gateway.servesCallers() {
+		return
+	}
+	go k.follow(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		case <-k.gateway.clock.After(quarantineInterval):
+		}
+		k.writeDue(ctx)
+		k.review()
+		k.sweep()
+	}
+}
+
+// follow applies the stored records until ctx ends.
+func (k *quarantineKeeper) follow(ctx context.Context) {
+	m := &storeMonitor{gateway: k.gateway, kind: kindQuarantine}
+	o := objects.FollowOptions{
+		Wait: k.gateway.settings.quarantineWait(), MaxPause: maxRetryPause, OnListed: func() { k.listed.Store(true) },
+		OnCall: func(err error) {
+			if err == nil {
+				k.freshAt.Store(k.gateway.clock.Now().UnixNano())
+			}
+			m.observe(err)
+		},
+	}
+	objects.FollowWith(ctx, k.gateway.feed, kindQuarantine, o, k.apply)
+}
+
+// apply applies a stored record.
+func (k *quarantineKeeper) apply(o objects.Object) {
+	d := quarantine.Digest(o.Name)
+	var record *quarantine.Record
+	if !o.Deleted {
+		record = &quarantine.Record{}
+		if err := json.Unmarshal(o.Value, record); err != nil {
+			k.gateway.warn("decode suspicion", oops.In("gateway").With("name", o.Name).Wrap(err))
+			return
+		}
+	}
+	if !k.remember(d, o.Version, record) {
+		return
+	}
+	before, after := k.list.Apply(d, record, k.gateway.wall.Now())
+	switch {
+	case after == before:
+	case after == quarantine.Quarantined:
+		k.quarantined(d, *record, len(record.Engines))
+	case before == quarantine.Quarantined:
+		k.event("lifted", "quarantine of a request is lifted", d)
+	}
+}
+
+// remember records what is stored for a digest. It returns false if a later state is
+// known.
+func (k *quarantineKeeper) remember(d quarantine.Digest, version objects.Version, record *quarantine.Record) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case version < k.stored[d].version:
+		return false
+	case record == nil:
+		delete(k.stored, d)
+	default:
+		k.stored[d] = storedSuspicion{version, *record}
+	}
+	return true
+}
+
+// writeDue starts the writes that are due.
+func (k *quarantineKeeper) writeDue(ctx context.Context) {
+	now := k.gateway.clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for d, p := range k.pending {
+		if p.writing || p.due.After(now) {
+			continue
+		}
+		select {
+		case k.writes <- struct{}{}:
+		default:
+			return // started when another one ends
+		}
+		p.writing, p.again = true, false
+		go func() {
+			err := k.write(ctx, d)
+			<-k.writes
+			k.written(d, p, err)
+		}()
+	}
+}
+
+// written records the result of a write.
+func (k *quarantineKeeper) written(d quarantine.Digest, p *pendingSuspicion, err error) {
+	now := k.gateway.clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p.writing = false
+	switch {
+	case err != nil:
+		p.due = now.Add(suspicionRetry)
+		k.gateway.warn("store suspicion", err)
+	case p.again:
+		p.due = now
+	default:
+		delete(k.pending, d)
+		close(p.done)
+	}
+}
+
+// write brings the stored record of a digest in line with the list. It merges the
+// engines that other instances have stored.
+func (k *quarantineKeeper) write(ctx context.Context, d quarantine.Digest) error {
+	ctx, cancel := context.WithTimeout(ctx, suspicionTimeout)
+	defer cancel()
+	for {
+		err := k.writeOnce(ctx, d)
+		if !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrNotFound) {
+			return err
+		}
+		if err := k.reread(ctx, d); err != nil {
+			return err
+		}
+	}
+}
+
+// reread reads the stored record of a digest after a conflict.
+func (k *quarantineKeeper) reread(ctx context.Context, d quarantine.Digest) error {
+	o, err := k.gateway.store.Get(ctx, kindQuarantine, string(d))
+	if errors.Is(err, objects.ErrNotFound) {
+		k.mu.Lock()
+		delete(k.stored, d)
+		k.mu.Unlock()
+		k.list.Apply(d, nil, k.gateway.wall.Now())
+		return nil
+	}
+	if err != nil {
+		return oops.In("gateway").With("step", "read suspicion", "digest", d).Wrap(err)
+	}
+	k.apply(o)
+	return nil
+}
+
+// writeOnce writes the record over the last known version.
+func (k *quarantineKeeper) writeOnce(ctx context.Context, d quarantine.Digest) error {
+	k.mu.Lock()
+	known, isStored := k.stored[d]
+	k.mu.Unlock()
+	var stored *quarantine.Record
+	if isStored {
+		stored = &known.record
+	}
+	record, change := k.list.Pending(d, stored)
+	switch change {
+	case quarantine.Delete:
+		err := k.gateway.store.Delete(ctx, kindQuarantine, string(d), known.version)
+		if err == nil {
+			k.list.Saved(d, nil)
+		}
+		return err
+	case quarantine.Put:
+		o, err := k.gateway.store.Put(ctx, kindQuarantine, string(d), known.version, record)
+		if err == nil {
+			k.remember(d, o.Version, &record)
+			k.list.Saved(d, &record)
+		}
+		return err
+	}
+	return nil
+}
+
+// review revokes the crashes that this instance reported of engines that turn out to be
+// alive.
+func (k *quarantineKeeper) review() {
+	now := k.gateway.clock.Now()
+	k.mu.Lock()
+	var old []quarantine.Engine
+	for engine, at := range k.crashes {
+		if now.Sub(at) > crashReviewAge {
+			old = append(old, engine)
+			delete(k.crashes, engine)
+		}
+	}
+	k.mu.Unlock()
+	for _, engine := range old {
+		e, registered := k.gateway.roster.Entry(engine.ID)
+		if !registered || e.Started != engine.Started || k.gateway.outage.recent(now, crashReviewAge) {
+			continue
+		}
+		k.gateway.counters.recordSuspect("revoked")
+		k.gateway.log.Info("engine has not crashed; revoking the suspicions", zap.String("upstream", engine.ID))
+		for _, d := range k.list.Revoke(engine, k.gateway.wall.Now()) {
+			k.schedule(d, now)
+		}
+	}
+}
+
+// sweep deletes expired records. Each instance does so at another time, so that one
+// of them usually deletes a record alone.
+func (k *quarantineKeeper) sweep() {
+	late := time.Duration(xxhash.Sum64String(k.gateway.settings.Name) % uint64(sweepSpread))
+	for _, d := range k.list.Expired(k.gateway.wall.Now(), late) {
+		cleared, stored := k.list.Clear(d)
+		if !cleared {
+			continue
+		}
+		k.event("expired", "suspicion expired", d)
+		if stored {
+			k.schedule(d, k.gateway.clock.Now())
+		}
+	}
+}
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/platform/standin"
+)
+
+// deadlyBody is the body of the requests that crash engines.
+const deadlyBody = "deadly"
+
+// addCrashers replaces the plain upstream of a deployment by count ones that crash when
+// they get deadlyBody.
+func (d *deployment) addCrashers(count int) []*standin.Crasher {
+	d.store.Remove("servers", d.desk.ID)
+	var list []*standin.Crasher
+	for n := range count {
+		e := &standin.Engine{ID: fmt.Sprint("crasher-", n), Service: "desk", Slots: 8}
+		c := &standin.Crasher{Engine: e, Body: deadlyBody, OnCrash: func() { d.store.Remove("servers", e.ID) }}
+		address, err := c.Start()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = c.Stop() }) // fails if it has crashed
+		d.store.Set("servers", e.ID, e.Registration(address, "a", "ready"))
+		list = append(list, c)
+	}
+	return list
+}
+
+// crashes returns the number of crashes of all processes.
+func crashes(list []*standin.Crasher) int {
+	sum := 0
+	for _, c := range list {
+		sum += c.Crashes()
+	}
+	return sum
+}
+
+// sendDeadly sends a request that crashes engines and returns the status of the response.
+func sendDeadly(gw *testInstance) int {
+	return status("POST", gw.address, "/kits/deadly", northKey, []byte(deadlyBody))
+}
+
+// sendInnocent sends a request that crashes nothing and returns the status.
+func sendInnocent(gw *testInstance) int {
+	return status("POST", gw.address, "/kits/1", northKey, []byte("count"))
+}
+
+var _ = Describe("A request that crashes engines", func() {
+	It("is rejected by all instances once it has crashed three, also by one that restarted and one that reaches no other", func() {
+		// Guards against a request that crashes engine after engine.
+		d := newDeployment(0, 0)
+		crashers := d.addCrashers(12)
+		first := d.start("entry-1", nil)
+		second := d.start("entry-2", func(s *Settings) { s.Peers = []string{first.settings.PeerListen} })
+		separated := d.start("entry-3", func(s *Settings) { s.Domain, s.Secret = "b", "another-secret-of-16-bytes" })
+
+		Expect(sendDeadly(first)).To(Equal(http.StatusBadGateway))
+		Expect(crashes(crashers)).To(Equal(2))
+		Expect(sendDeadly(second)).To(Equal(http.StatusBadGateway))
+		first.stop()
+		restarted := d.start("entry-1", nil)
+		time.Sleep(first.settings.ContactBound / 4)
+		for _, gw := range []*testInstance{restarted, second, separated} {
+			Expect(sendDeadly(gw)).To(Equal(http.StatusServiceUnavailable), gw.settings.Name)
+			Expect(sendInnocent(gw)).To(Equal(http.StatusOK), gw.settings.Name)
+		}
+		Expect(crashes(crashers)).To(Equal(3))
+	})
+
+	It("is known to other instances when it is sent once only", func() {
+		// Guards against requests without retries, of which each instance sees one crash.
+		d := newDeployment(0, 0)
+		d.configure(func(c map[string]any) { c["Routes"].([]map[string]any)[0]["Type"] = "unsafe" })
+		crashers := d.addCrashers(9)
+		var all []*testInstance
+		for n := range 4 {
+			all = append(all, d.start(fmt.Sprint("entry-", n), nil))
+		}
+		for _, gw := range all[:3] {
+			Expect(sendDeadly(gw)).To(Equal(http.StatusBadGateway))
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(sendDeadly(all[3])).To(Equal(http.StatusServiceUnavailable))
+		Expect(crashes(crashers)).To(Equal(3))
+	})
+
+	It("stays rejected while the store is away, and others know of it once the store is back", func() {
+		// Guards against suspicions that are lost with a failed write.
+		d := newDeployment(0, 0)
+		crashers := d.addCrashers(9)
+		proxy := &breakableProxy{target: d.store}
+		gw := d.start("entry-1", func(s *Settings) { s.Store = serve(proxy) })
+		other := d.start("entry-2", func(s *Settings) { s.Secret = "another-secret-of-16-bytes" })
+		proxy.down.Store(true)
+		Expect(sendDeadly(gw)).To(Equal(http.StatusBadGateway))
+		Expect(sendDeadly(gw)).To(Equal(http.StatusBadGateway))
+		Expect(sendDeadly(gw)).To(Equal(http.StatusServiceUnavailable))
+		proxy.down.Store(false)
+		Eventually(func() bool { return other.quarantine.Active() }).WithTimeout(3 * time.Second).Should(BeTrue())
+		Expect(sendDeadly(other)).To(Equal(http.StatusServiceUnavailable))
+		Expect(crashes(crashers)).To(Equal(3))
+	})
+})
+
+var _ = Describe("A request that was at an engine when it crashed", func() {
+	It("is served by another engine and leaves nothing in the store", func() {
+		// Guards against innocent requests that are rejected for the crash of another one.
+		d := newDeployment(0, 0)
+		crashers := d.addCrashers(4)
+		gw := d.start("entry-1", nil)
+		crash := make(chan struct{})
+		for _, c := range crashers {
+			c.Engine.SetFault(func(id string) standin.Fault {
+				if id == "beside" {
+					select {
+					case <-crash:
+					default:
+						close(crash)
+						Expect(c.Stop()).To(Succeed())
+						return standin.NoReply
+					}
+				}
+				return standin.None
+			})
+		}
+		Expect(status("POST", gw.address, "/kits/1", northKey, []byte("count"), "X-Pomelocross-Request-Id", "beside")).To(Equal(http.StatusOK))
+		Consistently(func() []string { return d.store.Names("quarantine") }, "700ms").Should(BeEmpty())
+		Expect(gw.quarantine.Active()).To(BeFalse())
+	})
+})
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -28,18 +28,20 @@
 	Cloud       string   `env:"POMELOCROSS_CLOUD" flag:"cloud" usage:"IP:port of the platform's usage and scaling interface" validate:"omitempty,ip_port"`
 	Control     string   `env:"POMELOCROSS_CONTROL" envDefault:"standby" flag:"control" usage:"how eagerly this instance seeks the control role: first or standby" validate:"oneof=first standby"`
 
-	LeaseBound  time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
-	LeaveBound  time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
-	ConfigBound time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
-	Grace       time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the stop signal until the process is killed" validate:"min=1s" reload:"true"`
-	DrainGrace  time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time for which a planned stop still accepts new requests after readiness fails; the load balancer checks once a second and acts on the second failure" validate:"min=0" reload:"true"`
-	UsageWindow time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
-	UsageLate   time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after the end of a usage window within which its report is due" validate:"min=1s" reload:"true"`
-	Keep        time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time after its submission for which an ended batch can be read" validate:"min=1s"`
-	MemoryMB    int           `env:"POMELOCROSS_MEMORY_MB" envDefault:"0" flag:"memory-mb" usage:"memory that the process may use, in MB; 0 for no limit" validate:"min=0" reload:"true"`
-	CPUShare    float64       `env:"POMELOCROSS_CPU_SHARE" envDefault:"1" flag:"cpu-share" usage:"processor cores that the process may use; batches run on the instances with most" validate:"gt=0"`
-	MaxFiles    int           `env:"POMELOCROSS_MAX_FILES" envDefault:"0" flag:"max-files" usage:"file descriptors that the process may use; 0 for no limit" validate:"min=0"`
-	LogLevel    string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"minimum level of the messages that are logged" validate:"oneof=debug info warn error" reload:"true"`
+	LeaseBound   time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
+	LeaveBound   time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
+	ConfigBound  time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
+	ContactBound time.Duration `env:"POMELOCROSS_CONTACT_BOUND" envDefault:"3s" flag:"contact-bound" usage:"time within which every instance must know of a request that crashes upstreams" validate:"min=1s"`
+	Quarantine   time.Duration `env:"POMELOCROSS_QUARANTINE" envDefault:"15m" flag:"quarantine" usage:"time after its last crash for which a request that crashes upstreams is rejected" validate:"min=1s"`
+	Grace        time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the stop signal until the process is killed" validate:"min=1s" reload:"true"`
+	DrainGrace   time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time for which a planned stop still accepts new requests after readiness fails; the load balancer checks once a second and acts on the second failure" validate:"min=0" reload:"true"`
+	UsageWindow  time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
+	UsageLate    time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after the end of a usage window within which its report is due" validate:"min=1s" reload:"true"`
+	Keep         time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time after its submission for which an ended batch can be read" validate:"min=1s"`
+	MemoryMB     int           `env:"POMELOCROSS_MEMORY_MB" envDefault:"0" flag:"memory-mb" usage:"memory that the process may use, in MB; 0 for no limit" validate:"min=0" reload:"true"`
+	CPUShare     float64       `env:"POMELOCROSS_CPU_SHARE" envDefault:"1" flag:"cpu-share" usage:"processor cores that the process may use; batches run on the instances with most" validate:"gt=0"`
+	MaxFiles     int           `env:"POMELOCROSS_MAX_FILES" envDefault:"0" flag:"max-files" usage:"file descriptors that the process may use; 0 for no limit" validate:"min=0"`
+	LogLevel     string        `env:"POMELOCROSS_LOG_LEVEL" envDefault:"info" flag:"log-level" usage:"minimum level of the messages that are logged" validate:"oneof=debug info warn error" reload:"true"`
 
 	// Check prints the effective settings and exits.
 	Check bool `env:"-" flag:"check" usage:"check the settings, print them with secrets masked, and exit"`
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,8 @@
 		copyHeader(w.Header(), response.Header)
 		w.WriteHeader(response.Status)
 		_, _ = w.Write(response.Body) // the caller may have disconnected; there is nothing left to do
+	case response.Quarantined:
+		g.rejectQuarantined(w, r, response.Response)
 	default:
 		g.reject(w, r, rejection{response.Status, "no upstream answered", response.RetryAfter})
 	}
