Do not take a cut-off failure domain for crashes of its engines

An engine in another domain counts as crashed only if an instance or another engine of that domain can be reached. Resets alone were ruled out before: the engine has to refuse a new connection.

The new spec covers all four cases; before, the refusal alone decided, and its third expectation did not hold.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,9 +38,9 @@
 	OnAttempt func(o Outcome, took time.Duration)
 	// Guard keeps track of requests that crash upstreams. It may be nil.
 	Guard Guard
-	// Gone reports whether no process listens at an address any more. It is required
-	// with Guard.
-	Gone func(ctx context.Context, address string) bool
+	// Gone reports whether the process of an upstream has ended. It is required with
+	// Guard.
+	Gone func(ctx context.Context, e roster.Entry) bool
 
 	isolated isolation
 }
--- a/forward/guard.go
+++ b/forward/guard.go
@@ -42,10 +42,10 @@
 }
 
 // brokeOff records that an attempt ended without a complete response. If the connection
-// was closed and the upstream refuses new ones, it crashed while it ran the request.
+// was closed and the upstream's process has ended, it crashed while it ran the request.
 // After a reset of the connection alone, the upstream still accepts others.
 func (f *Forwarder) brokeOff(ctx context.Context, r *Request, to roster.Choice, err error) {
-	if f.Guard == nil || r.Digest == nil || !closedByPeer(err) || !f.Gone(context.WithoutCancel(ctx), to.Address) {
+	if f.Guard == nil || r.Digest == nil || !closedByPeer(err) || !f.Gone(context.WithoutCancel(ctx), to.Entry) {
 		return
 	}
 	f.Guard.Crashed(r, r.Digest(), quarantine.Engine{ID: to.ID, Started: to.Started})
--- a/forward/guard_test.go
+++ b/forward/guard_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/quarantine"
+	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -35,7 +36,7 @@
 func guarded(f *fakeUpstreams, upstreams int, gone bool) *Forwarder {
 	forwarder := newForwarder(f, upstreams)
 	forwarder.Guard = listGuard{quarantine.NewList(time.Minute, 16)}
-	forwarder.Gone = func(context.Context, string) bool { return gone }
+	forwarder.Gone = func(context.Context, roster.Entry) bool { return gone }
 	return forwarder
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,7 +94,7 @@
 	g.quarantine = newQuarantineKeeper(g)
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Upstreams: g.engines, Clock: g.clock, Log: t.Log,
-		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: upstream.Gone,
+		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: g.upstreamGone,
 	}
 	incarnation := uuid.NewString()
 	g.runner = batch.NewRunner(batch.Options{
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -166,6 +166,19 @@
 	return peers
 }
 
+// peersOf returns the addresses of up to limit other instances of a failure domain.
+func (m *membership) peersOf(domain string, limit int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var peers []string
+	for name, r := range m.instances {
+		if name != m.name && r.Domain == domain && len(peers) < limit {
+			peers = append(peers, r.Peer)
+		}
+	}
+	return peers
+}
+
 // listed reports whether the list of instances has been read.
 func (m *membership) listed() bool {
 	m.mu.Lock()
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -133,3 +133,22 @@
 		Expect(gw.quarantine.Active()).To(BeFalse())
 	})
 })
+
+var _ = Describe("An engine that refuses connections", func() {
+	It("has not crashed if its whole failure domain does", func() {
+		// Guards against a quarantine of innocent requests while a failure domain is cut off.
+		d := newDeployment(0, 0)
+		crashers := d.addCrashers(3)
+		gw := d.start("entry-1", func(s *Settings) { s.Domain = "b" })
+		entry, known := gw.roster.Entry("crasher-0")
+		Expect(known).To(BeTrue())
+		Expect(gw.upstreamGone(gw.background, entry)).To(BeFalse(), "while it accepts connections")
+		Expect(crashers[0].Stop()).To(Succeed())
+		Expect(gw.upstreamGone(gw.background, entry)).To(BeTrue(), "while others of its domain accept them")
+		Expect(crashers[1].Stop()).To(Succeed())
+		Expect(crashers[2].Stop()).To(Succeed())
+		Expect(gw.upstreamGone(gw.background, entry)).To(BeFalse(), "while none of its domain does")
+		entry.Domain = "b"
+		Expect(gw.upstreamGone(gw.background, entry)).To(BeTrue(), "in the instance's own domain")
+	})
+})
