link: replies that arrive after their call has ended are not written

An instance that gave up a call to another one could read a reply that was being decoded at that moment, torn between old and new. Cause: net/rpc decodes a late reply into the value that the caller passed, though Call has returned because its context ended; relayed store calls and reads of a feed copy that value after an error too.

A reply is now decoded into a value of its own and copied when the call ends without an error.

--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -117,7 +118,8 @@
 // Call calls method at address and waits for the reply or until ctx is done. An
 // error that the peer returned wraps an rpc.ServerError; after any other error the
 // call may or may not have run. If ctx ends and no reply to any call has arrived on
-// the connection since this call began, the connection is not reused.
+// the connection since this call began, the connection is not reused. reply is written
+// only if Call returns nil.
 func (d *Dialer) Call(ctx context.Context, address, method string, args, reply any) error {
 	p, err := d.peer(ctx, address)
 	if err != nil {
@@ -125,9 +127,14 @@
 	}
 	started := time.Now()
 	p.beginCall()
-	call := p.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A reply may arrive after ctx has ended, when the caller no longer expects writes.
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := p.client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(received.Elem())
+		}
 		return d.finishCall(address, method, p, call.Error)
 	case <-ctx.Done():
 		if p.noReplySince(started) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -142,6 +142,18 @@
 		Eventually(slow).Should(Receive(Succeed()))
 	})
 
+	It("does not write a reply that arrives after its call has ended", func() {
+		// Guards against callers that read a reply while it is being decoded.
+		slow := make(chan error, 1)
+		go func() { slow <- call(dialer, "Echo.Hold", 10*time.Second) }()
+		Eventually(proxy.accepted.Load).Should(Equal(int64(1)))
+		var reply string
+		Expect(dialer.Call(timeoutContext(50*time.Millisecond), proxy.listener.Addr().String(), "Echo.Hold", "late", &reply)).To(MatchError(context.DeadlineExceeded))
+		close(echo.release)
+		Eventually(slow).Should(Receive(Succeed()))
+		Consistently(func() string { return reply }, "100ms").Should(BeEmpty())
+	})
+
 	// A process without free file descriptors stopped accepting connections of other
 	// instances for good after the first failure.
 	It("goes on accepting connections after its listener failed", func() {
