--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -41,6 +41,7 @@
 		{Kind: platform.KindConfig, Wait: s.maxConfigWait(s.ConfigBound / 2)},
 		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
 		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
+		{Kind: kindQuarantine, Wait: s.quarantineWait()},
 	}
 	if s.EvacuationBound > 0 {
 		kinds = append(kinds, objects.CacheKind{Kind: platform.KindEvacuations, Wait: s.EvacuationBound / evacuationWaits})
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,8 @@
 	LeaseBound   time.Duration `env:"POMELOCROSS_LEASE_BOUND" envDefault:"3s" flag:"lease-bound" usage:"time within which the control role must not move to another instance and back" validate:"min=1s"`
 	LeaveBound   time.Duration `env:"POMELOCROSS_LEAVE_BOUND" envDefault:"2s" flag:"leave-bound" usage:"time within which a leaving upstream must get no new work" validate:"min=1s"`
 	ConfigBound  time.Duration `env:"POMELOCROSS_CONFIG_BOUND" envDefault:"2s" flag:"config-bound" usage:"time within which a new configuration must be in force" validate:"min=1s"`
+	ContactBound time.Duration `env:"POMELOCROSS_CONTACT_BOUND" envDefault:"3s" flag:"contact-bound" usage:"time within which every instance must know of a request that crashes upstreams" validate:"min=1s"`
+	Quarantine   time.Duration `env:"POMELOCROSS_QUARANTINE" envDefault:"15m" flag:"quarantine" usage:"time after its last crash for which a request that crashes upstreams is rejected" validate:"min=1s"`
 	EndBound     time.Duration `env:"POMELOCROSS_END_BOUND" envDefault:"3s" flag:"end-bound" usage:"time within which the end of a batch must stop its items from reaching engines" validate:"min=2500ms"`
 	StrictRevoke bool          `env:"POMELOCROSS_STRICT_REVOKE" envDefault:"false" flag:"strict-revoke" usage:"reject requests that need a key, with status 503, while the configuration has not been confirmed for --revoke-bound; otherwise they are served with the last known one"`
 	RevokeBound  time.Duration `env:"POMELOCROSS_REVOKE_BOUND" envDefault:"5s" flag:"revoke-bound" usage:"age of the last confirmation of the configuration from which keys are not accepted with --strict-revoke" validate:"min=1s"`
