Weight loads: a load counts until it has ended, and the number at once is learned

Cause: a load counted against the limit for 0.9 s, whether it was done or not, and takes 0.91 s at best; a load that starts beside more than the store of weights serves takes longer in proportion, so loads met more and more others. The limit followed the number of engines, which the store of weights does not. One engine's load took ten seconds, and it refused three further orders meanwhile.

Change: a load counts until the engine's report shows its end; one on an engine that is not reached counts no longer than a usual one. How many may load at once is learned from the time that loads take: one more after loads of the usual time at the limit, fewer after slowed ones, never more than a fifth of the engines as before. A new holder asks for all engines' reports, at most 0.3 s, and counts its predecessor's loads. An engine that reports a load in progress gets no order, and the end of a load starts the next at once.

The five tests of loads at once failed with the planner as it was (12 instead of 2 loads at once in the first, 18 instead of 3 in the growing service) and pass; the suites of fleet and gateway pass (42 and 50 specs).

--- a/fleet/load_planner.go
+++ b/fleet/load_planner.go
@@ -39,9 +39,11 @@
 // every model on every engine would exceed the capacity of the weight store and
 // discard prompts needlessly.
 type LoadPlanner struct {
-	assigned map[string]map[string]bool // set of engine IDs by model
-	engines  map[string]*engineStatus
-	newest   map[string]modelVersion
+	assigned  map[string]map[string]bool // set of engine IDs by model
+	engines   map[string]*engineStatus
+	newest    map[string]modelVersion
+	limit     loadLimit
+	startedAt time.Time // first call of HasReports
 }
 
 type modelVersion struct {
@@ -55,6 +57,7 @@
 	accepted int64
 	pending  Load      // last order without a known effect; Model is empty if none
 	sentAt   time.Time // when the pending order was sent
+	progress loadProgress
 	retryAt  time.Time // earliest time of the next order
 	failures int       // consecutive orders that were not accepted
 }
@@ -70,10 +73,6 @@
 	// assigned engines while their served version is still usable: the items of a
 	// step arrive when its version is published and need the other engines.
 	modelLoadDivisor = 4
-	// loadSlotTime is how long a load counts against the limits. A load that takes
-	// longer slows the next ones slightly; waiting until the engine reports it would
-	// delay all loads.
-	loadSlotTime = 900 * time.Millisecond
 	// orderTimeout is the time after which an accepted order without effect is
 	// dropped.
 	orderTimeout = 8 * time.Second
@@ -95,7 +94,9 @@
 	p.observe(engines, now)
 	p.setVersions(newest, now)
 	p.assign(engines, models)
-	slots := max(minConcurrentLoads, int(math.Round(maxLoadingShare*float64(len(engines))))) - p.countLoading(now, "")
+	most := max(minConcurrentLoads, int(math.Round(maxLoadingShare*float64(len(engines)))))
+	inProgress := p.countLoading(now, "")
+	slots := p.limit.allowed(most, inProgress) - inProgress
 	var loads []Load
 	busy := map[string]bool{}
 	queues := p.loadQueues(engines, now)
@@ -110,8 +111,8 @@
 		queues[l.Model].add(l)
 		busy[l.Engine] = true
 		state := p.engines[l.Engine]
-		state.pending, state.sentAt = l.Load, now
 		loads = append(loads, l.Load)
+		state.pending, state.sentAt, state.progress = l.Load, now, loadProgress{concurrent: inProgress + len(loads), known: true}
 	}
 	return loads
 }
@@ -127,7 +128,11 @@
 			s = &engineStatus{started: e.Started, accepted: UnknownOrders}
 			p.engines[e.ID] = s
 		}
-		if s.pending.Model != "" && (e.Models[s.pending.Model] >= s.pending.Version || now.Sub(s.sentAt) > orderTimeout) {
+		switch {
+		case s.pending.Model == "":
+		case e.Models[s.pending.Model] >= s.pending.Version:
+			s.pending, s.failures, s.progress.busy = Load{}, 0, false
+		case now.Sub(s.sentAt) > orderTimeout:
 			s.pending, s.failures = Load{}, 0
 		}
 	}
@@ -292,7 +297,7 @@
 		q.current++
 	}
 	lag := newest.version - e.Models[model]
-	if state.pending.Model != "" || now.Before(state.retryAt) || lag <= 0 {
+	if state.pending.Model != "" || state.progress.busy || now.Before(state.retryAt) || lag <= 0 {
 		return
 	}
 	l := Load{Engine: e.ID, Model: model, Version: newest.version, Accepted: state.accepted}
@@ -328,23 +333,12 @@
 		x.versionSeenAt.Compare(y.versionSeenAt), cmp.Compare(hashID(x.Engine), hashID(y.Engine)), cmp.Compare(x.Model, y.Model))
 }
 
-// countLoading returns the number of engines that load model, or any model if
-// model is empty.
-func (p *LoadPlanner) countLoading(now time.Time, model string) int {
-	n := 0
-	for _, s := range p.engines {
-		if s.pending.Model != "" && (model == "" || s.pending.Model == model) && now.Sub(s.sentAt) < loadSlotTime {
-			n++
-		}
-	}
-	return n
-}
-
 // Accepted records that the engine accepted the order l. before is the number of
 // orders that it had accepted before.
 func (p *LoadPlanner) Accepted(l Load, before int64) {
 	if s := p.engines[l.Engine]; s != nil && s.pending == l {
 		s.accepted = before + 1
+		s.progress.accepted = true
 	}
 }
 
@@ -360,14 +354,3 @@
 	s.failures++
 	s.accepted = reported
 }
-
-// Pending returns the orders without a known effect and the time each was sent.
-func (p *LoadPlanner) Pending() map[Load]time.Time {
-	pending := map[Load]time.Time{}
-	for _, s := range p.engines {
-		if s.pending.Model != "" {
-			pending[s.pending] = s.sentAt
-		}
-	}
-	return pending
-}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +87,7 @@
 			current.end()
 			return
 		case <-ticker.C:
+		case <-current.loadReported():
 		}
 		holder, err := g.holder()
 		switch {
@@ -113,9 +113,9 @@
 	cancel         context.CancelFunc
 	versionsListed atomic.Bool                   // the published versions were listed in this term
 	loadPlanners   map[string]*fleet.LoadPlanner // by service
-	lastPolled     map[fleet.Load]time.Time
-	calls          chan struct{} // holds a value for each order and report in flight
-	mu             sync.Mutex    // serialises the use of loadPlanners by scheduling and by results of orders
+	calls          chan struct{}                 // holds a value for each order and report in flight
+	reported       chan struct{}                 // holds a value if a load was reported as done since the last scheduling
+	mu             sync.Mutex                    // serialises the use of loadPlanners by scheduling and by results of orders
 }
 
 // end stops the term's background tasks; t may be nil.
@@ -125,10 +125,19 @@
 	}
 }
 
+// loadReported returns a channel that has a value once a load was reported as done; t
+// may be nil.
+func (t *term) loadReported() <-chan struct{} {
+	if t == nil {
+		return nil
+	}
+	return t.reported
+}
+
 // beginTerm starts a term and its background tasks.
 func (g *Gateway) beginTerm(ctx context.Context, epoch int64) *term {
 	g.log.Info("control role is held", zap.Int64("epoch", epoch))
-	t := &term{epoch: epoch, loadPlanners: map[string]*fleet.LoadPlanner{}, lastPolled: map[fleet.Load]time.Time{}, calls: make(chan struct{}, maxControlCalls)}
+	t := &term{epoch: epoch, loadPlanners: map[string]*fleet.LoadPlanner{}, calls: make(chan struct{}, maxControlCalls), reported: make(chan struct{}, 1)}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	go g.follow(t.ctx, platform.KindVersions, versionsWatchWait, func() time.Duration { return versionsWatchPause }, func() { t.versionsListed.Store(true) }, g.applyVersion)
 	go g.runUsageReports(t)
@@ -189,14 +198,16 @@
 			planner = fleet.NewLoadPlanner()
 			t.loadPlanners[service.Name] = planner
 		}
-		for _, l := range planner.Next(g.readyEngines(service.Name), service.Models, latest, now) {
-			go g.sendLoadOrder(t, planner, l)
+		engines := g.readyEngines(service.Name)
+		if planner.HasReports(engines, now) {
+			for _, l := range planner.Next(engines, service.Models, latest, now) {
+				go g.sendLoadOrder(t, planner, l)
+			}
 		}
-		for l, sent := range planner.Pending() {
-			g.pollLoad(t, planner, l, sent, now)
+		for _, id := range planner.Polls(now) {
+			go g.pollEngine(t, planner, id)
 		}
 	}
-	maps.DeleteFunc(t.lastPolled, func(_ fleet.Load, at time.Time) bool { return now.Sub(at) > lastPolledTTL })
 }
 
 // readyEngines returns the ready engines of a service.
@@ -251,7 +262,7 @@
 		planner.Accepted(l, accepted)
 		t.mu.Unlock()
 	default:
-		g.refreshReport(t, planner, l, to, true)
+		g.recordRejected(t, planner, l, g.refreshReport(t, planner, to))
 	}
 }
 
@@ -263,59 +274,49 @@
 	planner.Rejected(l, accepted, g.clock.Now())
 }
 
-const (
-	// expectedLoadTime is the approximate duration of a load. The engine's report is
-	// not requested before it has passed.
-	expectedLoadTime = 900 * time.Millisecond
-	// reportPollInterval is the minimum time between two requests for the report of an
-	// engine.
-	reportPollInterval = 300 * time.Millisecond
-	// lastPolledTTL is how long the time of the last poll for a load is kept. Loads
-	// whose outcome is not known yet are polled more often.
-	lastPolledTTL = 10 * time.Second
-)
+// expectedLoadTime is the approximate duration of a load, for which the engine gets no
+// requests for the model.
+const expectedLoadTime = 900 * time.Millisecond
 
-// pollLoad requests the engine's report to see whether its load is done. The caller
-// holds t.mu.
-func (g *Gateway) pollLoad(t *term, planner *fleet.LoadPlanner, l fleet.Load, sent, now time.Time) {
-	if now.Sub(sent) < expectedLoadTime+controlInterval || now.Sub(t.lastPolled[l]) < reportPollInterval {
-		return
-	}
-	e, known := g.roster.Entry(l.Engine)
+// pollEngine requests an engine's report and applies it.
+func (g *Gateway) pollEngine(t *term, planner *fleet.LoadPlanner, id string) {
+	t.calls <- struct{}{}
+	defer func() { <-t.calls }()
+	e, known := g.roster.Entry(id)
 	if !known {
 		return
 	}
-	select {
-	case t.calls <- struct{}{}:
-	default:
-		return // polled again when fewer calls are in flight
-	}
-	t.lastPolled[l] = now
-	go func() {
-		defer func() { <-t.calls }()
-		g.refreshReport(t, planner, l, upstream.Target{ID: e.ID, Address: e.Address}, false)
-	}()
+	g.refreshReport(t, planner, upstream.Target{ID: e.ID, Address: e.Address})
 }
 
-// refreshReport requests an engine's report and applies it. orderFailed means that
-// the order returned an error, so the engine has probably not accepted it.
-func (g *Gateway) refreshReport(t *term, planner *fleet.LoadPlanner, l fleet.Load, to upstream.Target, orderFailed bool) {
+// refreshReport requests an engine's report and applies it. It returns the number of
+// orders that the engine has accepted, or UnknownOrders if it was not reached.
+func (g *Gateway) refreshReport(t *term, planner *fleet.LoadPlanner, to upstream.Target) int64 {
 	e, _ := g.roster.Entry(to.ID)
 	report, err := g.engines.Report(t.ctx, to)
 	if err != nil {
-		if orderFailed {
-			g.recordRejected(t, planner, l, fleet.UnknownOrders)
-		}
-		return
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		planner.Unreachable(to.ID)
+		return fleet.UnknownOrders
 	}
+	t.mu.Lock()
+	finished, done := planner.Reported(to.ID, fleet.EngineReport{Busy: report.Busy, Accepted: report.Accepted, Models: report.Models}, g.clock.Now())
+	t.mu.Unlock()
 	for model, version := range report.Models {
 		if version > e.Models[model] {
 			g.recordLoaded(to.ID, model, version)
 		}
 	}
-	if orderFailed || (!report.Busy && report.Models[l.Model] < l.Version) {
-		g.recordRejected(t, planner, l, report.Accepted)
+	if done {
+		g.log.Info("engine has loaded weights", zap.String("upstream", to.ID), zap.String("model", finished.Model), zap.Int64("version", finished.Version),
+			zap.Duration("took", finished.Took), zap.Int("concurrent", finished.Concurrent), zap.Int("limit", finished.Limit))
+		select {
+		case t.reported <- struct{}{}:
+		default:
+		}
 	}
+	return report.Accepted
 }
 
 // recordLoaded records that an engine serves a version and notifies the instances
