Weight loads: the holder asks an engine that comes into view for its loads

What callers saw: nothing yet; a holder of the control role asked only the engines that it knew in its first 0.3 s, and would have counted no load on an engine that came into view later and still loads for another holder.

Change: the report of each engine that was not asked yet is requested once. Ruled out as a need: waiting for the reports of engines that come later, since a growing service would pause its loads for each one.

--- a/fleet/load_progress.go
+++ b/fleet/load_progress.go
@@ -61,13 +61,13 @@
 	return true
 }
 
-// Polls returns the engines whose report is due at now: at first all, then those whose
-// load may be done. The caller passes each result to Reported or Unreachable.
+// Polls returns the engines whose report is due at now: those that were not asked yet,
+// and those whose load may be done. The caller passes each result to Reported or
+// Unreachable.
 func (p *LoadPlanner) Polls(now time.Time) []string {
-	starting := now.Sub(p.startedAt) < firstReportsWait
 	var due []string
 	for id, s := range p.engines {
-		if s.reportDue(now, max(p.limit.usual, expectedLoadTime), starting) {
+		if s.reportDue(now, max(p.limit.usual, expectedLoadTime)) {
 			s.progress.polling, s.progress.polledAt = true, now
 			due = append(due, id)
 		}
@@ -75,14 +75,14 @@
 	return due
 }
 
-func (s *engineStatus) reportDue(now time.Time, loadTime time.Duration, starting bool) bool {
+func (s *engineStatus) reportDue(now time.Time, loadTime time.Duration) bool {
 	switch {
 	case s.progress.polling, s.progress.unreachable && now.Sub(s.progress.polledAt) < unreachablePollInterval:
 		return false
 	case s.pending.Model != "":
 		return now.Sub(s.sentAt) >= loadTime
 	}
-	return s.progress.busy || (starting && !s.progress.known)
+	return s.progress.busy || !s.progress.known
 }
 
 // Unreachable records that the report of an engine could not be requested.
