--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -19,7 +19,7 @@
 func Reach(ctx context.Context, address string) (accepted, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	conn, err := dial.Func(reachTimeout, unackedTimeout)(ctx, "tcp", address)
+	conn, err := dial.Func(reachTimeout, DeliveryTimeout)(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent on it
 		return true, false
