Usage counts are stored at a stop whose time for requests has run out

The requests of the last window of an instance that stopped were missing from the usage report when one of its requests had lasted until the deadline of the stop.

Cause: the reserve for the writes at the end of a stop was subtracted from the deadline of the requests, but the writes ran under that same deadline, so that they failed at once when it had passed. Ruled out: the handover of batches and the release of the role, which run beside the requests and before the deadline.

The counts are now stored under their own deadline, the reserve. The new spec failed before (nothing was stored) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -289,7 +289,9 @@
 		g.log.Warn("shutdown deadline reached with requests still running", telemetry.Error(err))
 	}
 	handovers.Wait()
-	g.publishTally(ctx)
+	writeCtx, cancelWrites := context.WithTimeout(context.Background(), shutdownReserve)
+	defer cancelWrites()
+	g.publishTally(writeCtx) // ctx may have ended with the requests
 }
 
 // outage records the time of the store's last failure. Registrations that are missing
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -597,6 +597,18 @@
 		Expect(lost.Load()).To(BeTrue())
 		Expect(stored(gw)["north"]).To(Equal(int64(1)))
 	})
+
+	// The time for the writes at the end of a stop was not used: they ran under the deadline
+	// of the requests, and failed when a request had lasted until then.
+	It("are stored at a stop whose time for requests has run out", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", func(s *Settings) { longWindow(s); s.Grace = shutdownReserve + time.Millisecond })
+		gw.meter.count("north", gw.wall.Now())
+		gw.stop()
+		Eventually(gw.done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+		gw.done <- nil // for the cleanup of start
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1}))
+	})
 })
 
 // expectOneFigure checks the reports of one usage window. They must all have the same
