Older usage counts no longer replace newer ones in the store

An instance that stops stores its counts while the write of the last window may be under way. The earlier write, with older counts, could end last: requests that had been counted and stored were missing again, and from the figures of their window.

Cause: a write that meets a conflict reads the current version and repeats itself with the counts it began with, on the assumption that only an earlier process has written in between. Ruled out: counts of an earlier process, which are added once.

The two writes of a process now follow each other, each with the counts at its start. The new spec holds the first write and failed before (one team's count was missing); it passes, as do the other specs of stored counts.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -598,6 +598,31 @@
 		Expect(stored(gw)["north"]).To(Equal(int64(1)))
 	})
 
+	// The write at the stop of an instance overtook one that was under way, which then
+	// replaced the newer counts by its own.
+	It("are not replaced by older ones when two writes run at once", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", longWindow)
+		store(gw, "north")
+		held, proceed := make(chan struct{}), make(chan struct{})
+		var first atomic.Bool
+		d.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method != http.MethodGet && strings.Contains(r.URL.Path, kindTally) && first.CompareAndSwap(false, true) {
+				close(held)
+				<-proceed
+			}
+			return standin.None
+		})
+		var writes sync.WaitGroup
+		writes.Go(func() { store(gw, "north") })
+		Eventually(held).Should(BeClosed())
+		writes.Go(func() { store(gw, "south") })
+		time.Sleep(200 * time.Millisecond)
+		close(proceed)
+		writes.Wait()
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 2, "south": 1}))
+	})
+
 	// The time for the writes at the end of a stop was not used: they ran under the deadline
 	// of the requests, and failed when a request had lasted until then.
 	It("are stored at a stop whose time for requests has run out", func() {
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -33,6 +33,7 @@
 // meter counts, by window and team, the requests that this instance started.
 type meter struct {
 	windowLength time.Duration
+	publishing   sync.Mutex // held while the counts are stored, so that older ones never replace newer ones
 
 	mu            sync.Mutex // guards all below
 	windows       map[int64]map[string]int64
@@ -140,6 +141,8 @@
 
 // publishTally stores the counts if they have changed.
 func (g *Gateway) publishTally(ctx context.Context) {
+	g.meter.publishing.Lock()
+	defer g.meter.publishing.Unlock()
 	t, changed := g.meter.snapshot()
 	if !changed {
 		return
