Usage counts that a busy store has rejected reach the figures of their window

A window of usage was incomplete, or lost, when the store was busy for some seconds at the moment at which the instances store their counts.

Cause: counts were written once per window, and again only with the next one. The holder of the control role fixes the figures 3.4 s after the window, whether the counts are there or not, and figures never change. Ruled out: two different reports of a window. The figures are stored before they are reported, only the first ones stored count, and a write whose outcome is not known is looked up.

A failed write is repeated every 250 ms for 5 s. After failures of the store within the last 5 s the holder waits with the figures until 3 s before they are due (7 s with the default of 10 s). An instance whose own failures the holder doesn't share can still be late: the holder knows only of its own. The holder's wait is shown by its decision function, not by a run with a store that is busy for all.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	catalog          atomic.Pointer[catalog.Catalog]
 	upstreamsListed  atomic.Bool // set once the upstreams have been listed
 	outage           outage
+	usageOutage      outage // of writes of usage counts
 	versions         *versionTable
 	noticeRecipients noticeRecipients
 	draining         atomic.Bool // the readiness check fails
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -598,6 +598,31 @@
 		Expect(stored(gw)["north"]).To(Equal(int64(1)))
 	})
 
+	// The counts of a window were written once. While the store was busy for a moment, the
+	// instance's part of the window was missing in the final figures.
+	It("are stored once a busy store accepts writes again, not only with the next window", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", longWindow)
+		refusals := atomic.Int32{}
+		d.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, kindTally) && refusals.Add(1) <= 3 {
+				return standin.Unavailable
+			}
+			return standin.None
+		})
+		store(gw, "north")
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1}))
+	})
+
+	// The figures of a window were final before the counts that a busy store had delayed
+	// were there.
+	It("are waited for by the holder of the control role after failures of the store, up to the due time", func() {
+		Expect(reportWait(10*time.Second, false)).To(Equal(publishDelay + reportDelay))
+		Expect(reportWait(10*time.Second, true)).To(Equal(7 * time.Second))
+		Expect(reportWait(10*time.Second, true)).To(BeNumerically(">=", publishDelay+4*time.Second), "most of the retries")
+		Expect(reportWait(4*time.Second, true)).To(Equal(publishDelay + reportDelay))
+	})
+
 	// The write at the stop of an instance overtook one that was under way, which then
 	// replaced the newer counts by its own.
 	It("are not replaced by older ones when two writes run at once", func() {
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -139,17 +139,41 @@
 	}
 }
 
-// publishTally stores the counts if they have changed.
+const (
+	// tallyRetryDelay is the delay before a failed write of the counts is repeated.
+	tallyRetryDelay = 250 * time.Millisecond
+	// tallyRetryTime limits the repetitions. The figures of the window are final soon
+	// after, and the next window's write has these counts too.
+	tallyRetryTime = 5 * time.Second
+)
+
+// publishTally stores the counts if they have changed. It retries for tallyRetryTime or
+// until ctx ends.
+//
+// Load pattern: at the end of a window all instances write at once, and a busy store
+// rejects some of the writes for a few seconds.
 func (g *Gateway) publishTally(ctx context.Context) {
 	g.meter.publishing.Lock()
 	defer g.meter.publishing.Unlock()
-	t, changed := g.meter.snapshot()
-	if !changed {
-		return
-	}
-	if err := g.storeTally(ctx, t); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, tallyRetryTime)
+	defer cancel()
+	for {
+		t, changed := g.meter.snapshot()
+		if !changed {
+			return
+		}
+		err := g.storeTally(ctx, t)
+		if err == nil {
+			return
+		}
 		g.meter.markChanged()
+		g.usageOutage.record(g.clock.Now(), err)
 		g.warn("store usage counts", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(tallyRetryDelay):
+		}
 	}
 }
 
@@ -214,14 +238,16 @@
 // checkLease returns an error if the control role is no longer held.
 func (g *Gateway) reportUsage(ctx context.Context, r *usageReporter, checkLease func() error) {
 	now := g.wall.Now()
-	last := g.meter.window(now.Add(-publishDelay-reportDelay)) - 1
+	late, at := g.currentSettings.Load().UsageLate, g.clock.Now()
+	failing := g.usageOutage.recent(at, tallyRetryTime) || g.outage.recent(at, tallyRetryTime)
+	last := g.meter.window(now.Add(-reportWait(late, failing))) - 1
 	if r.next == 0 {
 		r.next = last - lookbackWindows
 	}
 	for ; r.next <= last; r.next++ {
 		if err := g.reportWindow(ctx, r.next, checkLease); err != nil {
 			g.warn("report usage", err)
-			if now.Sub(g.meter.windowStart(r.next+1)) < g.currentSettings.Load().UsageLate+r.retryGrace {
+			if now.Sub(g.meter.windowStart(r.next+1)) < late+r.retryGrace {
 				return // the window is retried on the next call
 			}
 		}
@@ -238,10 +264,27 @@
 	// reportDelay is how long the holder of the control role waits for the counts of
 	// all instances after publishDelay.
 	reportDelay = 1200 * time.Millisecond
+	// reportReserve is how long before its due time a window is reported at the latest. It
+	// covers two calls of the platform.
+	reportReserve = 3 * time.Second
 	// lookbackWindows is how many earlier windows a new holder reports.
 	lookbackWindows = 2
 )
 
+// reportWait returns how long after its end a window is reported that is due late after
+// its end. failing means that calls of the store have failed a short time ago.
+//
+// Load pattern: a store that is busy at the end of a window rejects the counts of some
+// instances for a few seconds. The figures of a window never change, so that counts that
+// arrive later would be lost.
+func reportWait(late time.Duration, failing bool) time.Duration {
+	const usual = publishDelay + reportDelay
+	if !failing {
+		return usual
+	}
+	return max(usual, late-reportReserve)
+}
+
 // reportWindow finalizes and reports one window. A window without usage is not
 // reported.
 func (g *Gateway) reportWindow(ctx context.Context, window int64, checkLease func() error) error {
