--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -393,7 +393,7 @@
 			}
 			return ended
 		}
-		Eventually(allEnded).WithTimeout(5 * time.Second).Should(Equal(items))
+		Eventually(allEnded).WithTimeout(5*time.Second).Should(Equal(items), func() string { return describeRuns(d.engines) })
 		time.Sleep(100 * time.Millisecond) // for the ends of the streams to arrive
 		a.stop()
 		Eventually(func() bool { return b.runner.Runs("l1") }).WithTimeout(5 * time.Second).Should(BeTrue())
@@ -661,6 +661,17 @@
 	})
 })
 
+// describeRuns lists the requests that engines recorded, for the output of a spec that fails.
+func describeRuns(engines []*standin.Engine) string {
+	var text strings.Builder
+	for _, e := range engines {
+		for _, run := range e.Runs() {
+			fmt.Fprintf(&text, "%s: request %q, path %s, at %v, ended %v\n", e.ID, run.ID, run.Path, run.At, run.Ended)
+		}
+	}
+	return text.String()
+}
+
 // expectOneFigure checks the reports of one usage window. They must all have the same
 // figures, and only a new holder may repeat a report, or the same holder after it got
 // no reply for minRepeatPause.
