--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -393,7 +393,7 @@
 			}
 			return ended
 		}
-		Eventually(allEnded).WithTimeout(5 * time.Second).Should(Equal(items))
+		Eventually(allEnded).WithTimeout(5*time.Second).Should(Equal(items), func() string { return describeRuns(d.engines) })
 		time.Sleep(100 * time.Millisecond) // for the ends of the streams to arrive
 		a.stop()
 		Eventually(func() bool { return b.runner.Runs("l1") }).WithTimeout(5 * time.Second).Should(BeTrue())
@@ -597,8 +597,81 @@
 		Expect(lost.Load()).To(BeTrue())
 		Expect(stored(gw)["north"]).To(Equal(int64(1)))
 	})
+
+	// The counts of a window were written once. While the store was busy for a moment, the
+	// instance's part of the window was missing in the final figures.
+	It("are stored once a busy store accepts writes again, not only with the next window", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", longWindow)
+		refusals := atomic.Int32{}
+		d.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method == http.MethodPost && strings.HasSuffix(r.URL.Path, kindTally) && refusals.Add(1) <= 3 {
+				return standin.Unavailable
+			}
+			return standin.None
+		})
+		store(gw, "north")
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1}))
+	})
+
+	// The figures of a window were final before the counts that a busy store had delayed
+	// were there.
+	It("are waited for by the holder of the control role after failures of the store, up to the due time", func() {
+		Expect(reportWait(10*time.Second, false)).To(Equal(publishDelay + reportDelay))
+		Expect(reportWait(10*time.Second, true)).To(Equal(7 * time.Second))
+		Expect(reportWait(10*time.Second, true)).To(BeNumerically(">=", publishDelay+4*time.Second), "most of the retries")
+		Expect(reportWait(4*time.Second, true)).To(Equal(publishDelay + reportDelay))
+	})
+
+	// The write at the stop of an instance overtook one that was under way, which then
+	// replaced the newer counts by its own.
+	It("are not replaced by older ones when two writes run at once", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", longWindow)
+		store(gw, "north")
+		held, proceed := make(chan struct{}), make(chan struct{})
+		var first atomic.Bool
+		d.store.SetFault(func(r *http.Request) standin.Fault {
+			if r.Method != http.MethodGet && strings.Contains(r.URL.Path, kindTally) && first.CompareAndSwap(false, true) {
+				close(held)
+				<-proceed
+			}
+			return standin.None
+		})
+		var writes sync.WaitGroup
+		writes.Go(func() { store(gw, "north") })
+		Eventually(held).Should(BeClosed())
+		writes.Go(func() { store(gw, "south") })
+		time.Sleep(200 * time.Millisecond)
+		close(proceed)
+		writes.Wait()
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 2, "south": 1}))
+	})
+
+	// The time for the writes at the end of a stop was not used: they ran under the deadline
+	// of the requests, and failed when a request had lasted until then.
+	It("are stored at a stop whose time for requests has run out", func() {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", func(s *Settings) { longWindow(s); s.Grace = shutdownReserve + time.Millisecond })
+		gw.meter.count("north", gw.wall.Now())
+		gw.stop()
+		Eventually(gw.done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+		gw.done <- nil // for the cleanup of start
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1}))
+	})
 })
 
+// describeRuns lists the requests that engines recorded, for the output of a spec that fails.
+func describeRuns(engines []*standin.Engine) string {
+	var text strings.Builder
+	for _, e := range engines {
+		for _, run := range e.Runs() {
+			fmt.Fprintf(&text, "%s: request %q, path %s, at %v, ended %v\n", e.ID, run.ID, run.Path, run.At, run.Ended)
+		}
+	}
+	return text.String()
+}
+
 // expectOneFigure checks the reports of one usage window. They must all have the same
 // figures, and only a new holder may repeat a report, or the same holder after it got
 // no reply for minRepeatPause.
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -33,6 +33,7 @@
 // meter counts, by window and team, the requests that this instance started.
 type meter struct {
 	windowLength time.Duration
+	publishing   chan struct{} // holds a value while the counts are stored, so that older ones never replace newer ones
 
 	mu            sync.Mutex // guards all below
 	windows       map[int64]map[string]int64
@@ -58,7 +59,7 @@
 
 // newMeter returns a meter with windows of the given length.
 func newMeter(length time.Duration) *meter {
-	return &meter{windowLength: length, windows: map[int64]map[string]int64{}}
+	return &meter{windowLength: length, publishing: make(chan struct{}, 1), windows: map[int64]map[string]int64{}}
 }
 
 // window returns the number of the window that contains the wall-clock time t.
@@ -138,15 +139,45 @@
 	}
 }
 
-// publishTally stores the counts if they have changed.
+const (
+	// tallyRetryDelay is the delay before a failed write of the counts is repeated.
+	tallyRetryDelay = 250 * time.Millisecond
+	// tallyRetryTime limits the repetitions. The figures of the window are final soon
+	// after, and the next window's write has these counts too.
+	tallyRetryTime = 5 * time.Second
+)
+
+// publishTally stores the counts if they have changed. It retries for tallyRetryTime or
+// until ctx ends.
+//
+// Load pattern: at the end of a window all instances write at once, and a busy store
+// rejects some of the writes for a few seconds.
 func (g *Gateway) publishTally(ctx context.Context) {
-	t, changed := g.meter.snapshot()
-	if !changed {
+	ctx, cancel := context.WithTimeout(ctx, tallyRetryTime)
+	defer cancel()
+	select {
+	case g.meter.publishing <- struct{}{}:
+		defer func() { <-g.meter.publishing }()
+	case <-ctx.Done():
 		return
 	}
-	if err := g.storeTally(ctx, t); err != nil {
+	for {
+		t, changed := g.meter.snapshot()
+		if !changed {
+			return
+		}
+		err := g.storeTally(ctx, t)
+		if err == nil {
+			return
+		}
 		g.meter.markChanged()
+		g.usageOutage.record(g.clock.Now(), err)
 		g.warn("store usage counts", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.clock.After(tallyRetryDelay):
+		}
 	}
 }
 
@@ -211,14 +242,16 @@
 // checkLease returns an error if the control role is no longer held.
 func (g *Gateway) reportUsage(ctx context.Context, r *usageReporter, checkLease func() error) {
 	now := g.wall.Now()
-	last := g.meter.window(now.Add(-publishDelay-reportDelay)) - 1
+	late, at := g.currentSettings.Load().UsageLate, g.clock.Now()
+	failing := g.usageOutage.recent(at, tallyRetryTime) || g.outage.recent(at, tallyRetryTime)
+	last := g.meter.window(now.Add(-reportWait(late, failing))) - 1
 	if r.next == 0 {
 		r.next = last - lookbackWindows
 	}
 	for ; r.next <= last; r.next++ {
 		if err := g.reportWindow(ctx, r.next, checkLease); err != nil {
 			g.warn("report usage", err)
-			if now.Sub(g.meter.windowStart(r.next+1)) < g.currentSettings.Load().UsageLate+r.retryGrace {
+			if now.Sub(g.meter.windowStart(r.next+1)) < late+r.retryGrace {
 				return // the window is retried on the next call
 			}
 		}
@@ -235,10 +268,27 @@
 	// reportDelay is how long the holder of the control role waits for the counts of
 	// all instances after publishDelay.
 	reportDelay = 1200 * time.Millisecond
+	// reportReserve is how long before its due time a window is reported at the latest. It
+	// covers two calls of the platform.
+	reportReserve = 3 * time.Second
 	// lookbackWindows is how many earlier windows a new holder reports.
 	lookbackWindows = 2
 )
 
+// reportWait returns how long after its end a window is reported that is due late after
+// its end. failing means that calls of the store have failed a short time ago.
+//
+// Load pattern: a store that is busy at the end of a window rejects the counts of some
+// instances for a few seconds. The figures of a window never change, so that counts that
+// arrive later would be lost.
+func reportWait(late time.Duration, failing bool) time.Duration {
+	const usual = publishDelay + reportDelay
+	if !failing {
+		return usual
+	}
+	return max(usual, late-reportReserve)
+}
+
 // reportWindow finalizes and reports one window. A window without usage is not
 // reported.
 func (g *Gateway) reportWindow(ctx context.Context, window int64, checkLease func() error) error {
