Quarantine: watches last five sixths of the bound

Longer ones find a lost source later, but within the bound.

Ruled out: longer watches while nothing is suspected. An instance whose source lost the store would then learn of the first suspicion after the bound.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -54,8 +54,12 @@
 }
 
 // quarantineWait returns how long a watch of the quarantine lasts. It bounds how long an
-// instance waits for a source that lost the store before it reads the store itself.
-func (s *Settings) quarantineWait() time.Duration { return s.ContactBound / 2 }
+// instance waits for a source that lost the store before it reads the store itself, and
+// every watch is billed.
+func (s *Settings) quarantineWait() time.Duration {
+	const numerator, denominator = 5, 6 // the rest of the bound is for the way to the instances
+	return s.ContactBound * numerator / denominator
+}
 
 // quarantineKeeper keeps this instance's list of suspected requests in line with the
 // store. It implements forward.Guard.
