--- a/batch/send.go
+++ b/batch/send.go
@@ -47,9 +47,8 @@
 // send sends an item to an engine and reads its events. It returns the outcome of the
 // attempt.
 func (r *Runner) send(ctx context.Context, q queuedItem, f upstream.Forward, choice roster.Choice) outcome {
-	target := upstream.Target{ID: choice.ID, Address: choice.Address}
 	started := r.Clock.Now()
-	response, err := r.Engines.Forward(ctx, target, f)
+	response, err := r.Engines.Forward(ctx, choice.Target(), f)
 	if err != nil {
 		return r.attemptFailed(ctx, q, choice, err)
 	}
@@ -167,7 +166,7 @@
 
 // logItem logs a message about an item at an engine.
 func (r *Runner) logItem(q queuedItem, choice roster.Choice, message string, fields ...zap.Field) {
-	r.Log.Info(message, append(fields, zap.String("batch", q.job.head.ID), zap.String("item", q.state.item.ID), zap.String("upstream", choice.ID))...)
+	r.Log.Info(message, append(fields, zap.String("batch", q.job.id), zap.String("item", q.state.item.ID), zap.String("upstream", choice.ID))...)
 }
 
 // failuresPerAttempt is the number of error responses that an item may get for each
