--- a/batch/belief.go
+++ b/batch/belief.go
@@ -59,7 +59,7 @@
 	}
 	if now.Sub(j.confirmedAt) >= refreshAge(r.EndBound) && !j.confirming && !now.Before(j.confirmAfter) {
 		j.confirming = true
-		id := j.head.ID
+		id := j.id
 		go func() {
 			r.readHead(ctx, id)
 			r.mu.Lock()
@@ -107,7 +107,7 @@
 	if r.EndBound == 0 {
 		return nil
 	}
-	id := j.head.ID
+	id := j.id
 	permitted := func() (bool, time.Duration) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
