Owners confirm their heads through a slow store and through other instances

With a store that takes 0.6 s, or that does not respond to one instance while it serves the others, an owner sent none of its items: the read of a head ended after 0.5 s, sooner than the relay's own timeout, and a call whose caller's time ends was no evidence about direct access, so that no other instance was asked. Ruled out: the bound itself, since the age of a head counts from the start of the read and a response within the trusted age confirms it.

A read of a head may now take as long as the trusted age, and when the time of a caller ends before the store responds directly, direct access is probed.

--- a/batch/belief.go
+++ b/batch/belief.go
@@ -14,10 +14,6 @@
 // errUnconfirmed is the cause for which a request is cancelled before it is sent.
 var errUnconfirmed = errors.New("the store has not confirmed recently that the batch is open")
 
-// headReadTimeout limits a read of a head. A response that comes later would be too old to
-// send many items.
-const headReadTimeout = 500 * time.Millisecond
-
 // trustLimit returns the age of a confirmed head from which no item of its batch is sent,
 // given the time within which the end of a batch must stop its items. A request may reach
 // its engine as late as upstream.DeliveryTimeout after it was written.
@@ -79,7 +75,7 @@
 // batch share one call.
 func (r *Runner) readHead(ctx context.Context, id string) {
 	_, _, _ = r.headReads.Do(id, func() (any, error) { // the function returns no error
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), headReadTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), trustLimit(r.EndBound)) // a later response is too old to confirm the head
 		defer cancel()
 		began := r.Clock.Now()
 		h, err := r.Store.Head(ctx, id)
--- a/batch/belief_test.go
+++ b/batch/belief_test.go
@@ -110,6 +110,17 @@
 		Expect(err).NotTo(HaveOccurred())
 	}
 
+	// A store that takes more than half a second confirmed nothing, so that no item was sent.
+	It("is confirmed by a store that is slow but responds within the trusted age", func(ctx SpecContext) {
+		submit(ctx, submission("l", 1))
+		clock.Advance(2 * limit)
+		owner.runner.Store = NewStore(slowStore{store, limit * 6 / 10}, "a")
+		owner.runner.readHead(ctx, "l")
+		owner.runner.mu.Lock()
+		defer owner.runner.mu.Unlock()
+		Expect(owner.runner.trusts(owner.runner.jobs["l"], clock.Now())).To(BeTrue())
+	})
+
 	// It sent items again for as long as it ran, and confirmed nothing.
 	It("sends no item later than the bound after the end", func(ctx SpecContext) {
 		submit(ctx, submission("l", 2))
--- a/batch/hookedstore_test.go
+++ b/batch/hookedstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pomelocross/pomelocross/internal/memstore"
 	"github.com/pomelocross/pomelocross/objects"
@@ -20,3 +21,18 @@
 	}
 	return s.Store.Get(ctx, kind, name)
 }
+
+// slowStore is a store whose reads of an object take a delay.
+type slowStore struct {
+	*memstore.Store
+	delay time.Duration
+}
+
+func (s slowStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	select {
+	case <-time.After(s.delay):
+		return s.Store.Get(ctx, kind, name)
+	case <-ctx.Done():
+		return objects.Object{}, ctx.Err()
+	}
+}
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -171,9 +171,9 @@
 	return IsDefinitive(err)
 }
 
-// recheckDirect probes the store after a direct watch failed. The failure alone does
-// not mean that direct access is unavailable, since the store may end a watch at any
-// time.
+// recheckDirect probes the store after a direct watch failed or the time of a caller ended.
+// This alone does not mean that direct access is unavailable: the store may end a watch at
+// any time, and a caller may have had little time.
 func (r *Relay) recheckDirect(cause error) {
 	if r.DirectAvailable() && !r.probeOnce() {
 		r.recordDirect(context.Background(), cause)
@@ -188,6 +188,12 @@
 		}
 		return
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !IsDefinitive(err) {
+		// A caller whose time is shorter than the timeout would never learn that direct
+		// access is unavailable.
+		go r.recheckDirect(err)
+		return
+	}
 	r.recordDirect(ctx, err)
 }
 
--- a/objects/relay_test.go
+++ b/objects/relay_test.go
@@ -127,6 +127,25 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// An owner whose reads end sooner than the relay's timeout was never relayed.
+	It("relays the calls of a caller whose time ends before the store responds directly", func(ctx SpecContext) {
+		direct.setFault(nil, true)
+		Eventually(func() error {
+			limited, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+			defer cancel()
+			_, err := relay.Get(limited, "k", "none")
+			return err
+		}).WithTimeout(4 * time.Second).Should(MatchError(objects.ErrNotFound))
+	})
+
+	It("keeps direct access when a caller's time was short", func(ctx SpecContext) {
+		limited, cancel := context.WithDeadline(ctx, time.Now())
+		defer cancel()
+		_, err := relay.Get(limited, "k", "none")
+		Expect(err).To(HaveOccurred())
+		Consistently(relay.DirectAvailable, "200ms").Should(BeTrue())
+	})
+
 	It("keeps direct access when the store interrupts a watch", func(ctx SpecContext) {
 		_, err := relay.Watch(ctx, "k", 1, time.Millisecond)
 		Expect(err).To(HaveOccurred())
