Engines that leave as announced do not count as crashed by their requests

An engine that drains and exits while a request runs closes the connection and refuses others, as one that crashed does; its requests were suspected of crashing engines after each planned replacement or reclaim. Ruled out as a cause: resets of connections, which were checked already.

An upstream that was known to be leaving counts as ended. The new spec fails without the check and passes with it, with the race detector (six specs of the quarantine).

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -20,6 +20,9 @@
 // connections to it. All requests to its upstreams then end like those to a process that
 // crashed.
 func (g *Gateway) upstreamGone(ctx context.Context, e roster.Entry) bool {
+	if now, known := g.roster.Entry(e.ID); known && now.Started == e.Started && !now.Ready {
+		return false // it has left as announced
+	}
 	if _, refused := upstream.Reach(ctx, e.Address); !refused {
 		return false
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/platform/standin"
+	"github.com/pomelocross/pomelocross/roster"
 )
 
 // deadlyBody is the body of the requests that crash engines.
@@ -57,6 +58,22 @@
 	return status("POST", gw.address, "/kits/1", northKey, []byte("count"))
 }
 
+var _ = Describe("An upstream that leaves as announced", func() {
+	It("does not count as crashed when it ends with a request", func(ctx SpecContext) {
+		// Guards against suspicions after planned replacements of upstreams.
+		d := newDeployment(0, 0)
+		crasher := d.addCrashers(1)[0]
+		gw := d.start("entry-1", nil)
+		id := crasher.Engine.ID
+		var e roster.Entry
+		Eventually(func() bool { e, _ = gw.roster.Entry(id); return e.Ready }).WithTimeout(3 * time.Second).Should(BeTrue())
+		Expect(crasher.Stop()).To(Succeed())
+		Expect(gw.upstreamGone(ctx, e)).To(BeTrue(), "without an announcement")
+		gw.roster.MarkLeaving(e.Target())
+		Expect(gw.upstreamGone(ctx, e)).To(BeFalse())
+	})
+})
+
 var _ = Describe("A request that crashes engines", func() {
 	It("is rejected by all instances once it has crashed three, also by one that restarted and one that reaches no other", func() {
 		// Guards against a request that crashes engine after engine.
