Suspected requests do not drive all others to the upstreams without them

After a crash that leaves many suspected requests, every other request went to the few upstreams without any, even beyond their slots: of four upstreams of four slots, three of them with a suspected request, the fourth got 12 of 12. Upstreams that let requests wait are never full for the choice, so its second pass was not reached.

An upstream without suspects is preferred only while it has a free slot. The spec fails before the change (12 requests at one upstream) and passes after it.

--- a/forward/guard.go
+++ b/forward/guard.go
@@ -101,10 +101,11 @@
 func (f *Forwarder) pick(need roster.Need) (roster.Choice, bool) {
 	tried, now := need.Avoid, f.Clock.Now()
 	avoid, isolated := f.isolated.with(tried)
-	need.Avoid = avoid
+	overflow := need.Overflow
+	need.Avoid, need.Overflow = avoid, overflow && !isolated
 	choice, ok := f.Roster.Pick(need, now)
 	if !ok && isolated {
-		need.Avoid = tried
+		need.Avoid, need.Overflow = tried, overflow
 		return f.Roster.Pick(need, now)
 	}
 	return choice, ok
--- a/forward/guard_test.go
+++ b/forward/guard_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -120,6 +122,30 @@
 		to := f.targets()
 		Expect(to[1:]).NotTo(ContainElement(to[0]))
 	})
+
+	It("does not drive all other requests to the upstreams without suspected ones", func(ctx SpecContext) {
+		// Guards against the overload of one upstream after a crash that left many suspects.
+		f := &fakeUpstreams{respond: block}
+		forwarder := guarded(f, 4, true)
+		for n := range 4 {
+			forwarder.Roster.Put(roster.Entry{ID: fmt.Sprint("u", n), Service: "desk", Domain: "a", Slots: 4, Ready: true})
+		}
+		for n := range 3 {
+			leave := forwarder.isolated.enter(fmt.Sprint("u", n))
+			defer leave()
+		}
+		others := request(unsafe)
+		others.Budget = 500 * time.Millisecond
+		for range 12 {
+			go forwarder.Do(ctx, others)
+		}
+		Eventually(f.count).Should(Equal(12))
+		busiest := map[string]int{}
+		for _, id := range f.targets() {
+			busiest[id]++
+		}
+		Expect(slices.Max(slices.Collect(maps.Values(busiest)))).To(BeNumerically("<=", 5), "%v", busiest)
+	})
 })
 
 var _ = Describe("A request that does not crash upstreams", func() {
