Quarantine only what has crashed an engine to which it was sent alone

When several engines ended at one moment, for example with their failure domain, requests of the same content that were at three of them were quarantined for 15 minutes, although they crash nothing: four equal unsafe requests at four engines that were killed were answered 503 from then on with four healthy engines left. A complete response clears a suspicion, but a quarantined request is not sent any more. Ruled out: revocation, since these engines did end.

The third crash counts only together with a crash of an engine to which the request was sent as a suspected one, apart from other suspects. A request that does crash engines meets this with its next attempt; it may cost one engine more when three instances send it at one moment. The stored record holds it, so that instances share it.

The new spec of the list fails before the change. The specs that blame a request for three crashes now say that it was alone, which is the case that they are about; their expectations are as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -229,7 +229,7 @@
 			f.OnAttempt(r.outcome, f.Clock.Now().Sub(now))
 		}
 		if r.outcome == Unknown {
-			f.brokeOff(ctx, &p.request, choice, r.err)
+			f.brokeOff(ctx, &p.request, choice, standing, r.err)
 		}
 		p.results <- r
 	}()
--- a/forward/guard.go
+++ b/forward/guard.go
@@ -18,9 +18,10 @@
 	Active() bool
 	// Standing returns the standing of a request.
 	Standing(d quarantine.Digest) quarantine.Standing
-	// Crashed records that an upstream crashed while it ran a request. It may wait a
-	// short time until other instances can know.
-	Crashed(r *Request, d quarantine.Digest, engine quarantine.Engine)
+	// Crashed records that an upstream crashed while it ran a request; alone reports
+	// whether the request was sent to it as a suspected one, apart from other suspects.
+	// It may wait a short time until other instances can know.
+	Crashed(r *Request, d quarantine.Digest, engine quarantine.Engine, alone bool)
 	// Completed records that a request ran to its end.
 	Completed(r *Request, d quarantine.Digest)
 }
@@ -43,12 +44,13 @@
 
 // brokeOff records that an attempt ended without a complete response. If the connection
 // was closed and the upstream's process has ended, it crashed while it ran the request.
-// After a reset of the connection alone, the upstream still accepts others.
-func (f *Forwarder) brokeOff(ctx context.Context, r *Request, to roster.Choice, err error) {
+// After a reset of the connection alone, the upstream still accepts others. sent is the
+// standing of the request when it was sent.
+func (f *Forwarder) brokeOff(ctx context.Context, r *Request, to roster.Choice, sent quarantine.Standing, err error) {
 	if f.Guard == nil || r.Digest == nil || !closedByPeer(err) || !f.Gone(context.WithoutCancel(ctx), to.Entry) {
 		return
 	}
-	f.Guard.Crashed(r, r.Digest(), quarantine.Engine{ID: to.ID, Started: to.Started})
+	f.Guard.Crashed(r, r.Digest(), quarantine.Engine{ID: to.ID, Started: to.Started}, sent == quarantine.Suspected)
 }
 
 // closedByPeer reports whether err means that the other end closed the connection.
@@ -97,7 +99,8 @@
 // pick chooses an upstream, one without suspected requests if there is any.
 //
 // Load pattern: an engine runs as many requests as it has slots, and a suspected one
-// among them may crash it.
+// among them may crash it. Many are suspected after a crash: other requests then wait at
+// their upstreams rather than all at the few without suspects.
 func (f *Forwarder) pick(need roster.Need) (roster.Choice, bool) {
 	tried, now := need.Avoid, f.Clock.Now()
 	avoid, isolated := f.isolated.with(tried)
--- a/forward/guard_test.go
+++ b/forward/guard_test.go
@@ -27,8 +27,8 @@
 	return g.List.Standing(d, time.Now())
 }
 
-func (g listGuard) Crashed(_ *Request, d quarantine.Digest, e quarantine.Engine) {
-	g.Blame(d, e, quarantine.Record{}, time.Now())
+func (g listGuard) Crashed(_ *Request, d quarantine.Digest, e quarantine.Engine, alone bool) {
+	g.Blame(d, e, quarantine.Record{Alone: alone}, time.Now())
 }
 
 func (g listGuard) Completed(_ *Request, d quarantine.Digest) { g.Clear(d) }
@@ -99,7 +99,7 @@
 		// Guards against a hedge that crashes a further upstream at the same time.
 		f := &fakeUpstreams{respond: block}
 		forwarder := guarded(f, 3, true)
-		forwarder.Guard.Crashed(nil, "d", quarantine.Engine{ID: "u8"})
+		forwarder.Guard.Crashed(nil, "d", quarantine.Engine{ID: "u8"}, false)
 		r := identified(request(safe))
 		r.Budget = 300 * time.Millisecond
 		forwarder.Do(ctx, r)
@@ -110,7 +110,7 @@
 		// Guards against innocent requests that a suspected one takes down with it.
 		f := &fakeUpstreams{respond: block}
 		forwarder := guarded(f, 2, true)
-		forwarder.Guard.Crashed(nil, "d", quarantine.Engine{ID: "u8"})
+		forwarder.Guard.Crashed(nil, "d", quarantine.Engine{ID: "u8"}, false)
 		suspected, others := identified(request(unsafe)), request(unsafe)
 		suspected.Budget, others.Budget = 300*time.Millisecond, 100*time.Millisecond
 		go forwarder.Do(ctx, suspected)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -122,13 +122,13 @@
 	s.tally.Sent++
 	s.tally.Open++
 	defer func() { s.tally.Add(outcome) }()
-	caller := ctx
+	caller, standing := ctx, f.standing(&s.request)
 	defer func() {
 		if outcome == Unknown {
-			f.brokeOff(caller, &s.request, choice, err)
+			f.brokeOff(caller, &s.request, choice, standing, err)
 		}
 	}()
-	defer f.begin(choice.ID, s.request.ID, f.standing(&s.request))()
+	defer f.begin(choice.ID, s.request.ID, standing)()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(time.Hour, cancel)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -96,14 +96,14 @@
 
 // Crashed implements forward.Guard. A request that has crashed several engines is stored
 // before the next attempt, as is any suspicion while the stored ones are not known well.
-func (k *quarantineKeeper) Crashed(r *forward.Request, d quarantine.Digest, engine quarantine.Engine) {
+func (k *quarantineKeeper) Crashed(r *forward.Request, d quarantine.Digest, engine quarantine.Engine, alone bool) {
 	g := k.gateway
 	now := g.clock.Now()
-	about := quarantine.Record{Host: r.Host, Path: r.Target[:min(len(r.Target), maxDescribedPath)], Team: r.Team}
+	about := quarantine.Record{Host: r.Host, Path: r.Target[:min(len(r.Target), maxDescribedPath)], Team: r.Team, Alone: alone}
 	crashes := k.list.Blame(d, engine, about, g.wall.Now())
 	standing := k.Standing(d)
 	k.event("suspected", "engine crashed while it ran the request", d, zap.String("request", r.ID), zap.String("upstream", engine.ID),
-		zap.Int("crashes", crashes), zap.Stringer("standing", standing))
+		zap.Bool("alone", alone), zap.Int("crashes", crashes), zap.Stringer("standing", standing))
 	if standing == quarantine.Quarantined {
 		k.quarantined(d, about, crashes)
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -133,7 +133,7 @@
 		l.entries[d] = e
 		l.size.Store(int64(len(l.entries)))
 	}
-	about.Engines = nil
+	about.Engines, about.Alone = nil, about.Alone || e.about.Alone
 	e.about, e.last = about, now
 	if !e.shared[engine] || e.cleared {
 		e.own[engine] = true
@@ -143,12 +143,16 @@
 }
 
 // assess quarantines a digest or lifts its quarantine. The caller holds mu.
+//
+// Load pattern: a loss of several engines at one moment breaks off requests of the same
+// content at each of them. Only a crash of an engine that got the request as a suspected
+// one shows that it is the request that crashes engines.
 func (l *List) assess(d Digest, e *entry) {
 	if e.held {
-		e.held = len(e.engines()) >= crashLimit
+		e.held = e.about.Alone && len(e.engines()) >= crashLimit
 		return
 	}
-	e.held = l.unexplained(d, e) >= crashLimit
+	e.held = e.about.Alone && l.unexplained(d, e) >= crashLimit
 }
 
 // makeRoom drops the least important suspicion of a full list. The caller holds mu.
@@ -187,7 +191,7 @@
 		l.remove(d)
 		return true, false
 	}
-	e.cleared, e.held, e.own = true, false, map[Engine]bool{}
+	e.cleared, e.held, e.own, e.about.Alone = true, false, map[Engine]bool{}, false
 	return true, true
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -24,7 +24,7 @@
 	})
 	blame := func(d Digest, engines ...int) {
 		for _, n := range engines {
-			list.Blame(d, engine(n), Record{Path: "/p"}, clock.Now())
+			list.Blame(d, engine(n), Record{Path: "/p", Alone: true}, clock.Now())
 		}
 	}
 	standing := func(d Digest) Standing { return list.Standing(d, clock.Now()) }
@@ -38,12 +38,32 @@
 		Expect(standing(deadly)).To(Equal(Quarantined))
 	})
 
+	It("does not quarantine a request that was at several engines which ended at one moment", func() {
+		// Guards against the loss of a failure domain that quarantines what its engines ran.
+		for n := range 4 {
+			list.Blame(innocent, engine(n), Record{}, clock.Now())
+		}
+		Expect(standing(innocent)).To(Equal(Suspected))
+		blame(innocent, 9)
+		Expect(standing(innocent)).To(Equal(Quarantined), "crashes an engine to which it was sent alone")
+	})
+
+	It("knows from the store that a request has crashed an engine alone", func() {
+		// Guards against instances that each wait for such a crash of their own.
+		list.Apply(deadly, &Record{Engines: []Engine{engine(1), engine(2), engine(3)}, Alone: true, LastMs: clock.Now().UnixMilli()}, clock.Now())
+		Expect(standing(deadly)).To(Equal(Quarantined))
+		list.Blame(deadly, engine(4), Record{}, clock.Now())
+		record, change := list.Pending(deadly, &Record{Engines: []Engine{engine(1), engine(2), engine(3)}})
+		Expect(change).To(Equal(Put))
+		Expect(record.Alone).To(BeTrue())
+	})
+
 	It("counts a crash of one incarnation once", func() {
 		// Guards against a quarantine after one crash that several attempts have seen.
 		blame(deadly, 1, 1, 1)
 		Expect(standing(deadly)).To(Equal(Suspected))
-		list.Blame(deadly, Engine{ID: "e1", Started: 2}, Record{}, clock.Now())
-		list.Blame(deadly, Engine{ID: "e1", Started: 3}, Record{}, clock.Now())
+		list.Blame(deadly, Engine{ID: "e1", Started: 2}, Record{Alone: true}, clock.Now())
+		list.Blame(deadly, Engine{ID: "e1", Started: 3}, Record{Alone: true}, clock.Now())
 		Expect(standing(deadly)).To(Equal(Quarantined))
 	})
 
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -11,6 +11,9 @@
 type Record struct {
 	Engines []Engine `json:"engines"` // that crashed while they ran the request
 	LastMs  int64    `json:"last"`    // Unix time of the last crash, in milliseconds
+	// Alone reports whether an engine crashed to which the request was sent apart from
+	// other suspected ones.
+	Alone bool `json:"alone"`
 	// Host, Path and Team describe the request to operators.
 	Host string `json:"host"`
 	Path string `json:"path"`
@@ -46,7 +49,7 @@
 		l.entries[d] = e
 		l.size.Store(int64(len(l.entries)))
 	}
-	e.about = Record{Host: stored.Host, Path: stored.Path, Team: stored.Team}
+	e.about = Record{Host: stored.Host, Path: stored.Path, Team: stored.Team, Alone: e.about.Alone || stored.Alone}
 	if last := time.UnixMilli(stored.LastMs); last.After(e.last) {
 		e.last = last
 	}
