--- a/gateway/quarantine_write.go
+++ b/gateway/quarantine_write.go
@@ -154,7 +154,7 @@
 	if isStored {
 		stored = &known.record
 	}
-	record, change := k.list.Pending(d, stored)
+	record, change := k.list.Unwritten(d, stored)
 	switch change {
 	case quarantine.Delete:
 		err := k.gateway.store.Delete(ctx, kindQuarantine, string(d), known.version)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -53,7 +53,7 @@
 		list.Apply(deadly, &Record{Engines: []Engine{engine(1), engine(2), engine(3)}, Alone: true, LastMs: clock.Now().UnixMilli()}, clock.Now())
 		Expect(standing(deadly)).To(Equal(Quarantined))
 		list.Blame(deadly, engine(4), Record{}, clock.Now())
-		record, change := list.Pending(deadly, &Record{Engines: []Engine{engine(1), engine(2), engine(3)}})
+		record, change := list.Unwritten(deadly, &Record{Engines: []Engine{engine(1), engine(2), engine(3)}})
 		Expect(change).To(Equal(Put))
 		Expect(record.Alone).To(BeTrue())
 	})
@@ -91,7 +91,7 @@
 		blame(deadly, 1)
 		list.Apply(deadly, &Record{Engines: []Engine{engine(2), engine(3)}, LastMs: clock.Now().UnixMilli()}, clock.Now())
 		Expect(standing(deadly)).To(Equal(Quarantined))
-		record, change := list.Pending(deadly, &Record{Engines: []Engine{engine(2), engine(4)}})
+		record, change := list.Unwritten(deadly, &Record{Engines: []Engine{engine(2), engine(4)}})
 		Expect(change).To(Equal(Put))
 		Expect(record.Engines).To(Equal([]Engine{engine(1), engine(2), engine(4)}))
 	})
@@ -100,7 +100,7 @@
 		// Guards against instances that rewrite each other's records.
 		stored := Record{Engines: []Engine{engine(1), engine(2)}, LastMs: clock.Now().UnixMilli()}
 		list.Apply(deadly, &stored, clock.Now())
-		_, change := list.Pending(deadly, &stored)
+		_, change := list.Unwritten(deadly, &stored)
 		Expect(change).To(Equal(NoChange))
 	})
 
@@ -110,7 +110,7 @@
 		list.Apply(innocent, &stored, clock.Now())
 		_, toDelete := list.Clear(innocent)
 		Expect(toDelete).To(BeTrue())
-		_, change := list.Pending(innocent, &stored)
+		_, change := list.Unwritten(innocent, &stored)
 		Expect(change).To(Equal(Delete))
 		list.Saved(innocent, nil)
 		Expect(list.Empty()).To(BeTrue())
@@ -119,7 +119,7 @@
 	It("lifts a quarantine whose record was deleted", func() {
 		// Guards against a quarantine that an operator cannot lift.
 		blame(deadly, 1, 2, 3)
-		record, _ := list.Pending(deadly, nil)
+		record, _ := list.Unwritten(deadly, nil)
 		list.Saved(deadly, &record)
 		before, after := list.Apply(deadly, nil, clock.Now())
 		Expect([]Standing{before, after}).To(Equal([]Standing{Quarantined, Unsuspected}))
@@ -128,13 +128,13 @@
 	It("revokes crashes of an engine that is alive", func() {
 		// Guards against a quarantine because of paths that were cut.
 		blame(innocent, 1, 2)
-		record, _ := list.Pending(innocent, nil)
+		record, _ := list.Unwritten(innocent, nil)
 		list.Saved(innocent, &record)
 		blame(innocent, 3)
 		Expect(standing(innocent)).To(Equal(Quarantined))
 		Expect(list.Revoke(engine(1), clock.Now())).To(Equal([]Digest{innocent}))
 		Expect(standing(innocent)).To(Equal(Suspected))
-		written, change := list.Pending(innocent, &record)
+		written, change := list.Unwritten(innocent, &record)
 		Expect(change).To(Equal(Put))
 		Expect(written.Engines).To(Equal([]Engine{engine(2), engine(3)}))
 	})
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -81,9 +81,9 @@
 	Delete
 )
 
-// Pending returns what must be written for a digest whose stored record is stored, nil if
+// Unwritten returns what must be written for a digest whose stored record is stored, nil if
 // none is.
-func (l *List) Pending(d Digest, stored *Record) (Record, Change) {
+func (l *List) Unwritten(d Digest, stored *Record) (Record, Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[d]
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -15,7 +15,7 @@
 
 // Reach opens a connection to an address and closes it. accepted reports whether a
 // process listens there, and refused whether the machine says that none does; neither is
-// true if this cannot be told in time.
+// true without a response in time.
 func Reach(ctx context.Context, address string) (accepted, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
