Specs of the relay share no state with probes that outlast them

A spec of this landing leaves probes of its relay running, which wrote the list of changes that the next spec's setup replaces. The product is not concerned: its callback is called by several goroutines already and only logs.

The spec and its neighbour use relays of their own without that list; their checks are the same.

--- a/objects/relay_test.go
+++ b/objects/relay_test.go
@@ -72,13 +72,14 @@
 		direct, peerDirect *faultyStore
 		relay, peer        *objects.Relay
 		directChanges      []bool
+		toPeer             objects.RelayFunc
 	)
 
 	BeforeEach(func() {
 		store, directChanges = memstore.New(), nil
 		direct, peerDirect = &faultyStore{Store: store}, &faultyStore{Store: store}
 		peer = objects.NewRelay(peerDirect, nil, nil)
-		toPeer := func(ctx context.Context, c objects.RelayCall) (objects.RelayReply, bool, error) {
+		toPeer = func(ctx context.Context, c objects.RelayCall) (objects.RelayReply, bool, error) {
 			return peer.Serve(ctx, c), true, nil
 		}
 		relay = objects.NewRelay(direct, toPeer, func(direct bool, _ error) { directChanges = append(directChanges, direct) })
@@ -129,6 +130,7 @@
 
 	// An owner whose reads end sooner than the relay's timeout was never relayed.
 	It("relays the calls of a caller whose time ends before the store responds directly", func(ctx SpecContext) {
+		relay := objects.NewRelay(direct, toPeer, nil) // its probes may outlast the spec
 		direct.setFault(nil, true)
 		Eventually(func() error {
 			limited, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
@@ -139,6 +141,7 @@
 	})
 
 	It("keeps direct access when a caller's time was short", func(ctx SpecContext) {
+		relay := objects.NewRelay(direct, toPeer, nil)
 		limited, cancel := context.WithDeadline(ctx, time.Now())
 		defer cancel()
 		_, err := relay.Get(limited, "k", "none")
