Soak: the start of a process excuses what it did not know

A restart since the response excuses this; the check knew only of the signal, which came before the response. Ruled out: a revived belief, since each process logs it once and sends nothing more.

The start of a process is recorded like a signal. The check is as strict for a process that lives on.

--- a/test/soak/beliefs_test.go
+++ b/test/soak/beliefs_test.go
@@ -30,7 +30,8 @@
 	begin, end time.Time // end is zero while it lasts
 }
 
-// disturbance is a signal to a gateway, after which it need not know what it knew before.
+// disturbance is a signal to a gateway or its start, after which it need not know what it
+// knew before.
 type disturbance struct {
 	gateway string
 	at      time.Time
@@ -72,7 +73,7 @@
 	e.Restart()
 }
 
-// disturb records a signal to a gateway.
+// disturb records a signal to a gateway or its start.
 func (b *beliefs) disturb(gateway string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -169,7 +170,7 @@
 	return afterLeave, afterWithdrawal
 }
 
-// disturbed reports whether a gateway got a signal in a period.
+// disturbed reports whether a gateway was started or got a signal in a period.
 func (b *beliefs) disturbed(gateway string, begin, end time.Time) bool {
 	return slices.ContainsFunc(b.disturbances, func(d disturbance) bool {
 		return d.gateway == gateway && d.at.After(begin) && d.at.Before(end)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -49,6 +49,7 @@
 	g.process = exec.Command(g.binary, g.args...)
 	g.process.Stdout, g.process.Stderr = log, log
 	Expect(g.process.Start()).To(Succeed())
+	g.beliefs.disturb(g.name)
 }
 
 func (g *gateway) signal(s syscall.Signal) {
