Removals of registrations are delayed only after an outage in which they can expire

Cause: any failed call, such as one watch refused above the rate limit, delayed the removal of an upstream by 2.5 s from when it was seen, more than the bound of 2 s for an upstream that leaves. A call that failed long after the store had come back counted too. Ruled out: expiry in a short failure; registrations are renewed each 1.2 s and expire after three missed renewals. Change: an outage is from the sending of the first failed call to the first confirmed state, and counts from 1 s on; the check is due 2.5 s after its end, not after the removal was seen. The spec about an outage waited for any failed call and now waits for an outage that counts; its assertions are unchanged. Gaps are listed at once, since the reader's state ages meanwhile.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -33,9 +33,6 @@
 	// maxRetryPause bounds the pause after failures, so that missed changes are read
 	// soon after the store has recovered.
 	maxRetryPause = 500 * time.Millisecond
-	// registrationGrace is how long after an outage of the store the registration of a
-	// running upstream may be missing.
-	registrationGrace = 2500 * time.Millisecond
 )
 
 // storeMonitor logs once when the store fails for a kind of object and once when it
@@ -48,8 +45,8 @@
 	failingSince time.Time
 }
 
-// observe records the result of a call on the store.
-func (m *storeMonitor) observe(err error) {
+// observe records the result of a call on the store; at is that of objects.FollowOptions.
+func (m *storeMonitor) observe(at time.Time, err error) {
 	if errors.Is(err, objects.ErrGap) {
 		m.gateway.log.Info("the store's watch history has expired; listing again", zap.String("kind", m.kind))
 		return
@@ -60,6 +57,11 @@
 	}
 	now := m.gateway.clock.Now()
 	m.gateway.outage.record(now, err)
+	if err == nil {
+		m.gateway.outage.succeeded(at, now)
+	} else {
+		m.gateway.outage.failed(at)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -163,24 +165,26 @@
 	}
 }
 
-// removeServer removes an upstream from the roster. Shortly after an outage of the
-// store, which may be the reason for the missing registration, it first waits for
-// registrationGrace and removes the upstream only if the store still lacks it.
+// removeServer removes an upstream from the roster. Shortly after an outage of the store,
+// in which the registration may have expired, it first waits until the registration must be
+// back, and removes the upstream only if the store still lacks it.
 func (g *Gateway) removeServer(o objects.Object) {
-	if !g.outage.recent(g.clock.Now(), registrationGrace) {
+	now := g.clock.Now()
+	until, mayReturn := g.outage.registrationsMayReturn(now)
+	if !mayReturn {
 		g.log.Info("upstream removed", zap.String("id", o.Name), zap.Int64("revision", int64(o.Version)))
 		g.roster.Remove(o.Name)
 		return
 	}
-	g.log.Info("upstream registration is missing after an outage of the store; checking again before removal", zap.String("id", o.Name))
-	go g.removeUnregistered(g.background, o.Name)
+	g.log.Info("upstream registration is missing after an outage of the store; checking again before removal", zap.String("id", o.Name), zap.Duration("in", until.Sub(now)))
+	go g.removeUnregistered(g.background, o.Name, until.Sub(now))
 }
 
-// removeUnregistered removes an upstream after registrationGrace if the store lacks its
-// registration. The removal is delivered only once, so the read is repeated until the
-// store has responded or ctx ends.
-func (g *Gateway) removeUnregistered(ctx context.Context, id string) {
-	for pause := registrationGrace; ctx.Err() == nil; pause = maxRetryPause {
+// removeUnregistered removes an upstream after a pause if the store lacks its registration.
+// The removal is delivered only once, so the read is repeated until the store has responded
+// or ctx ends.
+func (g *Gateway) removeUnregistered(ctx context.Context, id string, pause time.Duration) {
+	for ; ctx.Err() == nil; pause = maxRetryPause {
 		g.clock.Sleep(pause)
 		readCtx, cancel := context.WithTimeout(ctx, time.Second)
 		_, err := g.store.Get(readCtx, platform.KindServers, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -301,20 +301,3 @@
 	defer cancelWrites()
 	g.publishTally(writeCtx) // ctx may have ended with the requests
 }
-
-// outage records the time of the store's last failure. Registrations that are missing
-// shortly after an outage were not necessarily removed on purpose.
-type outage struct{ lastFailure atomic.Int64 } // in nanoseconds; 0 if there was none
-
-// record records the result of a call on the store.
-func (o *outage) record(now time.Time, err error) {
-	if err != nil {
-		o.lastFailure.Store(now.UnixNano())
-	}
-}
-
-// recent reports whether the store failed within the time d before now.
-func (o *outage) recent(now time.Time, d time.Duration) bool {
-	at := o.lastFailure.Load()
-	return at != 0 && now.Sub(time.Unix(0, at)) < d
-}
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -110,7 +110,7 @@
 		gw := d.start("entry-1", func(s *Settings) { s.Store = serve(proxy) })
 		known := func() bool { _, ok := gw.roster.Entry(d.desk.ID); return ok }
 		proxy.down.Store(true)
-		Eventually(func() bool { return gw.outage.recent(gw.clock.Now(), time.Second) }).WithTimeout(3 * time.Second).Should(BeTrue())
+		Eventually(func() bool { _, may := gw.outage.registrationsMayReturn(gw.clock.Now()); return may }).WithTimeout(3 * time.Second).Should(BeTrue())
 		d.store.Remove("servers", d.desk.ID)
 		proxy.down.Store(false)
 		Consistently(known, "1500ms").Should(BeTrue(), "it may be registered again")
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -172,11 +172,11 @@
 	m := &storeMonitor{gateway: k.gateway, kind: kindQuarantine}
 	o := objects.FollowOptions{
 		Wait: k.gateway.settings.quarantineWait(), MaxPause: maxRetryPause, OnListed: func() { k.listed.Store(true) },
-		OnCall: func(err error) {
+		OnCall: func(at time.Time, err error) {
 			if err == nil {
 				k.freshAt.Store(k.gateway.clock.Now().UnixNano())
 			}
-			m.observe(err)
+			m.observe(at, err)
 		},
 	}
 	objects.FollowWith(ctx, k.gateway.feed, kindQuarantine, o, k.apply)
--- a/objects/age_test.go
+++ b/objects/age_test.go
@@ -74,7 +74,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		store.lists <- listOf(5, valueOf("a", 3, `1`))
-		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second}, func(error) { calls.Add(1) })
+		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second}, func(time.Time, error) { calls.Add(1) })
 		Eventually(calls.Load).Should(Equal(int32(1)))
 	})
 
--- a/objects/cache.go
+++ b/objects/cache.go
@@ -57,8 +57,8 @@
 }
 
 // Follow follows a kind until ctx ends. It calls onCall with the result of each call to
-// the store.
-func (c *Cache) Follow(ctx context.Context, k CacheKind, onCall func(error)) {
+// the store, like FollowOptions.OnCall.
+func (c *Cache) Follow(ctx context.Context, k CacheKind, onCall func(time.Time, error)) {
 	kind := &cachedKind{objects: map[string]Object{}, contents: map[string]any{}, updated: make(chan struct{}), maxAge: k.MaxAge}
 	c.mu.Lock()
 	c.kinds[k.Kind] = kind
@@ -132,8 +132,15 @@
 }
 
 // isFresh reports whether the kind was listed and its state is recent enough.
-func (c *Cache) isFresh(kind *cachedKind) bool {
-	return kind != nil && kind.listed && c.now().Sub(kind.asOf) < kind.maxAge
+func (c *Cache) isFresh(kind *cachedKind) bool { return c.freshFor(kind) > 0 }
+
+// freshFor returns how long the state of a kind stays recent enough without a response of
+// the store; 0 or less if it is not.
+func (c *Cache) freshFor(kind *cachedKind) time.Duration {
+	if kind == nil || !kind.listed {
+		return 0
+	}
+	return kind.asOf.Add(kind.maxAge).Sub(c.now())
 }
 
 // List returns all objects of a kind, or ErrRefused if the cached state is missing or
@@ -191,7 +198,8 @@
 // milliseconds.
 const listedPollInterval = 20 * time.Millisecond
 
-// stalePollInterval is how often a waiting Watch checks the age of the state.
+// stalePollInterval is how often a waiting Watch checks the age of the state at least. The
+// clock of the cache may be ahead of the timer after a suspension.
 const stalePollInterval = 200 * time.Millisecond
 
 // Watch waits for changes of a kind after a version, like Store.Watch. It returns
@@ -199,30 +207,30 @@
 func (c *Cache) Watch(ctx context.Context, name string, after Version, wait time.Duration) (List, error) {
 	deadline := c.now().Add(wait)
 	for {
-		l, changed, err := c.changesSince(name, after)
+		l, changed, fresh, err := c.changesSince(name, after)
 		if err != nil || len(l.Objects) > 0 || !c.now().Before(deadline) {
 			return l, err
 		}
 		select {
 		case <-changed:
-		case <-time.After(stalePollInterval):
+		case <-time.After(min(stalePollInterval, fresh)):
 		case <-ctx.Done():
 			return List{Version: after}, ctx.Err()
 		}
 	}
 }
 
-// changesSince returns the changes after a version and a channel that is closed when
-// there may be more.
-func (c *Cache) changesSince(name string, after Version) (List, chan struct{}, error) {
+// changesSince returns the changes after a version, a channel that is closed when there may
+// be more, and how long the state stays fresh without them.
+func (c *Cache) changesSince(name string, after Version) (List, chan struct{}, time.Duration, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := c.kinds[name]
 	if !c.isFresh(kind) {
-		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrRefused)
+		return List{}, nil, 0, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrRefused)
 	}
 	if after < kind.changesFrom {
-		return List{}, nil, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrGap)
+		return List{}, nil, 0, oops.In("objects").With("step", "cached watch", "kind", name).Wrap(ErrGap)
 	}
 	l := List{Version: max(after, kind.version), AsOf: kind.asOf}
 	for _, o := range kind.changes {
@@ -230,5 +238,5 @@
 			l.Objects = append(l.Objects, o)
 		}
 	}
-	return l, kind.updated, nil
+	return l, kind.updated, c.freshFor(kind), nil
 }
--- a/objects/cache_test.go
+++ b/objects/cache_test.go
@@ -60,7 +60,7 @@
 			return string(o.Value)
 		}
 		same := func(before, after any) bool { return before == after }
-		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second, Content: content, Same: same}, func(error) {})
+		go cache.Follow(ctx, objects.CacheKind{Kind: "k", Wait: time.Second, MaxAge: time.Second, Content: content, Same: same}, func(time.Time, error) {})
 		Eventually(func() error { _, err := cache.List("k"); return err }).Should(Succeed())
 	})
 
@@ -114,7 +114,7 @@
 		Expect(limited.Err()).To(HaveOccurred(), "no Follow runs for this kind")
 		go func() {
 			time.Sleep(30 * time.Millisecond)
-			cache.Follow(ctx, objects.CacheKind{Kind: "later", Wait: time.Second, MaxAge: time.Second}, func(error) {})
+			cache.Follow(ctx, objects.CacheKind{Kind: "later", Wait: time.Second, MaxAge: time.Second}, func(time.Time, error) {})
 		}()
 		cache.WaitListed(ctx, "later")
 		_, err := cache.List("later")
@@ -126,9 +126,9 @@
 		kind := objects.CacheKind{Kind: "again", Wait: time.Second, MaxAge: time.Second}
 		isListed := func() error { _, err := cache.List("again"); return err }
 		firstEnded := make(chan struct{})
-		go func() { defer close(firstEnded); cache.Follow(firstCtx, kind, func(error) {}) }()
+		go func() { defer close(firstEnded); cache.Follow(firstCtx, kind, func(time.Time, error) {}) }()
 		Eventually(isListed).Should(Succeed())
-		go cache.Follow(ctx, kind, func(error) {})
+		go cache.Follow(ctx, kind, func(time.Time, error) {})
 		time.Sleep(50 * time.Millisecond)
 		endFirst()
 		Eventually(firstEnded).Should(BeClosed())
@@ -154,7 +154,7 @@
 	})
 
 	It("tracks the age of each kind separately", func(ctx SpecContext) {
-		go cache.Follow(ctx, objects.CacheKind{Kind: "stuck", Wait: time.Second, MaxAge: time.Second}, func(error) {})
+		go cache.Follow(ctx, objects.CacheKind{Kind: "stuck", Wait: time.Second, MaxAge: time.Second}, func(time.Time, error) {})
 		Eventually(func() error { _, err := cache.List("stuck"); return err }).Should(Succeed())
 		now.Add(1500) // the response is half a second late, within the maximum age
 		store.updates <- objects.List{Version: 8}
--- a/objects/follow.go
+++ b/objects/follow.go
@@ -32,8 +32,10 @@
 	Pause func() time.Duration
 	// MaxPause is the maximum delay after consecutive failures.
 	MaxPause time.Duration
-	// OnCall is called with the result of each list or watch.
-	OnCall func(error)
+	// OnCall is called with the result of each list or watch. at is the time as of which
+	// the delivered state is that of the store or, after an error, the time at which the
+	// call was sent; zero without Now.
+	OnCall func(at time.Time, err error)
 	// OnCurrent is called after each call with the time as of which the delivered state was
 	// that of the store. It requires Now.
 	OnCurrent func(asOf time.Time)
@@ -51,26 +53,31 @@
 
 // FollowWith passes every object of a kind to handle, first the existing ones, then each
 // change in order, until ctx ends. After a failure it resumes watching at the version
-// it had reached. After ErrGap it lists the kind again and passes on the objects that
-// changed since, and those that no longer exist as deleted. It repeats a list that is
-// older than what it has delivered.
+// it had reached. After ErrGap it lists the kind again, at once unless the watch after the
+// last list had a gap too, and passes on the objects that changed since, and those that no
+// longer exist as deleted. It repeats a list that is older than what it has delivered.
 func FollowWith(ctx context.Context, s Store, kind string, o FollowOptions, handle func(Object)) {
 	f := follower{store: s, kind: kind, handle: handle, options: o, known: map[string]Version{}}
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = followMinRetryDelay, o.MaxPause
+	gap := false // a watch has had a gap since the last one that succeeded
 	for ctx.Err() == nil {
 		watching := f.listed
-		err := f.step(ctx)
+		at, err := f.step(ctx)
 		if o.OnCall != nil && ctx.Err() == nil {
-			o.OnCall(err)
+			o.OnCall(at, err)
 		}
 		switch {
+		case errors.Is(err, ErrGap) && !gap:
+			gap = true
 		case err != nil:
 			sleep(ctx, delays.NextBackOff())
 		case watching && f.behind: // the store may have more changes than fit into a response
 			delays.Reset()
+			gap = false
 		case watching: // a list alone does not reset the delay: the watch may fail permanently
 			delays.Reset()
+			gap = false
 			if o.Pause != nil {
 				sleep(ctx, o.Pause())
 			}
@@ -90,8 +97,9 @@
 	known   map[string]Version // by object name
 }
 
-// step makes one call to the store: a list if one is needed, a watch otherwise.
-func (f *follower) step(ctx context.Context) error {
+// step makes one call to the store: a list if one is needed, a watch otherwise. It returns
+// the arguments of OnCall.
+func (f *follower) step(ctx context.Context) (at time.Time, err error) {
 	if !f.listed {
 		return f.list(ctx)
 	}
@@ -99,7 +107,7 @@
 	changes, err := f.store.Watch(ctx, f.kind, f.version, f.options.Wait)
 	if err != nil {
 		f.listed = !errors.Is(err, ErrGap)
-		return err
+		return sent, err
 	}
 	size := 0
 	for _, o := range changes.Objects {
@@ -108,8 +116,7 @@
 	}
 	f.behind = size >= behindBytes
 	f.version = max(f.version, changes.Version)
-	f.reportProgress(changes, sent, f.options.Wait)
-	return nil
+	return f.reportProgress(changes, sent, f.options.Wait), nil
 }
 
 // now returns the time of the options' clock; zero without one.
@@ -124,14 +131,14 @@
 // which several caches exist may be read at one that is behind the last.
 var ErrOldList = errors.New("the list is older than the delivered state")
 
-func (f *follower) list(ctx context.Context) error {
+func (f *follower) list(ctx context.Context) (at time.Time, err error) {
 	sent := f.now()
 	listed, err := f.store.List(ctx, f.kind)
 	if err != nil {
-		return err
+		return sent, err
 	}
 	if listed.Version < f.version {
-		return oops.In("objects").With("step", "list", "kind", f.kind, "version", listed.Version, "delivered", f.version).Wrap(ErrOldList)
+		return sent, oops.In("objects").With("step", "list", "kind", f.kind, "version", listed.Version, "delivered", f.version).Wrap(ErrOldList)
 	}
 	removed := f.known
 	f.known = map[string]Version{}
@@ -146,30 +153,31 @@
 		f.handle(Object{Kind: f.kind, Name: name, Version: listed.Version, Deleted: true})
 	}
 	f.version, f.listed = listed.Version, true
-	f.reportProgress(listed, sent, 0)
+	asOf := f.reportProgress(listed, sent, 0)
 	if f.options.OnListed != nil {
 		f.options.OnListed()
 	}
-	return nil
+	return asOf, nil
 }
 
-// reportProgress reports the delivered version and its time. A response that arrives later
-// than the wait after its request was sent was delayed, so its state may be that old. A
-// cache says how old its state is.
-func (f *follower) reportProgress(response List, sent time.Time, wait time.Duration) {
+// reportProgress reports the delivered version and its time, and returns that time. A
+// response that arrives later than the wait after its request was sent was delayed, so its
+// state may be that old. A cache says how old its state is.
+func (f *follower) reportProgress(response List, sent time.Time, wait time.Duration) time.Time {
+	asOf := sent.Add(wait)
+	if received := f.now(); received.Before(asOf) {
+		asOf = received
+	}
+	if !response.AsOf.IsZero() {
+		asOf = response.AsOf
+	}
 	if f.options.OnCurrent != nil {
-		asOf := sent.Add(wait)
-		if received := f.now(); received.Before(asOf) {
-			asOf = received
-		}
-		if !response.AsOf.IsZero() {
-			asOf = response.AsOf
-		}
 		f.options.OnCurrent(asOf)
 	}
 	if f.options.OnProgress != nil {
 		f.options.OnProgress(f.version)
 	}
+	return asOf
 }
 
 // deliver passes a change to handle unless it was delivered before.
