Changes reach every instance within the bound, whatever happens to the sources

Cause: the waits on the way from the store were constants of their own and nobody added them up. A source that stopped responding cost 0.6 + 1.4 s, one that had lost the store followed by one that did not respond 1.4 + 1.4 s, with a bound of 2 s. Change: the waits of registrations, configuration, evacuations and the quarantine are parts of their bounds, and a spec adds up each path for bounds of 1 s to 30 s. Only the first source of a read may hold a watch. A waiting query is refused when the state expires, not up to 0.2 s later.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -16,7 +16,7 @@
 		g.evacuationsListed.Store(true)
 		return
 	}
-	g.follow(ctx, platform.KindEvacuations, g.settings.EvacuationBound/evacuationWaits, nil, func() { g.evacuationsListed.Store(true) }, g.applyEvacuation)
+	g.follow(ctx, platform.KindEvacuations, g.settings.evacuationPath().readerWait, nil, func() { g.evacuationsListed.Store(true) }, g.applyEvacuation)
 }
 
 // applyEvacuation applies a changed or removed evacuation to the roster.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -14,18 +14,12 @@
 
 // Timing of a source's watches of the store.
 const (
-	// Registrations of upstreams change all the time, so these watches also detect soon
-	// that the store does not respond.
-	sourceServersWait = 500 * time.Millisecond
 	// The end of a batch must reach its engines within seconds.
 	sourceHeadsWait  = 800 * time.Millisecond
 	sourceHeadsPause = 600 * time.Millisecond
 	// Instances start and stop rarely; a stale list costs no more than a timeout.
 	sourceInstancesWait  = 3 * time.Second
 	sourceInstancesPause = time.Second
-	// evacuationWaits is the number of waits for an evacuation within its bound: the age of
-	// a source's state, the wait of its reader and the search for another source.
-	evacuationWaits = 4
 	// sourceAgeMargin is added to the time between two responses of the store for a kind.
 	// Above that age, a source refuses queries: it may have lost the store, and its
 	// readers query the store themselves.
@@ -37,26 +31,31 @@
 // deployment allow.
 func feedKinds(s *Settings) []objects.CacheKind {
 	kinds := []objects.CacheKind{
-		{Kind: platform.KindServers, Wait: sourceServersWait, Pause: s.serversPause(), Content: registrationContent, Same: sameRegistration},
-		{Kind: platform.KindConfig, Wait: s.maxConfigWait(s.ConfigBound / 2)},
-		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause},
-		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause},
-		{Kind: kindQuarantine, Wait: s.quarantineWait()},
+		{Kind: platform.KindServers, Content: registrationContent, Same: sameRegistration},
+		{Kind: platform.KindConfig},
+		{Kind: kindQuarantine},
+		{Kind: batch.KindHead, Wait: sourceHeadsWait, Pause: sourceHeadsPause, MaxAge: sourceHeadsWait + sourceHeadsPause + sourceAgeMargin},
+		{Kind: kindInstances, Wait: sourceInstancesWait, Pause: sourceInstancesPause, MaxAge: sourceInstancesWait + sourceInstancesPause + sourceAgeMargin},
 	}
 	if s.EvacuationBound > 0 {
-		kinds = append(kinds, objects.CacheKind{Kind: platform.KindEvacuations, Wait: s.EvacuationBound / evacuationWaits})
+		kinds = append(kinds, objects.CacheKind{Kind: platform.KindEvacuations})
 	}
+	paths := s.propagationPaths()
 	for n := range kinds {
-		kinds[n].MaxAge = kinds[n].Wait + kinds[n].Pause + sourceAgeMargin
+		if p, bounded := paths[kinds[n].Kind]; bounded {
+			kinds[n].Wait, kinds[n].Pause, kinds[n].MaxAge = p.sourceWait, p.sourcePause, p.maxAge
+		}
 	}
 	return kinds
 }
 
-// serversPause returns the pause between two watches of the registrations, which delays
-// the news that an upstream is leaving.
-func (s *Settings) serversPause() time.Duration {
-	const numerator, denominator = 3, 10 // the rest of the bound is for the way to the instances, and for a source that fails
-	return s.LeaveBound * numerator / denominator
+// propagationPaths returns the paths of the kinds whose changes must be in force within a
+// bound.
+func (s *Settings) propagationPaths() map[string]propagation {
+	return map[string]propagation{
+		platform.KindServers: s.registrationPath(), platform.KindConfig: s.configPath(),
+		platform.KindEvacuations: s.evacuationPath(), kindQuarantine: s.quarantinePath(),
+	}
 }
 
 const (
@@ -78,6 +77,7 @@
 	objects.Store // the store itself
 	gateway       *Gateway
 	kinds         map[string]objects.CacheKind // by name
+	paths         map[string]propagation       // by kind; only kinds with a bound
 	cache         *objects.Cache
 
 	mu              sync.Mutex               // guards all below
@@ -94,7 +94,7 @@
 
 func newFeed(g *Gateway) *feed {
 	f := &feed{
-		Store: g.store, gateway: g, kinds: map[string]objects.CacheKind{}, cache: objects.NewCache(g.store, g.clock.Now),
+		Store: g.store, gateway: g, kinds: map[string]objects.CacheKind{}, paths: g.settings.propagationPaths(), cache: objects.NewCache(g.store, g.clock.Now),
 		lastReads: map[string]time.Time{}, backoffs: map[string]sourceBackoff{}, lastDirectWatch: map[string]time.Time{},
 	}
 	for _, k := range feedKinds(g.settings) {
@@ -269,7 +269,7 @@
 	if args.Name == "" {
 		f.ensureFollowing(args.Kind)
 	}
-	listCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+	listCtx, cancel := context.WithTimeout(ctx, f.queryTimeout(args.Kind)/2) // the reader is to get the refusal in time
 	f.cache.WaitListed(listCtx, args.Kind)
 	cancel()
 	switch {
@@ -282,12 +282,21 @@
 	return f.cache.Watch(ctx, args.Kind, args.After, args.Wait)
 }
 
-// queryTimeout bounds a query to a source, in addition to the wait of a watch.
-const queryTimeout = 400 * time.Millisecond
+// queryTimeout returns the bound of a query to a source, in addition to the wait of a watch.
+func (f *feed) queryTimeout(kind string) time.Duration {
+	if p, bounded := f.paths[kind]; bounded {
+		return p.queryTimeout
+	}
+	return maxQueryTimeout
+}
 
-// readSources queries the sources in turn; ok is false when none responds.
+// readSources queries the sources in turn; ok is false when none responds. Only the first
+// one may hold a watch, since the state known here gets older with each query.
 func (f *feed) readSources(ctx context.Context, args FeedArgs) (list objects.List, err error, ok bool) {
-	for _, peer := range f.sources() {
+	for n, peer := range f.sources() {
+		if n > 0 {
+			args.Wait = 0
+		}
 		if peer == f.gateway.settings.PeerListen {
 			list, err = f.readCache(ctx, args)
 			return list, err, !errors.Is(err, objects.ErrRefused) && !errors.Is(err, errNotFollowed)
@@ -314,7 +323,7 @@
 // querySource queries a source. It returns an error when the source has no current
 // data.
 func (f *feed) querySource(ctx context.Context, peer string, args FeedArgs) (FeedReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, args.Wait+queryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+f.queryTimeout(args.Kind))
 	defer cancel()
 	var reply FeedReply
 	sent := f.gateway.clock.Now()
@@ -369,7 +378,7 @@
 func (f *feed) throttleDirectWatch(ctx context.Context, kind string) {
 	f.mu.Lock()
 	now := f.gateway.clock.Now()
-	next := f.lastDirectWatch[kind].Add(f.gateway.settings.serversPause())
+	next := f.lastDirectWatch[kind].Add(f.gateway.settings.registrationPath().sourcePause)
 	f.lastDirectWatch[kind] = now
 	f.mu.Unlock()
 	if !now.Before(next) {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -80,7 +80,7 @@
 		start := time.Now()
 		_, _, ok := f.readSources(ctx, FeedArgs{Kind: kindInstances, After: 1})
 		Expect(ok).To(BeFalse())
-		Expect(time.Since(start)).To(BeNumerically("<", 3*queryTimeout/2))
+		Expect(time.Since(start)).To(BeNumerically("<", 3*maxQueryTimeout/2))
 	})
 })
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,9 +19,9 @@
 	// source that stopped responding is detected when the watch ends, within the time
 	// in which a new configuration must take effect.
 	configWatchWait = time.Second
-	// minServersPause is the pause between two watches of the upstreams. An upstream
-	// that is leaving must get no new work after two seconds.
-	minServersPause  = 200 * time.Millisecond
+	// maxServersPause is the longest pause between two watches of the upstreams by an
+	// instance that sends them requests, and serversWatchWait the longest wait of one.
+	maxServersPause  = 200 * time.Millisecond
 	serversWatchWait = time.Second
 	// idleWatchWait and idleWatchPause apply to instances that send no requests or
 	// orders to upstreams.
@@ -89,7 +89,7 @@
 
 // followCatalog follows the configuration until ctx ends.
 func (g *Gateway) followCatalog(ctx context.Context) {
-	wait := g.settings.maxConfigWait(configWatchWait)
+	wait := g.settings.configPath().readerWait
 	if !g.servesCallers() {
 		wait = idleWatchWait
 	}
@@ -124,14 +124,14 @@
 
 // followServers follows the registrations of upstreams until ctx ends.
 func (g *Gateway) followServers(ctx context.Context) {
-	g.follow(ctx, platform.KindServers, serversWatchWait, g.serversPause, func() { g.upstreamsListed.Store(true) }, g.applyServer)
+	g.follow(ctx, platform.KindServers, g.settings.registrationPath().readerWait, g.serversPause, func() { g.upstreamsListed.Store(true) }, g.applyServer)
 }
 
 // serversPause returns the pause between two watches of the upstreams. It is shorter
 // while this instance sends requests or orders to upstreams.
 func (g *Gateway) serversPause() time.Duration {
 	if _, err := g.holder(); err == nil || g.servesCallers() {
-		return minServersPause
+		return g.settings.registrationPath().readerPause
 	}
 	return idleWatchPause
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -53,14 +53,6 @@
 	g.reject(w, r, rejection{response.Status, reasonQuarantined, response.RetryAfter})
 }
 
-// quarantineWait returns how long a watch of the quarantine lasts. It bounds how long an
-// instance waits for a source that lost the store before it reads the store itself, and
-// every watch is billed.
-func (s *Settings) quarantineWait() time.Duration {
-	const numerator, denominator = 5, 6 // the rest of the bound is for the way to the instances
-	return s.ContactBound * numerator / denominator
-}
-
 // quarantineKeeper keeps this instance's list of suspected requests in line with the
 // store. It implements forward.Guard.
 type quarantineKeeper struct {
@@ -171,7 +163,7 @@
 func (k *quarantineKeeper) follow(ctx context.Context) {
 	m := &storeMonitor{gateway: k.gateway, kind: kindQuarantine}
 	o := objects.FollowOptions{
-		Wait: k.gateway.settings.quarantineWait(), MaxPause: maxRetryPause, OnListed: func() { k.listed.Store(true) },
+		Wait: k.gateway.settings.quarantinePath().readerWait, MaxPause: maxRetryPause, OnListed: func() { k.listed.Store(true) },
 		OnCall: func(at time.Time, err error) {
 			if err == nil {
 				k.freshAt.Store(k.gateway.clock.Now().UnixNano())
