Upstreams are checked again right before a request is written to them

Cause: the choice of an upstream came up to a second before the first byte, while a connection opened or the process was suspended, and nothing was checked in between. Ruled out: a shorter dial timeout, which gives up on upstreams behind a lossy link. Change: all requests of an instance pass an admission that asks the roster in their Permit. A withheld request counts as not sent, and not as a failure of the upstream.

--- a/batch/send.go
+++ b/batch/send.go
@@ -159,6 +159,9 @@
 	if errors.Is(err, errEnded) {
 		return outcomeCanceled
 	}
+	if errors.Is(err, upstream.ErrWithheld) {
+		return outcomeRefused
+	}
 	r.Roster.MarkFailed(choice.ID, r.Clock.Now())
 	r.logItem(q, choice, "item's response was interrupted; trying another engine", telemetry.Error(err))
 	return outcomeBroken
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -281,7 +281,7 @@
 func (f *Forwarder) sendFailed(ctx context.Context, to roster.Choice, err error) attemptResult {
 	var sendErr *upstream.SendError
 	if errors.As(err, &sendErr) && sendErr.NotSent {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrWithheld) {
 			f.Roster.MarkFailed(to.ID, f.Clock.Now())
 		}
 		return attemptResult{outcome: NotSent, upstream: to.ID, err: err}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,14 +98,15 @@
 	g.engines.OnLeaving = g.upstreamLeaves
 	g.meter = newMeter(s.UsageWindow)
 	g.quarantine = newQuarantineKeeper(g)
+	admitted := &admission{next: g.engines, roster: g.roster, log: t.Log}
 	g.forward = &forward.Forwarder{
-		Domain: s.Domain, Roster: g.roster, Upstreams: g.engines, Clock: g.clock, Log: t.Log,
+		Domain: s.Domain, Roster: g.roster, Upstreams: admitted, Clock: g.clock, Log: t.Log,
 		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: g.upstreamGone,
 	}
 	incarnation := uuid.NewString()
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Store: batch.NewStore(g.store, incarnation),
-		Roster: g.roster, Engines: g.engines, Rewards: g.forward, Catalog: g.catalog.Load, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
+		Roster: g.roster, Engines: admitted, Rewards: g.forward, Catalog: g.catalog.Load, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
 		Record: counters.recordItem, RecordReward: counters.recordReward, RecordHeadAge: counters.recordHeadAge, EndBound: s.EndBound,
 		Retention: s.Keep, RetentionBytes: resultMemoryBytes(s.MemoryMB),
 	})
--- a/roster/evacuation_test.go
+++ b/roster/evacuation_test.go
@@ -28,3 +28,22 @@
 		Expect(r.HasFaster(need, "e2", 1.2, now)).To(BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("An upstream to which a request is about to be written", func() {
+	ginkgo.It("accepts it only as the registered incarnation, while it is ready and not evacuated", func() {
+		e := engine("e1", 3)
+		e.Domain = "a"
+		r := newRoster(e)
+		Expect(r.Accepts(e.Target())).To(BeTrue())
+		other := e.Target()
+		other.Started++
+		Expect(r.Accepts(other)).To(BeFalse())
+		r.SetEvacuated("a", true)
+		Expect(r.Accepts(e.Target())).To(BeFalse())
+		r.SetEvacuated("a", false)
+		r.MarkLeaving(e.Target())
+		Expect(r.Accepts(e.Target())).To(BeFalse())
+		r.Remove("e1")
+		Expect(r.Accepts(e.Target())).To(BeFalse())
+	})
+})
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -33,6 +33,10 @@
 // Unwrap returns the underlying error.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// ErrWithheld is the cause of a SendError with NotSent for a request that was not written
+// because its upstream may no longer get it. It is no failure of the upstream.
+var ErrWithheld = errors.New("the upstream may no longer get the request")
+
 var (
 	errWritesBlocked = errors.New("writes on the connection are blocked because its request was abandoned")
 	errNotPermitted  = errors.New("the request is no longer to be sent")
