--- /dev/null
+++ b/gateway/send_limits_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/platform/standin"
+)
+
+// greatestInWindow returns the greatest number of requests that reached an engine in any span
+// of a window.
+func greatestInWindow(e *standin.Engine, window time.Duration) int {
+	arrivals, greatest, first := e.Arrivals(), 0, 0
+	for n, at := range arrivals {
+		for at.Sub(arrivals[first]) >= window {
+			first++
+		}
+		greatest = max(greatest, n-first+1)
+	}
+	return greatest
+}
+
+var _ = Describe("Upstreams that name a limit", func() {
+	const (
+		window  = 4 * time.Second
+		rate    = 5
+		allowed = rate * 4
+	)
+	// chat keeps sending streams to an instance until ctx ends.
+	chat := func(ctx context.Context, callers *sync.WaitGroup, address string, pause time.Duration) {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				status("POST", address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)
+				time.Sleep(pause)
+			}
+		})
+	}
+	limited := func(d *deployment) {
+		for _, e := range d.engines {
+			e.SetLimit(fmt.Sprint(rate))
+		}
+	}
+
+	// Items of one owner, streams and single requests of all instances: more than twice of
+	// what the engines allow reached them.
+	It("get no more requests from all instances together than it allows", func() {
+		d := newDeployment(3, 2)
+		limited(d)
+		d.desk.SetLimit("10")
+		var all []*testInstance
+		for n := range 3 {
+			all = append(all, d.start(fmt.Sprint("entry-", n), nil))
+		}
+		waitForMembership(all...)
+		ctx, cancel := context.WithCancel(context.Background())
+		var callers sync.WaitGroup
+		DeferCleanup(func() { cancel(); callers.Wait() })
+		for _, gw := range all {
+			chat(ctx, &callers, gw.address, 40*time.Millisecond)
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					status("POST", gw.address, "/kits/4", northKey, nil)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		Expect(submit(all[0].address, "l1", batchBody(200, 1))).To(Equal(http.StatusAccepted))
+		time.Sleep(4 * window)
+		for _, e := range d.engines {
+			AddReportEntry(e.ID, fmt.Sprint(greatestInWindow(e, window), " in a window, ", len(e.Arrivals()), " in all"))
+			Expect(greatestInWindow(e, window)).To(BeNumerically("<=", allowed), e.ID)
+			Expect(len(e.Arrivals())).To(BeNumerically(">=", 2*allowed), e.ID)
+		}
+		Expect(greatestInWindow(d.desk, window)).To(BeNumerically("<=", 40))
+		Expect(len(d.desk.Arrivals())).To(BeNumerically(">=", 80))
+	})
+
+	// The owner of a batch sends nearly everything. With equal shares, two thirds of what the
+	// engines allow would be left.
+	It("get most of what they allow from the instance that needs it", func() {
+		d := newDeployment(3, 2)
+		limited(d)
+		var all []*testInstance
+		for n := range 3 {
+			all = append(all, d.start(fmt.Sprint("entry-", n), nil))
+		}
+		waitForMembership(all...)
+		Expect(submit(all[0].address, "l1", batchBody(400, 1))).To(Equal(http.StatusAccepted))
+		time.Sleep(2 * window)
+		count := func() (n int) {
+			for _, e := range d.engines {
+				n += len(e.Arrivals())
+			}
+			return n
+		}
+		before := count()
+		time.Sleep(2 * window)
+		used := float64(count()-before) / float64(2*allowed*len(d.engines))
+		AddReportEntry("part of the limit that is used", used)
+		Expect(used).To(BeNumerically(">=", 0.6))
+		for _, e := range d.engines {
+			Expect(greatestInWindow(e, window)).To(BeNumerically("<=", allowed), e.ID)
+		}
+	})
+
+	It("get no more requests than it allows from instances that just started or have lost the holder of the control role", func() {
+		d := newDeployment(2, 2)
+		limited(d)
+		first := d.start("entry-0", nil)
+		second := d.start("entry-1", nil)
+		waitForMembership(first, second)
+		ctx, cancel := context.WithCancel(context.Background())
+		var callers sync.WaitGroup
+		DeferCleanup(func() { cancel(); callers.Wait() })
+		chat(ctx, &callers, first.address, 20*time.Millisecond)
+		chat(ctx, &callers, second.address, 20*time.Millisecond)
+		time.Sleep(window)
+		third := d.start("entry-2", nil)
+		chat(ctx, &callers, third.address, 20*time.Millisecond)
+		time.Sleep(window)
+		second.dialer.Close() // reaches no other instance
+		time.Sleep(3 * window)
+		for _, e := range d.engines {
+			AddReportEntry(e.ID, fmt.Sprint(greatestInWindow(e, window), " in a window, ", len(e.Arrivals()), " in all"))
+			Expect(greatestInWindow(e, window)).To(BeNumerically("<=", allowed), e.ID)
+			Expect(len(e.Arrivals())).To(BeNumerically(">=", 2*allowed), e.ID)
+		}
+	})
+
+	It("are not limited otherwise", func() {
+		d := newDeployment(1, 2)
+		gw := d.start("entry-1", nil)
+		Expect(submit(gw.address, "l1", batchBody(100, 1))).To(Equal(http.StatusAccepted))
+		results(gw.address, "l1", 100)
+		Expect(greatestInWindow(d.engines[0], window)).To(BeNumerically(">", 4*allowed))
+	})
+})
