Spec of leaving streams does not race with the reports of the control role

Cause: the spec sent streams until an engine that leaves had got one. The instance also held the control role and requested reports from the engines. A report that came first told it that the engine leaves, the engine got no stream, and the spec never ended. Change: another instance holds the control role. All assertions are unchanged.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -73,6 +73,8 @@
 
 	It("gets no further stream and no items, and its streams end at it", func() {
 		d := newDeployment(2, 12)
+		holder := d.start("entry-0", nil) // requests reports, in which engines also say that they leave
+		Eventually(func() error { _, err := holder.holder(); return err }).WithTimeout(5 * time.Second).Should(Succeed())
 		gw := d.start("entry-1", nil)
 		leaving, other := d.engines[0], d.engines[1]
 		leaving.SetLeaving(true)
