Limits that upstreams name hold for all instances together, with shares by demand

Cause: nothing read the header with which an upstream says how many requests it accepts from all instances together. Ruled out: a limit kept by each instance (exceeded as many times as there are senders); equal shares (six sevenths unused by the owner of the batches with seven instances). Change: a send occupies a unit for the window, and the holder of the control role grants units by demand with the protocol of package slots, whose engines are chosen with a heap now. The roster chooses no upstream without a unit, and each request takes one right before its first byte. Limits spread with queries for registrations and with reports. Without grants an instance falls back to its fixed share once all older grants have left the window; until an upstream has responded, it gets one request of an instance at a time.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -4,10 +4,13 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/roster"
+	"github.com/pomelocross/pomelocross/sendlimit"
+	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
 )
 
@@ -18,26 +21,76 @@
 type admission struct {
 	next   upstream.Forwarder
 	roster *roster.Roster
+	limits *sendlimit.Book
+	clock  clockwork.Clock
 	log    *zap.Logger
+
+	invalidLimitLogged atomic.Bool
 }
 
+// Reasons for which a request is withheld.
+const (
+	withheldLimit  = "the limit of the upstream is reached"
+	withheldNoWork = "the upstream gets no new work"
+)
+
 // Forward implements upstream.Forwarder. Its error wraps upstream.ErrWithheld if the upstream
-// may no longer get the request.
+// may not get the request, or may no longer.
 func (a *admission) Forward(ctx context.Context, to upstream.Target, f upstream.Forward) (*upstream.Reply, error) {
-	var withheld atomic.Bool // by the last check; a request may be tried on several connections
+	ticket := a.limits.Reserve(to, a.clock.Now())
+	if ticket == nil {
+		return nil, a.withheld(to, f, withheldLimit)
+	}
+	defer ticket.Close()
+	var reason atomic.Pointer[string] // of the last check; a request may be tried on several connections
 	permit := f.Permit
 	f.Permit = func() bool {
 		if permit != nil && !permit() {
 			return false
 		}
-		accepted := a.roster.Accepts(to)
-		withheld.Store(!accepted)
-		return accepted
+		reason.Store(a.refuse(to, ticket))
+		return reason.Load() == nil
 	}
 	reply, err := a.next.Forward(ctx, to, f)
-	if err != nil && withheld.Load() {
-		a.log.Info("request is not sent: its upstream gets no new work any more", zap.String("request", f.ID), zap.String("upstream", to.ID), zap.Int64("started", to.Started))
-		err = &upstream.SendError{NotSent: true, Err: oops.In("gateway").With("step", "admit", "peer", to.ID).Wrap(upstream.ErrWithheld)}
+	if err != nil {
+		if why := reason.Load(); why != nil {
+			err = a.withheld(to, f, *why)
+		}
+		return reply, err
+	}
+	a.observe(to, reply)
+	return reply, nil
+}
+
+// refuse returns why a request must not be written now; nil if it may. A request that may be
+// written counts against the limit of the upstream.
+func (a *admission) refuse(to upstream.Target, ticket *sendlimit.Ticket) *string {
+	why := withheldNoWork
+	if a.roster.Accepts(to) {
+		if ticket.Write(a.clock.Now()) {
+			return nil
+		}
+		why = withheldLimit
+	}
+	return &why
+}
+
+// withheld logs that a request is not sent and returns the error for it.
+func (a *admission) withheld(to upstream.Target, f upstream.Forward, why string) error {
+	a.log.Info("request is not sent", zap.String("why", why), zap.String("request", f.ID), zap.String("upstream", to.ID), zap.Int64("started", to.Started))
+	return &upstream.SendError{NotSent: true, Err: oops.In("gateway").With("step", "admit", "peer", to.ID, "why", why).Wrap(upstream.ErrWithheld)}
+}
+
+// observe records the limit that an upstream names in a response.
+func (a *admission) observe(to upstream.Target, reply *upstream.Reply) {
+	if reply.Misdirected {
+		return // the response of another upstream
+	}
+	if reply.RateLimitErr != nil && a.invalidLimitLogged.CompareAndSwap(false, true) {
+		a.log.Warn("an upstream names a limit that cannot be decoded; it is ignored, and further ones are not logged", zap.String("upstream", to.ID), telemetry.Error(reply.RateLimitErr))
+	}
+	e, known := a.roster.Entry(to.ID)
+	if known && a.limits.Observe(to, e.Service, reply.RateLimit, a.clock.Now()) {
+		a.log.Info("limit of an upstream changed", zap.String("upstream", to.ID), zap.String("service", e.Service), zap.Int64("started", to.Started), zap.Float64("perSecond", reply.RateLimit))
 	}
-	return reply, err
 }
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -10,6 +10,7 @@
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/roster"
+	"github.com/pomelocross/pomelocross/sendlimit"
 )
 
 // Timing of a source's watches of the store.
@@ -222,6 +223,9 @@
 	Name  string          // of a single object; empty for all objects of Kind
 	After objects.Version // version to watch from; 0 for a list
 	Wait  time.Duration
+	// Limits holds the limits of upstreams that the reader knows, in queries for
+	// registrations.
+	Limits sendlimit.Limits
 }
 
 // FeedReply is the reply of a source.
@@ -234,6 +238,8 @@
 	// Age is the age of the list's state when the source responded, and Held the time for
 	// which it held the query.
 	Age, Held time.Duration
+	// Limits holds the limits of upstreams that the source knows, for registrations.
+	Limits sendlimit.Limits
 }
 
 // feedService serves the feeds of other instances, usually those of the same failure
@@ -245,6 +251,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+time.Second)
 	defer cancel()
 	received := s.gateway.clock.Now()
+	if args.Kind == platform.KindServers {
+		s.gateway.learnLimits(args.Limits)
+		defer func() { reply.Limits = s.gateway.limits.Limits() }()
+	}
 	list, err := s.gateway.feed.readCache(ctx, args)
 	if errors.Is(err, errNotFollowed) {
 		reply.NotFollowed = true
@@ -325,10 +335,16 @@
 func (f *feed) querySource(ctx context.Context, peer string, args FeedArgs) (FeedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+f.queryTimeout(args.Kind))
 	defer cancel()
+	if args.Kind == platform.KindServers {
+		args.Limits = f.gateway.limits.Limits()
+	}
 	var reply FeedReply
 	sent := f.gateway.clock.Now()
 	err := f.gateway.dialer.Call(ctx, peer, "Feed.Read", args, &reply)
 	reply.List.AsOf = sent.Add(reply.Held - reply.Age) // the ways there and back count as age
+	if len(reply.Limits) > 0 {
+		f.gateway.learnLimits(reply.Limits)
+	}
 	if replyErr := reply.Code.Err(); err == nil && !objects.IsDefinitive(replyErr) {
 		err = replyErr
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/roster"
+	"github.com/pomelocross/pomelocross/sendlimit"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -56,6 +57,8 @@
 	membership   *membership
 	feed         *feed
 	quarantine   *quarantineKeeper
+	limits       *sendlimit.Book
+	limitGrants  *sendlimit.Grants // used while this instance holds the control role
 	// background is the context of all background tasks; stopBackground cancels it.
 	background     context.Context
 	stopBackground context.CancelFunc
@@ -98,7 +101,9 @@
 	g.engines.OnLeaving = g.upstreamLeaves
 	g.meter = newMeter(s.UsageWindow)
 	g.quarantine = newQuarantineKeeper(g)
-	admitted := &admission{next: g.engines, roster: g.roster, log: t.Log}
+	g.limits, g.limitGrants = sendlimit.NewBook(s.limitTiming(), s.LimitWindow), sendlimit.NewGrants(s.limitTiming())
+	g.roster.SetSendable(g.limits.Available)
+	admitted := &admission{next: g.engines, roster: g.roster, limits: g.limits, clock: g.clock, log: t.Log}
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Upstreams: admitted, Clock: g.clock, Log: t.Log,
 		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: g.upstreamGone,
@@ -114,7 +119,8 @@
 	g.controlLease = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.controlLease.SetPollFactor(g.membership.pollFactor)
 	return g, errors.Join(g.peerServer.Register("Batches", &batchesService{g}), g.peerServer.Register("Store", &storeService{g}),
-		g.peerServer.Register("Weights", &weightsService{g}), g.peerServer.Register("Feed", &feedService{g}))
+		g.peerServer.Register("Weights", &weightsService{g}), g.peerServer.Register("Feed", &feedService{g}),
+		g.peerServer.Register("Limits", &limitsService{g}))
 }
 
 // leaseTiming derives the timing of the control lease from bound, the time within
@@ -198,7 +204,7 @@
 func (g *Gateway) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
 		g.wall.Run, g.followCatalog, g.followServers, g.followEvacuations, g.pollMembership, g.followRetirements,
-		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.runTallyPublisher, g.quarantine.run, g.maintainControlLease, g.runControl,
+		g.runner.Run, g.runner.Checkpoint, g.batches.Resume, g.batches.WatchHeads, g.batches.Sweep, g.runTallyPublisher, g.quarantine.run, g.runLimitReports, g.maintainControlLease, g.runControl,
 	}
 }
 
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -199,6 +199,56 @@
 	return peers
 }
 
+// callerNames returns the names of the instances that serve callers, sorted.
+func (m *membership) callerNames() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := []string{}
+	if m.self.ServesCallers {
+		names = append(names, m.name)
+	}
+	for name, r := range m.instances {
+		if name != m.name && r.ServesCallers {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// callerPosition returns the position of this instance among the names of the instances that
+// serve callers, and their number.
+func (m *membership) callerPosition() (position, count int) {
+	names := m.callerNames()
+	position, _ = slices.BinarySearch(names, m.name)
+	return position, len(names)
+}
+
+// controlCandidates returns the addresses of all instances, including this one, those first
+// that seek the control role eagerly.
+func (m *membership) controlCandidates() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := map[string]instanceRecord{m.name: m.self}
+	for name, r := range m.instances {
+		if name != m.name {
+			all[name] = r
+		}
+	}
+	eager := func(name string) int {
+		if all[name].EagerCandidate {
+			return 0
+		}
+		return 1
+	}
+	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int { return cmp.Or(eager(a)-eager(b), cmp.Compare(a, b)) })
+	peers := make([]string, len(names))
+	for n, name := range names {
+		peers[n] = all[name].Peer
+	}
+	return peers
+}
+
 // strongShare is the part of the greatest processor share of a failure domain from which
 // an instance counts as strong.
 const strongShare = 0.7
--- /dev/null
+++ b/gateway/send_limits.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelocross/pomelocross/sendlimit"
+	"github.com/pomelocross/pomelocross/slots"
+)
+
+// LimitReport holds an instance's reports on its sends to upstreams with a limit, one for
+// each service, and the limits that it knows.
+type LimitReport struct {
+	Reports []slots.Report
+	Limits  sendlimit.Limits
+}
+
+// LimitGrant holds the answers to the reports, in their order, and the limits that the
+// holder of the control role knows.
+type LimitGrant struct {
+	Answers []slots.Answer
+	Limits  sendlimit.Limits
+}
+
+// limitsService grants shares of the limits of upstreams while this instance holds the
+// control role.
+type limitsService struct{ gateway *Gateway }
+
+// Report answers the reports of an instance. Shares must expire before the lease does.
+func (s *limitsService) Report(report LimitReport, grant *LimitGrant) error {
+	g := s.gateway
+	now := g.clock.Now()
+	g.learnLimits(report.Limits)
+	lease, held := g.controlLease.Grant(g.limitTiming().Term)
+	if !held || g.draining.Load() {
+		return errNotLeaseHolder
+	}
+	g.limitGrants.Begin(lease.Epoch, now)
+	members := g.membership.callerNames()
+	for _, r := range report.Reports {
+		answer, err := g.limitGrants.Answer(lease.Epoch, r, members, g.limits.Engines(r.Service), now)
+		if err != nil {
+			return err
+		}
+		grant.Answers = append(grant.Answers, answer)
+	}
+	grant.Limits = g.limits.Limits()
+	return nil
+}
+
+// limitTiming returns the timing of the grants.
+func (g *Gateway) limitTiming() slots.Timing { return g.settings.limitTiming() }
+
+// limitTiming returns the timing of the grants.
+func (s *Settings) limitTiming() slots.Timing {
+	return sendlimit.Timing(leaseTiming(s.LeaseBound).Term, s.LimitWindow)
+}
+
+// learnLimits records limits that another instance knows.
+func (g *Gateway) learnLimits(limits sendlimit.Limits) {
+	if n := g.limits.Learn(limits, g.clock.Now()); n > 0 {
+		g.log.Info("limits of upstreams learned from another instance", zap.Int("changed", n), zap.Int("known", len(g.limits.Limits())))
+	}
+}
+
+// maxHolderQueries is the number of instances that are asked in one round whether they hold
+// the control role.
+const maxHolderQueries = 3
+
+// runLimitReports reports this instance's sends to the holder of the control role while any
+// limit is known, until ctx ends. Instances without callers send nothing.
+func (g *Gateway) runLimitReports(ctx context.Context) {
+	timing := g.limitTiming()
+	holder, next, granted, reportedIdle := "", 0, true, false
+	for ctx.Err() == nil {
+		g.limits.SetMembers(g.membership.callerPosition())
+		g.limits.Retain(func(id string) bool { _, known := g.roster.Entry(id); return known }, g.clock.Now())
+		reports := g.limits.Reports(g.settings.Name, g.clock.Now())
+		idle := !slices.ContainsFunc(reports, func(r slots.Report) bool { return !r.Idle() })
+		reportedIdle = idle && !reportedIdle // every other report of an idle instance is left out
+		if len(reports) > 0 && g.servesCallers() && (!idle || reportedIdle) {
+			holder, next = g.reportLimits(ctx, reports, holder, next)
+			if now := g.limits.Granted(g.clock.Now()); now != granted {
+				granted = now
+				g.log.Info("source of the shares of limited upstreams changed", zap.Bool("granted", granted), zap.String("holder", holder))
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(timing.Interval):
+		}
+	}
+}
+
+// reportLimits sends reports to the holder of the control role. It asks the last known
+// holder first, then a few candidates from position next on. It returns the holder, empty if
+// none has answered, and the position of the next candidate.
+func (g *Gateway) reportLimits(ctx context.Context, reports []slots.Report, holder string, next int) (string, int) {
+	if holder != "" && g.reportLimitsTo(ctx, reports, holder) {
+		return holder, next
+	}
+	candidates := g.membership.controlCandidates()
+	for range min(maxHolderQueries, len(candidates)) {
+		peer := candidates[next%len(candidates)]
+		if peer != holder && g.reportLimitsTo(ctx, reports, peer) {
+			return peer, next
+		}
+		next++
+	}
+	return "", next
+}
+
+// reportLimitsTo sends reports to an instance and applies its answer. It returns false if the
+// instance does not answer or does not hold the control role.
+func (g *Gateway) reportLimitsTo(ctx context.Context, reports []slots.Report, peer string) bool {
+	ctx, cancel := context.WithTimeout(ctx, g.limitTiming().Interval)
+	defer cancel()
+	sent := g.clock.Now()
+	var grant LimitGrant
+	var err error
+	report := LimitReport{Reports: reports, Limits: g.limits.Limits()}
+	if peer == g.settings.PeerListen {
+		err = (&limitsService{g}).Report(report, &grant)
+	} else {
+		err = g.dialer.Call(ctx, peer, "Limits.Report", report, &grant)
+	}
+	g.counters.Add("limits", err)
+	if err != nil || len(grant.Answers) != len(reports) {
+		return false
+	}
+	g.learnLimits(grant.Limits)
+	now := g.clock.Now()
+	for n, a := range grant.Answers {
+		g.limits.Apply(reports[n].Service, a, sent, now)
+	}
+	g.runner.Signal()
+	return true
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,6 +40,7 @@
 	EvacuationBound time.Duration `env:"POMELOCROSS_EVACUATION_BOUND" envDefault:"0s" flag:"evacuation-bound" usage:"time within which the upstreams of an evacuated failure domain must get no new work; 0 if domains are not evacuated" validate:"omitempty,min=1s"`
 	Grace           time.Duration `env:"POMELOCROSS_GRACE" envDefault:"8s" flag:"grace" usage:"time from the stop signal until the process is killed" validate:"min=1s" reload:"true"`
 	DrainGrace      time.Duration `env:"POMELOCROSS_DRAIN_GRACE" envDefault:"2500ms" flag:"drain-grace" usage:"time for which a planned stop still accepts new requests after readiness fails; the load balancer checks once a second and acts on the second failure" validate:"min=0" reload:"true"`
+	LimitWindow     time.Duration `env:"POMELOCROSS_LIMIT_WINDOW" envDefault:"4s" flag:"limit-window" usage:"time over which the requests are counted that all instances send to an upstream that names a limit" validate:"min=1s"`
 	UsageWindow     time.Duration `env:"POMELOCROSS_USAGE_WINDOW" envDefault:"5s" flag:"usage-window" usage:"length of a usage window" validate:"min=1s"`
 	UsageLate       time.Duration `env:"POMELOCROSS_USAGE_LATE" envDefault:"10s" flag:"usage-late" usage:"time after the end of a usage window within which its report is due" validate:"min=1s" reload:"true"`
 	Keep            time.Duration `env:"POMELOCROSS_KEEP" envDefault:"120s" flag:"keep" usage:"time after its submission for which an ended batch can be read" validate:"min=1s"`
--- a/roster/evacuation.go
+++ b/roster/evacuation.go
@@ -31,8 +31,9 @@
 	return s != nil && s.Ready && sameIncarnation(s.Target(), u) && !r.evacuated[s.Domain]
 }
 
-// canTake reports whether the upstream and its failure domain can take the request now.
+// canTake reports whether the upstream and its failure domain can take the request now, and
+// the limit of the upstream allows another one.
 // The caller must hold mu.
 func (r *Roster) canTake(s *state, n Need, now time.Time) bool {
-	return !r.evacuated[s.Domain] && s.isEligible(n, now)
+	return !r.evacuated[s.Domain] && s.isEligible(n, now) && (r.sendable == nil || r.sendable(s.Target(), now))
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -65,6 +65,8 @@
 	mu      sync.Mutex // guards all below
 	states  map[string]*state
 	leaving []upstream.Target // incarnations that have reported that they leave, oldest first
+	// sendable reports whether a request may be sent to an upstream now; nil if any may.
+	sendable func(u upstream.Target, now time.Time) bool
 	// evacuated holds the failure domains whose upstreams must get no new work.
 	evacuated map[string]bool
 }
@@ -74,6 +76,12 @@
 	return &Roster{states: map[string]*state{}, evacuated: map[string]bool{}}
 }
 
+// SetSendable sets a function that reports whether a request may be sent to an upstream now.
+// It must be called before the first Pick and must not call the roster.
+func (r *Roster) SetSendable(sendable func(u upstream.Target, now time.Time) bool) {
+	r.sendable = sendable
+}
+
 // Put adds or replaces a registration. A new incarnation or address resets the state of
 // the upstream, except for the open requests of this instance. An incarnation that has
 // reported that it leaves does not become ready again. Put returns the entry as recorded.
--- /dev/null
+++ b/sendlimit/grants.go
@@ -0,0 +1,54 @@
+package sendlimit
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/pomelocross/pomelocross/slots"
+)
+
+// ErrNotReady means that the holder of the control role grants nothing yet: sends under the
+// grants of another holder may not have left the window.
+var ErrNotReady = errors.New("the holder of the control role grants no sends yet")
+
+// Grants grants the shares of all instances while this instance holds the control role. It
+// is safe for concurrent use.
+type Grants struct {
+	timing slots.Timing
+
+	mu         sync.Mutex // guards all below
+	epoch      int64
+	since      time.Time // when a report was first received in this epoch
+	allocators map[string]*slots.Allocator
+}
+
+// NewGrants returns a Grants without reports.
+func NewGrants(timing slots.Timing) *Grants { return &Grants{timing: timing} }
+
+// Begin starts the epoch of the control role in which reports are answered. It has no effect
+// in the epoch that has begun last.
+func (g *Grants) Begin(epoch int64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.allocators == nil || g.epoch != epoch {
+		g.epoch, g.since, g.allocators = epoch, now, map[string]*slots.Allocator{}
+	}
+}
+
+// Answer returns the answer to a report received in an epoch. members are the instances
+// that share the limits, sorted, and engines the upstreams of the service with their units.
+func (g *Grants) Answer(epoch int64, r slots.Report, members []string, engines []slots.Engine, now time.Time) (slots.Answer, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch || now.Sub(g.since) < g.timing.Hold {
+		return slots.Answer{}, ErrNotReady
+	}
+	allocator := g.allocators[r.Service]
+	if allocator == nil {
+		allocator = slots.NewAllocator(g.timing, epoch)
+		g.allocators[r.Service] = allocator
+	}
+	allocator.SetMembers(members, engines, now)
+	return allocator.HandleReport(r, now), nil
+}
--- /dev/null
+++ b/sendlimit/sendlimit.go
@@ -0,0 +1,378 @@
+// Package sendlimit keeps the requests that all instances together send to an upstream
+// within the rate that the upstream names in its responses. It does no I/O and reads no
+// clock.
+//
+// A limit is kept as a number of sends in any span of the length of a window. Each send
+// occupies a unit for a window, so that the shares of package slots apply: the holder of the
+// control role grants units by demand, and an instance without a valid grant falls back to a
+// fixed share that all instances compute in the same way.
+package sendlimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pomelocross/pomelocross/slots"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+// windowMargin is added to the time for which a send occupies a unit. Sends may arrive at
+// intervals shorter than those at which they were written.
+const windowMargin = 250 * time.Millisecond
+
+// Timing returns the timing of the grants for a lease term of the control role and the
+// window over which sends are counted. A grant of half a lease term expires before the
+// lease does. An instance falls back to its fixed share only when all sends under its last
+// grant, and under those of others, have left the window.
+func Timing(leaseTerm, window time.Duration) slots.Timing {
+	term := leaseTerm / 2
+	occupied := window + windowMargin
+	return slots.Timing{Term: term, Interval: term / 4, CallTimeout: max(term/4, (occupied-2*term)/2+term/8), Hold: occupied}
+}
+
+// Limit is a limit that an incarnation of an upstream has named.
+type Limit struct {
+	Service string
+	Started int64   // identifies the incarnation
+	Rate    float64 // requests in a second, from all instances together
+}
+
+// Limits holds limits by the ID of the upstream.
+type Limits map[string]Limit
+
+// Book records the sends of an instance and the shares that it may use. It is safe for
+// concurrent use.
+type Book struct {
+	timing slots.Timing
+	window time.Duration
+
+	mu       sync.Mutex // guards all below
+	accounts map[string]*account
+	services map[string]*service
+	members  int // instances that share the limits
+	position int // of this instance among them
+}
+
+// account is the state of one upstream.
+type account struct {
+	limit    Limit     // Rate is 0 while none is known
+	namedAt  time.Time // when the limit was last named in a response, or learned
+	answered bool      // the incarnation has responded to this instance or its limit is known
+	open     int       // requests admitted and not yet answered
+	reserved int       // requests admitted and not yet written
+	sent     []time.Time
+}
+
+// service is the state of the upstreams of one service that have named a limit.
+type service struct {
+	member  *slots.Member
+	fixed   slots.Shares // nil if it must be computed
+	starved time.Time    // when a request last found no unit
+}
+
+// NewBook returns a book without limits. window is the time over which sends are counted.
+func NewBook(timing slots.Timing, window time.Duration) *Book {
+	return &Book{timing: timing, window: window, accounts: map[string]*account{}, services: map[string]*service{}, members: 1}
+}
+
+// SetMembers sets the number of instances that share the limits and the position of this
+// one in their order.
+func (b *Book) SetMembers(position, members int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.position != position || b.members != members {
+		b.position, b.members = position, max(1, members)
+		b.recomputeFixed()
+	}
+}
+
+// recomputeFixed makes the fixed shares be computed again. The caller holds mu.
+func (b *Book) recomputeFixed() {
+	for _, s := range b.services {
+		s.fixed = nil
+	}
+}
+
+// Retain forgets the upstreams that are not registered, once their sends have left the
+// window.
+func (b *Book) Retain(registered func(id string) bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, a := range b.accounts {
+		if !registered(id) && a.open == 0 && a.used(b.occupied(), now) == 0 {
+			delete(b.accounts, id)
+			b.recomputeFixed()
+		}
+	}
+}
+
+// occupied returns how long a send occupies a unit.
+func (b *Book) occupied() time.Duration { return b.window + windowMargin }
+
+// maxUnits bounds the units of one upstream. An upstream that accepts more in a window gets
+// no more than this.
+const maxUnits = 2000.0
+
+// account returns the account of an incarnation. A new incarnation keeps the sends and the
+// limit of the one before until it has responded. The caller holds mu.
+func (b *Book) account(u upstream.Target) *account {
+	a := b.accounts[u.ID]
+	if a == nil {
+		a = &account{}
+		b.accounts[u.ID] = a
+	}
+	if a.limit.Started != u.Started {
+		a.limit.Started, a.answered = u.Started, false
+	}
+	return a
+}
+
+// limitMemory is the number of windows for which a limit holds after the last response that
+// named it. A refusal or an error response may lack it.
+const limitMemory = 2
+
+// Observe records the rate that an upstream names in a response; 0 if it names none. It
+// returns true if the limit changes.
+func (b *Book) Observe(u upstream.Target, serviceName string, rate float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(u)
+	a.answered = true
+	if rate == 0 && now.Sub(a.namedAt) < limitMemory*b.window {
+		return false
+	}
+	return b.setLimit(a, Limit{Service: serviceName, Started: u.Started, Rate: rate}, now)
+}
+
+// Learn records limits that other instances know. Limits of upstreams that this instance
+// knows at first hand stay. It returns the number of limits that changed.
+func (b *Book) Learn(limits Limits, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := 0
+	for id, l := range limits {
+		a := b.accounts[id]
+		switch {
+		case !(l.Rate > 0): // not from an instance of this version
+			continue
+		case a == nil:
+			a = &account{}
+			b.accounts[id] = a
+		case a.answered && a.limit.Started >= l.Started, a.limit.Started > l.Started:
+			continue
+		}
+		a.answered = true
+		if b.setLimit(a, l, now) {
+			changed++
+		}
+	}
+	return changed
+}
+
+// setLimit sets the limit of an account. The caller holds mu.
+func (b *Book) setLimit(a *account, l Limit, now time.Time) bool {
+	same := a.limit.Rate == l.Rate && (a.limit.Service == l.Service || l.Rate == 0)
+	a.limit = l
+	if l.Rate > 0 {
+		a.namedAt = now
+	}
+	if same {
+		return false
+	}
+	if l.Rate > 0 && b.services[l.Service] == nil {
+		b.services[l.Service] = &service{member: slots.NewMember(b.timing, now)}
+	}
+	b.recomputeFixed()
+	return true
+}
+
+// Limits returns the known limits.
+func (b *Book) Limits() Limits {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limits := Limits{}
+	for id, a := range b.accounts {
+		if a.limit.Rate > 0 {
+			limits[id] = a.limit
+		}
+	}
+	return limits
+}
+
+// Engines returns the upstreams of a service that have a limit, with their units.
+func (b *Book) Engines(serviceName string) []slots.Engine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.engines(serviceName)
+}
+
+// engines is Engines for a caller that holds mu.
+func (b *Book) engines(serviceName string) []slots.Engine {
+	var engines []slots.Engine
+	for id, a := range b.accounts {
+		if a.limit.Rate > 0 && a.limit.Service == serviceName {
+			engines = append(engines, slots.Engine{Name: id, Slots: int(min(maxUnits, a.limit.Rate*b.window.Seconds()))})
+		}
+	}
+	slots.SortEngines(engines)
+	return engines
+}
+
+// used returns the units that this instance occupies at an upstream.
+func (a *account) used(occupied time.Duration, now time.Time) int {
+	expired := 0
+	for expired < len(a.sent) && now.Sub(a.sent[expired]) >= occupied {
+		expired++
+	}
+	a.sent = a.sent[expired:]
+	return len(a.sent) + a.reserved
+}
+
+// share returns the units of an upstream that this instance may occupy. The caller holds mu.
+func (b *Book) share(id string, a *account, now time.Time) int {
+	s := b.services[a.limit.Service]
+	if s.fixed == nil {
+		s.fixed = slots.FixedShares(b.engines(a.limit.Service), b.position, b.members)
+	}
+	shares, _ := s.member.Shares(now, s.fixed)
+	return shares[id]
+}
+
+// Available reports whether a request may be sent to an upstream now. An upstream that may
+// have a limit gets one request of this instance at a time until it has responded.
+func (b *Book) Available(u upstream.Target, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available(u.ID, b.account(u), now)
+}
+
+// available is Available for a caller that holds mu.
+func (b *Book) available(id string, a *account, now time.Time) bool {
+	if a.limit.Rate == 0 {
+		return a.answered || a.open == 0
+	}
+	if a.used(b.occupied(), now) < b.share(id, a, now) {
+		return true
+	}
+	b.services[a.limit.Service].starved = now
+	return false
+}
+
+// Ticket is the permission to send one request.
+type Ticket struct {
+	book    *Book
+	id      string
+	account *account
+	written bool
+	closed  bool
+}
+
+// Reserve returns a ticket for a request to an upstream, or nil if none may be sent now.
+// Close must be called when the request has been answered or has failed.
+func (b *Book) Reserve(u upstream.Target, now time.Time) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(u)
+	if !b.available(u.ID, a, now) {
+		return nil
+	}
+	a.open++
+	a.reserved++
+	return &Ticket{book: b, id: u.ID, account: a}
+}
+
+// Write records that the request is written now. It returns false if the share of this
+// instance has become smaller meanwhile. A request that is written to another connection
+// after the first one failed counts again.
+func (t *Ticket) Write(now time.Time) bool {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	a := t.account
+	extra := 0 // units needed besides those in use
+	if t.written {
+		extra = 1
+	}
+	if a.limit.Rate > 0 && a.used(t.book.occupied(), now)+extra > t.book.share(t.id, a, now) {
+		return false
+	}
+	if !t.written {
+		t.written = true
+		a.reserved--
+	}
+	a.sent = append(a.sent, now)
+	return true
+}
+
+// Close ends the request.
+func (t *Ticket) Close() {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	if t.closed {
+		return
+	}
+	t.closed = true
+	t.account.open--
+	if !t.written {
+		t.account.reserved--
+	}
+}
+
+const (
+	// starvedIntervals is the number of report intervals for which a request without a unit
+	// raises the reported demand.
+	starvedIntervals = 2
+	// minStarvedDemand is the least demand in units of an instance whose requests wait.
+	minStarvedDemand = 8
+)
+
+// Reports returns this instance's reports, one for each service with a limit.
+//
+// Load pattern: the instances that own batches send nearly everything, in bursts, and the
+// others little. An instance whose requests find no unit asks for twice of what it uses, so
+// that its share doubles with each report while others do not need theirs.
+func (b *Book) Reports(member string, now time.Time) []slots.Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var reports []slots.Report
+	for name, s := range b.services {
+		r := slots.Report{Service: name, Member: member, Applied: s.member.Applied(), InFlight: slots.Shares{}}
+		used := 0
+		for id, a := range b.accounts {
+			if a.limit.Rate == 0 || a.limit.Service != name {
+				continue
+			}
+			if n := a.used(b.occupied(), now); n > 0 {
+				r.InFlight[id] = n
+				used += n
+			}
+		}
+		r.Demand = used
+		if now.Sub(s.starved) < starvedIntervals*b.timing.Interval {
+			r.Demand = max(2*used, minStarvedDemand)
+			r.Waiting = r.Demand - used
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// Granted reports whether the shares of all services with a limit come from valid grants.
+func (b *Book) Granted(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		if _, granted := s.member.Shares(now, nil); !granted {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply applies the answer to a report that was sent at sent.
+func (b *Book) Apply(serviceName string, a slots.Answer, sent, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.services[serviceName]; s != nil {
+		s.member.HandleAnswer(a, sent, now)
+	}
+}
--- /dev/null
+++ b/sendlimit/sendlimit_test.go
@@ -0,0 +1,260 @@
+package sendlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/slots"
+	"github.com/pomelocross/pomelocross/upstream"
+)
+
+const (
+	window = 4 * time.Second
+	rate   = 5.0 // requests in a second that each engine names
+	tick   = 10 * time.Millisecond
+)
+
+var timing = Timing(2*time.Second, window)
+
+// fleetOf simulates instances that send to engines with a limit, and the holder of the
+// control role. It counts arrivals over all instances.
+type fleetOf struct {
+	now      time.Time
+	random   *rand.Rand
+	names    []string
+	books    map[string]*Book
+	cut      map[string]bool // reports of the instance do not arrive
+	grants   *Grants
+	epoch    int64
+	engines  []upstream.Target
+	arrivals map[string][]time.Time // by engine
+	sends    map[string]int         // by instance
+}
+
+func newFleetOf(instances, engines int, seed uint64) *fleetOf {
+	f := &fleetOf{now: time.Unix(1e6, 0), random: rand.New(rand.NewPCG(seed, 0)), books: map[string]*Book{}, cut: map[string]bool{}, arrivals: map[string][]time.Time{}, sends: map[string]int{}}
+	for n := range engines {
+		f.engines = append(f.engines, upstream.Target{ID: fmt.Sprintf("e%02d", n), Started: 1})
+	}
+	for n := range instances {
+		f.names = append(f.names, fmt.Sprintf("i%02d", n))
+	}
+	for _, name := range f.names {
+		f.restart(name)
+	}
+	f.changeHolder()
+	return f
+}
+
+// restart replaces an instance by one that knows nothing.
+func (f *fleetOf) restart(name string) {
+	f.books[name] = NewBook(timing, window)
+	f.books[name].SetMembers(slices.Index(f.names, name), len(f.names))
+}
+
+// changeHolder starts another epoch of the control role.
+func (f *fleetOf) changeHolder() {
+	f.epoch++
+	f.grants = NewGrants(timing)
+	f.grants.Begin(f.epoch, f.now)
+}
+
+// limits returns what the holder knows: the limits of all instances that it hears of.
+func (f *fleetOf) limits() Limits {
+	all := Limits{}
+	for name, b := range f.books {
+		if !f.cut[name] {
+			for id, l := range b.Limits() {
+				all[id] = l
+			}
+		}
+	}
+	return all
+}
+
+// report exchanges the reports of an instance.
+func (f *fleetOf) report(name string) {
+	if f.cut[name] {
+		return
+	}
+	b := f.books[name]
+	known := f.limits()
+	b.Learn(known, f.now)
+	var engines []slots.Engine
+	for id, l := range known {
+		engines = append(engines, slots.Engine{Name: id, Slots: int(l.Rate * window.Seconds())})
+	}
+	slots.SortEngines(engines)
+	for _, r := range b.Reports(name, f.now) {
+		if answer, err := f.grants.Answer(f.epoch, r, f.names, engines, f.now); err == nil && f.random.IntN(20) > 0 {
+			b.Apply(r.Service, answer, f.now, f.now)
+		}
+	}
+}
+
+// send sends up to count requests of an instance, each to any engine that is available.
+func (f *fleetOf) send(name string, count int) {
+	b := f.books[name]
+	for range count {
+		first := f.random.IntN(len(f.engines))
+		for n := range f.engines {
+			e := f.engines[(first+n)%len(f.engines)]
+			ticket := b.Reserve(e, f.now)
+			if ticket == nil {
+				continue
+			}
+			if ticket.Write(f.now) {
+				f.arrivals[e.ID] = append(f.arrivals[e.ID], f.now)
+				f.sends[name]++
+				b.Observe(e, "lm", rate, f.now)
+			}
+			ticket.Close()
+			break
+		}
+	}
+}
+
+// run runs the fleet for a time. demand returns the requests that an instance has at a tick.
+func (f *fleetOf) run(d time.Duration, demand func(name string) int) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		for n, name := range f.names {
+			if (f.now.UnixNano()/int64(tick)+int64(n))%int64(timing.Interval/tick) == 0 {
+				f.report(name)
+			}
+			f.send(name, demand(name))
+		}
+	}
+}
+
+// greatest returns the greatest number of arrivals at an engine in any window.
+func (f *fleetOf) greatest() int {
+	greatest := 0
+	for _, at := range f.arrivals {
+		first := 0
+		for n := range at {
+			for at[n].Sub(at[first]) >= window {
+				first++
+			}
+			greatest = max(greatest, n-first+1)
+		}
+	}
+	return greatest
+}
+
+const allowed = int(rate * 4)
+
+var _ = Describe("The sends of all instances to an upstream that names a limit", func() {
+	one := func(busy string) func(string) int {
+		return func(name string) int {
+			if name == busy {
+				return 10
+			}
+			return 0
+		}
+	}
+
+	// Load pattern: one instance owns the batches and sends nearly everything.
+	It("are mostly those of the instance that needs them, within the limit", func() {
+		f := newFleetOf(7, 12, 1)
+		f.run(10*time.Second, one("i03"))
+		before := f.sends["i03"]
+		f.run(20*time.Second, one("i03"))
+		perSecond := float64(f.sends["i03"]-before) / 20
+		AddReportEntry("part of the limit that is used", perSecond/(rate*12))
+		Expect(perSecond).To(BeNumerically(">=", 0.7*rate*12))
+		Expect(f.greatest()).To(BeNumerically("<=", allowed))
+	})
+
+	// The owner of the batches changes with each step.
+	It("follow a demand that moves from instance to instance", func() {
+		f := newFleetOf(7, 12, 2)
+		f.run(10*time.Second, one("i00"))
+		before := len(f.sends)
+		total := func() (n int) {
+			for _, sent := range f.sends {
+				n += sent
+			}
+			return n
+		}
+		sent := total()
+		for n := range 4 {
+			f.run(10*time.Second, one(f.names[n+before]))
+		}
+		AddReportEntry("part of the limit that is used", float64(total()-sent)/40/(rate*12))
+		Expect(float64(total()-sent) / 40).To(BeNumerically(">=", 0.4*rate*12))
+		Expect(f.greatest()).To(BeNumerically("<=", allowed))
+	})
+
+	It("stay within the limit while an instance is cut off, and go on from all", func() {
+		f := newFleetOf(7, 12, 3)
+		all := func(string) int { return 2 }
+		f.run(10*time.Second, one("i03"))
+		f.cut["i03"] = true
+		f.run(8*time.Second, all)
+		before := f.sends["i03"]
+		f.run(8*time.Second, all)
+		Expect(f.sends["i03"]).To(BeNumerically(">", before), "the instance that is cut off has its fixed share")
+		f.cut["i03"] = false
+		f.run(8*time.Second, all)
+		Expect(f.greatest()).To(BeNumerically("<=", allowed))
+	})
+
+	It("keep a limit that a response does not name for two windows only", func() {
+		f := newFleetOf(1, 1, 4)
+		b, e := f.books["i00"], f.engines[0]
+		Expect(b.Observe(e, "lm", rate, f.now)).To(BeTrue())
+		Expect(b.Observe(e, "lm", 0, f.now.Add(2*window-1))).To(BeFalse())
+		Expect(b.Limits()).To(HaveLen(1))
+		Expect(b.Observe(e, "lm", 0, f.now.Add(2*window))).To(BeTrue())
+		Expect(b.Limits()).To(BeEmpty())
+		Expect(b.Available(e, f.now)).To(BeTrue())
+	})
+
+	It("begin with one at a time, until the upstream has responded or its limit is known", func() {
+		f := newFleetOf(1, 1, 5)
+		b, e := f.books["i00"], f.engines[0]
+		first := b.Reserve(e, f.now)
+		Expect(first.Write(f.now)).To(BeTrue())
+		Expect(b.Reserve(e, f.now)).To(BeNil())
+		first.Close()
+		Expect(b.Reserve(e, f.now)).NotTo(BeNil(), "the first one failed without a response")
+		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, f.now)
+		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
+	})
+
+	It("are not written if the share has become smaller since they were admitted", func() {
+		f := newFleetOf(1, 1, 6)
+		b, e := f.books["i00"], f.engines[0]
+		admitted := b.Reserve(e, f.now)
+		b.Observe(e, "lm", rate, f.now)
+		Expect(admitted.Write(f.now)).To(BeFalse())
+		admitted.Close()
+		Expect(b.Reports("i00", f.now)[0].InFlight).To(BeEmpty())
+	})
+
+	DescribeTable("stay within the limit through restarts, cuts and changes of the holder",
+		func(seed uint64) {
+			f := newFleetOf(7, 12, seed)
+			for range 12 {
+				f.run(time.Duration(1+f.random.IntN(6))*time.Second, func(string) int { return f.random.IntN(4) })
+				name := f.names[f.random.IntN(len(f.names))]
+				switch f.random.IntN(4) {
+				case 0:
+					f.restart(name)
+				case 1:
+					f.cut[name] = !f.cut[name]
+				case 2:
+					f.changeHolder()
+				}
+			}
+			Expect(f.greatest()).To(BeNumerically("<=", allowed+len(f.names)), "first requests of instances that have just started may exceed it by one each")
+		},
+		Entry(nil, uint64(11)), Entry(nil, uint64(12)), Entry(nil, uint64(13)), Entry(nil, uint64(14)), Entry(nil, uint64(15)),
+		Entry(nil, uint64(16)), Entry(nil, uint64(17)), Entry(nil, uint64(18)), Entry(nil, uint64(19)), Entry(nil, uint64(20)),
+	)
+})
--- a/slots/allocator.go
+++ b/slots/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 )
@@ -61,7 +62,7 @@
 	}
 	a.domainMembers, a.engines = members, engines
 	for name, m := range a.members {
-		if !slices.Contains(members, name) && a.isUnconfirmed(m, now) {
+		if !slices.Contains(members, name) && a.isUnconfirmed(m, now) && a.isGone(m, now) {
 			delete(a.members, name)
 			a.reservations = newReservations()
 		}
@@ -73,6 +74,12 @@
 	return now.Sub(m.confirmedAt) >= a.timing.Term
 }
 
+// isGone reports whether the member has not reported for so long that it uses no slots of
+// its grants.
+func (a *Allocator) isGone(m *memberState, now time.Time) bool {
+	return now.Sub(m.reportedAt) >= a.timing.Term+a.timing.Hold
+}
+
 // HandleReport records a member's report and returns its new shares.
 func (a *Allocator) HandleReport(r Report, now time.Time) Answer {
 	m := a.members[r.Member]
@@ -146,11 +153,7 @@
 // slots, with preference for engines on which the member already has a grant.
 func (a *Allocator) allocate(r Report, m *memberState, now time.Time) Shares {
 	free := a.freeSlots(r.Member, now)
-	type candidate struct {
-		name          string
-		free, granted int
-	}
-	candidates := make([]candidate, 0, len(a.engines))
+	candidates := make(candidateHeap, 0, len(a.engines))
 	remaining := a.targetSlots(r.Member, now)
 	shares := make(Shares, len(a.engines))
 	for _, e := range a.engines {
@@ -159,21 +162,41 @@
 		remaining -= running
 		candidates = append(candidates, candidate{name: e.Name, free: free[e.Name] - running, granted: m.granted[e.Name]})
 	}
-	for remaining > 0 {
-		best := slices.MaxFunc(candidates, func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(a.free, b.free), cmp.Compare(a.granted, b.granted))
-		})
-		if best.free <= 0 {
-			break
-		}
-		index := slices.IndexFunc(candidates, func(c candidate) bool { return c.name == best.name })
-		candidates[index].free--
-		shares[best.name]++
-		remaining--
+	heap.Init(&candidates)
+	for ; remaining > 0 && len(candidates) > 0 && candidates[0].free > 0; remaining-- {
+		shares[candidates[0].name]++
+		candidates[0].free--
+		heap.Fix(&candidates, 0)
 	}
 	return shares
 }
 
+// candidate is an engine on which a member may get more slots.
+type candidate struct {
+	name          string
+	free, granted int
+}
+
+// candidateHeap orders engines by their free slots, then by those that the member has been
+// granted, then by name; the first one is the best. It implements heap.Interface.
+type candidateHeap []candidate
+
+func (h candidateHeap) Len() int { return len(h) }
+
+func (h candidateHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[j].free, h[i].free), cmp.Compare(h[j].granted, h[i].granted), cmp.Compare(h[i].name, h[j].name)) < 0
+}
+
+func (h candidateHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *candidateHeap) Push(x any) { *h = append(*h, x.(candidate)) }
+
+func (h *candidateHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
 // targetSlots returns the number of slots the member should get over all engines.
 // Members of the domain share the slots left after the fixed shares of unconfirmed
 // ones. Borrowers share half of the slots that members of the domain don't demand.
--- a/slots/reservations.go
+++ b/slots/reservations.go
@@ -7,8 +7,8 @@
 
 // The kinds of reservation, by the state of the member.
 const (
-	reserveFixed            reservationKind = iota // fixed share: no report for a term
-	reserveFixedAndPossible                        // larger of fixed share and possibleUse: reports, but confirms no answer
+	reserveFixed            reservationKind = iota // fixed share: no report for a term and Hold
+	reserveFixedAndPossible                        // larger of fixed share and possibleUse: confirms no answer, or no report for a term
 	reservePossible                                // possibleUse: reports and confirms answers
 )
 
@@ -52,9 +52,9 @@
 func (a *Allocator) reservationKindOf(name string, now time.Time) (reservationKind, int64) {
 	m := a.members[name]
 	switch {
-	case m == nil || now.Sub(m.reportedAt) >= a.timing.Term:
+	case m == nil || a.isGone(m, now):
 		return reserveFixed, 0
-	case a.isUnconfirmed(m, now):
+	case a.isUnconfirmed(m, now) || now.Sub(m.reportedAt) >= a.timing.Term:
 		return reserveFixedAndPossible, m.answerNumber
 	}
 	return reservePossible, m.answerNumber
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -13,6 +13,8 @@
 package slots
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +29,9 @@
 	Interval time.Duration
 	// CallTimeout is the timeout of a report; later answers are ignored.
 	CallTimeout time.Duration
+	// Hold is how long slots may stay in use after the last report of a member whose
+	// process has ended; 0 if their use ends with the process.
+	Hold time.Duration
 }
 
 // TimingFor returns the timing for a lease term. The holder renews its lease every
@@ -48,6 +53,11 @@
 	Slots int
 }
 
+// SortEngines sorts engines by name.
+func SortEngines(engines []Engine) {
+	slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Shares maps engine names to numbers of slots.
 type Shares map[string]int
 
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -47,6 +47,11 @@
 	Signature string
 	// Occupancy is the load that the upstream reported; nil if it did not.
 	Occupancy *Occupancy
+	// RateLimit is the number of requests in a second that the upstream accepts from all
+	// instances together; 0 if it names no limit.
+	RateLimit float64
+	// RateLimitErr is set if the upstream names a limit that cannot be decoded.
+	RateLimitErr error
 	// Version is the weight version at the start of the response; 0 if not
 	// reported.
 	Version int64
