--- a/batch/submit.go
+++ b/batch/submit.go
@@ -99,10 +99,16 @@
 	return err
 }
 
+// errNoSubmission is returned for a call that holds no batch.
+var errNoSubmission = errors.New("the call holds no batch")
+
 // SubmitHere stores a batch and runs it on this instance, unless it was accepted before.
 // It returns the stored head.
 func (s *Service) SubmitHere(ctx context.Context, args SubmitArgs, now time.Time) (Stored, error) {
 	sub := args.Submission
+	if sub == nil || sub.ID == "" {
+		return Stored{}, oops.In("batch").With("step", "submit").Wrap(errNoSubmission)
+	}
 	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: args.Team, Route: args.Route, Submitted: now.UnixMilli()}
 	began := s.runner.Clock.Now()
 	stored, created, err := s.store.Create(ctx, sub, h)
