Streams that cannot be resumed end when their upstream stalls

Cause: a stream that cannot be resumed had no limit on the time between events. An upstream that sent a byte of a comment now and then kept it open for as long as its caller waited. Ruled out: resumable streams; they go on at another upstream after 1.5 s without an event. Change: after 30 s without an event the attempt ends and the caller's connection is reset.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,10 @@
 	// Guard.
 	Gone func(ctx context.Context, e roster.Entry) bool
 
+	// StallTimeout is the time without an event after which a stream that cannot be resumed
+	// is given up; 0 for defaultStallTimeout.
+	StallTimeout time.Duration
+
 	isolated isolation
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +12,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/quarantine"
 	"github.com/pomelocross/pomelocross/roster"
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -39,6 +41,17 @@
 // continued at another upstream.
 const streamIdleTimeout = 1500 * time.Millisecond
 
+// defaultStallTimeout is longer than callers wait for the next event of a sound stream.
+const defaultStallTimeout = 30 * time.Second
+
+// idleTimeout returns the time without an event after which an attempt of a stream ends.
+func (f *Forwarder) idleTimeout(route catalog.Route) time.Duration {
+	if route.Resumable {
+		return streamIdleTimeout
+	}
+	return cmp.Or(f.StallTimeout, defaultStallTimeout)
+}
+
 // Stream forwards a request whose response is a stream. A resumable stream that
 // breaks off continues at another upstream after its last event; the caller keeps
 // the status and header of the first upstream.
@@ -131,11 +144,9 @@
 	defer f.begin(choice.ID, s.request.ID, standing)()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	idleTimer := time.AfterFunc(time.Hour, cancel)
+	idleTimeout := f.idleTimeout(s.request.Route)
+	idleTimer := time.AfterFunc(idleTimeout, cancel)
 	defer idleTimer.Stop()
-	if s.request.Route.Resumable {
-		idleTimer.Reset(streamIdleTimeout)
-	}
 	reply, err := f.Upstreams.Forward(ctx, choice.Target(), s.forward(now))
 	if err != nil {
 		r := f.sendFailed(ctx, choice, err)
@@ -151,7 +162,7 @@
 	case reply.Status != http.StatusOK:
 		return s.handleNonStream(ctx, choice, reply)
 	}
-	err = s.relay(reply, func() { idleTimer.Reset(streamIdleTimeout) })
+	err = s.relay(reply, func() { idleTimer.Reset(idleTimeout) })
 	if err == io.EOF {
 		f.Roster.MarkSucceeded(choice.ID)
 		return Answered, nil, nil
--- a/gateway/operators_reports_test.go
+++ b/gateway/operators_reports_test.go
@@ -194,6 +194,20 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(strings.Count(string(a.Body), "data: ")).To(Equal(4))
 	})
+
+	It("that is stalled but for a byte now and then and cannot be resumed ends", func() {
+		d := newDeployment(0, 0)
+		d.setRoute("chat", "Resumable", false)
+		stalled := &standin.Engine{ID: "engine-0", Service: "lm", Slots: 8}
+		stalled.SetVersion(model, 1)
+		d.store.Set("servers", stalled.ID, stalled.Registration(rawEngine(drip), "a", "ready"))
+		gw := d.start("entry-1", nil)
+		gw.forward.StallTimeout = time.Second
+		began := time.Now()
+		_, err := stream(gw)
+		Expect(err).To(HaveOccurred(), "the connection is reset, since the response is not complete")
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	})
 })
 
 var _ = Describe("A request whose response was lost", func() {
