Sources refuse queries for kinds that they do not serve

Cause: a query for any kind made an instance follow it in the store, for an unknown kind without a wait or a pause between its calls. An instance of a later version may send such a query. Ruled out: queries for single objects, which are not followed.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/pomelocross/pomelocross/batch"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
@@ -271,8 +273,12 @@
 
 // readCache serves a query from the local cache. A list or watch makes the cache follow
 // the kind. A query for a single object does not, because one read of it at the store
-// costs less than watching the kind; it returns errNotFollowed.
+// costs less than watching the kind; it returns errNotFollowed. A kind that is not served
+// here, as an instance of a later version may query, is refused.
 func (f *feed) readCache(ctx context.Context, args FeedArgs) (objects.List, error) {
+	if !f.serves(args.Kind) {
+		return objects.List{}, oops.In("gateway").With("step", "read cache", "kind", args.Kind).Wrap(objects.ErrRefused)
+	}
 	if args.Name != "" && !f.follows(args.Kind) {
 		return objects.List{}, errNotFollowed
 	}
--- a/gateway/operators_reports_test.go
+++ b/gateway/operators_reports_test.go
@@ -309,4 +309,25 @@
 		Expect(submit(gw.address, "l1", batchBody(4, 1))).To(Equal(http.StatusAccepted))
 		expectComplete(results(gw.address, "l1", 4), 4, 5)
 	})
+
+	// An instance of a later version queried a kind of which this one knows no waits, and this
+	// one read it from the store without a pause.
+	It("that queries an unknown kind is refused and causes no calls to the store", func(ctx SpecContext) {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", nil)
+		identity, err := link.NewIdentity("test", "0123456789abcdef")
+		Expect(err).NotTo(HaveOccurred())
+		dialer := link.NewDialer(identity)
+		DeferCleanup(dialer.Close)
+		time.Sleep(time.Second)
+		idle := d.store.Calls()
+		time.Sleep(2 * time.Second)
+		idle = d.store.Calls() - idle
+		before := d.store.Calls()
+		var reply FeedReply
+		Expect(dialer.Call(ctx, gw.settings.PeerListen, "Feed.Read", FeedArgs{Kind: "unknown"}, &reply)).To(Succeed())
+		Expect(reply.Code).To(Equal(objects.RelayRefused))
+		time.Sleep(2 * time.Second)
+		Expect(d.store.Calls() - before).To(BeNumerically("<", 2*idle+10))
+	})
 })
