The roster and the limits of upstreams do not call each other with their locks held

Cause: the roster asks for the limits with its lock held, and the limits asked the roster which upstreams are registered with theirs. Two goroutines waited for each other, and the instance served nothing and did not stop. Ruled out: a lost signal; the goroutines of the process that hung show both locks. Change: the limits get the IDs of the registered upstreams as a value. The soak's stand-ins name limits, and it counts arrivals over all gateways; windows with a degraded path are left out.

--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -76,7 +76,7 @@
 	holder, next, granted, reportedIdle := "", 0, true, false
 	for ctx.Err() == nil {
 		g.limits.SetMembers(g.membership.callerPosition())
-		g.limits.Retain(func(id string) bool { _, known := g.roster.Entry(id); return known }, g.clock.Now())
+		g.retainLimits()
 		reports := g.limits.Reports(g.settings.Name, g.clock.Now())
 		idle := !slices.ContainsFunc(reports, func(r slots.Report) bool { return !r.Idle() })
 		reportedIdle = idle && !reportedIdle // every other report of an idle instance is left out
@@ -94,6 +94,9 @@
 	}
 }
 
+// retainLimits forgets the limits of upstreams that are not registered.
+func (g *Gateway) retainLimits() { g.limits.Retain(g.roster.IDs(), g.clock.Now()) }
+
 // reportLimits sends reports to the holder of the control role. It asks the last known
 // holder first, then a few candidates from position next on. It returns the holder, empty if
 // none has answered, and the position of the next candidate.
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/platform/standin"
+	"github.com/pomelocross/pomelocross/roster"
 )
 
 // greatestInWindow returns the greatest number of requests that reached an engine in any span
@@ -133,6 +134,45 @@
 		}
 	})
 
+	// The roster and the limits called each other with their locks held, and the instance
+	// served nothing until it was killed.
+	It("are chosen while their limits are looked after", func() {
+		d := newDeployment(3, 2)
+		gw := d.start("entry-1", nil)
+		stop, done := time.After(time.Second), make(chan struct{})
+		var workers sync.WaitGroup
+		ended := make(chan struct{})
+		for range 4 {
+			workers.Go(func() {
+				for {
+					select {
+					case <-ended:
+						return
+					default:
+						gw.roster.Pick(roster.Need{Service: "lm", Model: model}, gw.clock.Now())
+					}
+				}
+			})
+		}
+		workers.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					gw.retainLimits()
+				}
+			}
+		})
+		go func() {
+			<-stop
+			close(ended)
+			workers.Wait()
+			close(done)
+		}()
+		Eventually(done).WithTimeout(10 * time.Second).Should(BeClosed())
+	})
+
 	It("are not limited otherwise", func() {
 		d := newDeployment(1, 2)
 		gw := d.start("entry-1", nil)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -77,7 +77,8 @@
 }
 
 // SetSendable sets a function that reports whether a request may be sent to an upstream now.
-// It must be called before the first Pick and must not call the roster.
+// It must be called before the first Pick. The roster calls it with its lock held, so that it
+// must not call the roster, nor wait for another goroutine that does.
 func (r *Roster) SetSendable(sendable func(u upstream.Target, now time.Time) bool) {
 	r.sendable = sendable
 }
@@ -158,6 +159,17 @@
 	return slots
 }
 
+// IDs returns the IDs of all known upstreams.
+func (r *Roster) IDs() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make(map[string]bool, len(r.states))
+	for id := range r.states {
+		ids[id] = true
+	}
+	return ids
+}
+
 // Size returns the number of known upstreams.
 func (r *Roster) Size() int {
 	r.mu.Lock()
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -93,13 +93,13 @@
 	}
 }
 
-// Retain forgets the upstreams that are not registered, once their sends have left the
+// Retain forgets the upstreams whose IDs are not in registered, once their sends have left the
 // window.
-func (b *Book) Retain(registered func(id string) bool, now time.Time) {
+func (b *Book) Retain(registered map[string]bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, a := range b.accounts {
-		if !registered(id) && a.open == 0 && a.used(b.occupied(), now) == 0 {
+		if !registered[id] && a.open == 0 && a.used(b.occupied(), now) == 0 {
 			delete(b.accounts, id)
 			b.recomputeFixed()
 		}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -78,6 +78,7 @@
 	upstreamProxies []*proxy // in front of engines and services
 	gateways        []*gateway
 	beliefs         beliefs
+	limited         []limitedUpstream
 
 	mu            sync.Mutex // guards the fields below
 	configVersion int64
@@ -118,11 +119,13 @@
 		d.engines = append(d.engines, e)
 		d.register(e)
 	}
+	d.limit(d.engines[0], d.upstreamProxies[0], engineLimit)
 	for n := range 2 {
 		e := &standin.Engine{ID: fmt.Sprint("desk-", n), Service: "desk", Slots: 8}
 		d.services = append(d.services, e)
 		d.register(e)
 	}
+	d.limit(d.services[0], d.upstreamProxies[len(d.engines)], serviceLimit)
 	d.writeConfig()
 	for n := range gateways {
 		d.gateways = append(d.gateways, d.newGateway(n, binary, storeAddress, cloudAddress))
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -36,6 +36,9 @@
 	mu    sync.Mutex // guards the fields below
 	mode  mode
 	conns map[net.Conn]bool
+	// degradedUntil holds the end of each period in which it did not just forward, by its
+	// begin; zero while it lasts.
+	degradedUntil map[time.Time]time.Time
 }
 
 func newProxy(target string) *proxy {
@@ -43,7 +46,7 @@
 	if err != nil {
 		Fail(err.Error())
 	}
-	p := &proxy{address: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{address: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}, degradedUntil: map[time.Time]time.Time{}}
 	DeferCleanup(listener.Close)
 	go func() {
 		for {
@@ -66,6 +69,7 @@
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordMode(m, time.Now())
 	p.mode = m
 	if m == disconnected {
 		for conn := range p.conns {
@@ -74,6 +78,31 @@
 	}
 }
 
+// recordMode records the periods in which the proxy does not just forward. The caller holds
+// mu.
+func (p *proxy) recordMode(m mode, now time.Time) {
+	for begin, end := range p.degradedUntil {
+		if end.IsZero() {
+			p.degradedUntil[begin] = now
+		}
+	}
+	if m != forwarding {
+		p.degradedUntil[now] = time.Time{}
+	}
+}
+
+// degradedWithin reports whether the proxy did not just forward at some time in a period.
+func (p *proxy) degradedWithin(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for begin, end := range p.degradedUntil {
+		if begin.Before(to) && (end.IsZero() || end.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed already
 	conn.Close()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -160,6 +160,7 @@
 	afterLeave, afterWithdrawal := checkBeliefs(d, obs)
 	GinkgoWriter.Printf("judged %d requests after an upstream's leaving and %d after the withdrawal of their key\n", afterLeave, afterWithdrawal)
 	d.logf("judged %d requests after an upstream's leaving and %d after the withdrawal of their key", afterLeave, afterWithdrawal)
+	checkLimits(d, obs)
 	for _, b := range obs.batches {
 		checkBatch(obs, b, runs)
 	}
