--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.meter = newMeter(s.UsageWindow)
 	g.quarantine = newQuarantineKeeper(g)
 	g.limits, g.limitGrants = sendlimit.NewBook(s.limitTiming(), s.LimitWindow), sendlimit.NewGrants(s.limitTiming())
-	g.roster.SetSendable(g.limits.Available)
+	g.roster.SetLimits(g.limits)
 	admitted := &admission{next: g.engines, roster: g.roster, limits: g.limits, clock: g.clock, log: t.Log}
 	g.forward = &forward.Forwarder{
 		Domain: s.Domain, Roster: g.roster, Upstreams: admitted, Clock: g.clock, Log: t.Log,
--- a/roster/evacuation.go
+++ b/roster/evacuation.go
@@ -35,5 +35,5 @@
 // the limit of the upstream allows another one.
 // The caller must hold mu.
 func (r *Roster) canTake(s *state, n Need, now time.Time) bool {
-	return !r.evacuated[s.Domain] && s.isEligible(n, now) && (r.sendable == nil || r.sendable(s.Target(), now))
+	return !r.evacuated[s.Domain] && s.isEligible(n, now) && (r.limits == nil || r.limits.Available(s.Target(), now))
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -65,8 +65,7 @@
 	mu      sync.Mutex // guards all below
 	states  map[string]*state
 	leaving []upstream.Target // incarnations that have reported that they leave, oldest first
-	// sendable reports whether a request may be sent to an upstream now; nil if any may.
-	sendable func(u upstream.Target, now time.Time) bool
+	limits  SendLimits        // nil if no upstream has a limit
 	// evacuated holds the failure domains whose upstreams must get no new work.
 	evacuated map[string]bool
 }
@@ -76,13 +75,18 @@
 	return &Roster{states: map[string]*state{}, evacuated: map[string]bool{}}
 }
 
-// SetSendable sets a function that reports whether a request may be sent to an upstream now.
-// It must be called before the first Pick. The roster calls it with its lock held, so that it
+// SendLimits knows the limits of upstreams. The roster calls it with its lock held, so that it
 // must not call the roster, nor wait for another goroutine that does.
-func (r *Roster) SetSendable(sendable func(u upstream.Target, now time.Time) bool) {
-	r.sendable = sendable
+type SendLimits interface {
+	// Available reports whether a request may be sent to an upstream now.
+	Available(u upstream.Target, now time.Time) bool
+	// Choose records that an upstream was chosen for a request.
+	Choose(u upstream.Target)
 }
 
+// SetLimits sets the limits of the upstreams. It must be called before the first Pick.
+func (r *Roster) SetLimits(limits SendLimits) { r.limits = limits }
+
 // Put adds or replaces a registration. A new incarnation or address resets the state of
 // the upstream, except for the open requests of this instance. An incarnation that has
 // reported that it leaves does not become ready again. Put returns the entry as recorded.
@@ -182,6 +186,9 @@
 func (r *Roster) Begin(id, request string, m Memory) {
 	r.update(id, func(s *state) {
 		s.ownRequests++
+		if r.limits != nil {
+			r.limits.Choose(s.Target())
+		}
 		if m != (Memory{}) {
 			s.memoryByRequest[request] = requestMemory{Memory: m}
 		}
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -59,6 +59,7 @@
 	namedAt  time.Time // when the limit was last named in a response, or learned
 	answered bool      // the incarnation has responded to this instance or its limit is known
 	open     int       // requests admitted and not yet answered
+	chosen   int       // requests for which the upstream was chosen, not yet admitted
 	reserved int       // requests admitted and not yet written
 	sent     []time.Time
 }
@@ -99,7 +100,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, a := range b.accounts {
-		if !registered[id] && a.open == 0 && a.used(b.occupied(), now) == 0 {
+		if !registered[id] && a.open+a.chosen == 0 && a.used(b.occupied(), now) == 0 {
 			delete(b.accounts, id)
 			b.recomputeFixed()
 		}
@@ -225,7 +226,7 @@
 		expired++
 	}
 	a.sent = a.sent[expired:]
-	return len(a.sent) + a.reserved
+	return len(a.sent) + a.reserved + a.chosen
 }
 
 // share returns the units of an upstream that this instance may occupy. The caller holds mu.
@@ -249,7 +250,7 @@
 // available is Available for a caller that holds mu.
 func (b *Book) available(id string, a *account, now time.Time) bool {
 	if a.limit.Rate == 0 {
-		return a.answered || a.open == 0
+		return a.answered || a.open+a.chosen == 0
 	}
 	if a.used(b.occupied(), now) < b.share(id, a, now) {
 		return true
@@ -258,6 +259,14 @@
 	return false
 }
 
+// Choose records that an upstream was chosen for a request, for which Reserve follows.
+// Several requests are chosen for before the first of them is admitted.
+func (b *Book) Choose(u upstream.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(u).chosen++
+}
+
 // Ticket is the permission to send one request.
 type Ticket struct {
 	book    *Book
@@ -267,12 +276,14 @@
 	closed  bool
 }
 
-// Reserve returns a ticket for a request to an upstream, or nil if none may be sent now.
+// Reserve returns a ticket for a request to an upstream that was chosen for it, or nil if none
+// may be sent now.
 // Close must be called when the request has been answered or has failed.
 func (b *Book) Reserve(u upstream.Target, now time.Time) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(u)
+	a.chosen = max(0, a.chosen-1)
 	if !b.available(u.ID, a, now) {
 		return nil
 	}
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -204,6 +204,16 @@
 		Expect(f.greatest()).To(BeNumerically("<=", allowed))
 	})
 
+	It("count from the choice of the upstream on", func() {
+		f := newFleetOf(1, 1, 7)
+		b, e := f.books["i00"], f.engines[0]
+		Expect(b.Available(e, f.now)).To(BeTrue())
+		b.Choose(e)
+		Expect(b.Available(e, f.now)).To(BeFalse())
+		Expect(b.Reserve(e, f.now)).NotTo(BeNil(), "the request for which it was chosen")
+		Expect(b.Available(e, f.now)).To(BeFalse())
+	})
+
 	It("keep a limit that a response does not name for two windows only", func() {
 		f := newFleetOf(1, 1, 4)
 		b, e := f.books["i00"], f.engines[0]
