A request that was written once is never reported as not sent

Cause: the admission reported a request as not sent if its last check withheld it, also when an earlier connection had got it. A caller would have been told that it has not run. Ruled out: that it can happen with today's transport, which gives up after the first connection that has taken a byte; nothing in the admission relied on that. Change: only an error that says so itself is reported as not sent.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
@@ -53,7 +54,8 @@
 	}
 	reply, err := a.next.Forward(ctx, to, f)
 	if err != nil {
-		if why := reason.Load(); why != nil {
+		var failed *upstream.SendError
+		if why := reason.Load(); why != nil && errors.As(err, &failed) && failed.NotSent {
 			err = a.withheld(to, f, *why)
 		}
 		return reply, err
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -23,6 +25,30 @@
 	return f.Forwarder.Forward(ctx, to, r)
 }
 
+// brokenConnection writes a request to a connection that breaks, and then asks whether it may
+// be written to another one.
+type brokenConnection struct{ between func() }
+
+func (c brokenConnection) Forward(_ context.Context, _ upstream.Target, f upstream.Forward) (*upstream.Reply, error) {
+	Expect(f.Permit()).To(BeTrue())
+	c.between()
+	Expect(f.Permit()).To(BeFalse())
+	return nil, &upstream.SendError{NotSent: false, Err: io.ErrUnexpectedEOF}
+}
+
+var _ = Describe("A request that was written before its upstream left", func() {
+	It("is not reported as not sent", func(ctx SpecContext) {
+		d := newDeployment(0, 0)
+		gw := d.start("entry-1", nil)
+		e, _ := gw.roster.Entry(d.desk.ID)
+		a := &admission{next: brokenConnection{func() { gw.roster.MarkLeaving(e.Target()) }}, roster: gw.roster, limits: gw.limits, clock: gw.clock, log: gw.log}
+		_, err := a.Forward(ctx, e.Target(), upstream.Forward{ID: "r"})
+		var failed *upstream.SendError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.NotSent).To(BeFalse())
+	})
+})
+
 var _ = Describe("A request that is not yet written when its upstream leaves", func() {
 	// A connection may take a second to open. The request was written to it although the
 	// upstream had been known to leave for as long.
