Direct watches of a kind are as frequent as those of a source of that kind

Cause: a reader without a source paused between watches of the store for as long as a source of the registrations, whatever the kind. With a short bound of another kind that pause could exceed what the sum of its path assumes. Ruled out: an effect at today's bounds, where all pauses are below the sums. The follower of the quarantine dates its calls, as the others do.

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -395,12 +395,12 @@
 	return f.Store.Watch(ctx, kind, after, min(wait, initialBackoff))
 }
 
-// throttleDirectWatch waits until at least the pause of the registrations has passed since the last
-// watch of a kind at the store.
+// throttleDirectWatch waits until at least the pause of a source of the kind has passed since
+// the last watch of the kind at the store.
 func (f *feed) throttleDirectWatch(ctx context.Context, kind string) {
 	f.mu.Lock()
 	now := f.gateway.clock.Now()
-	next := f.lastDirectWatch[kind].Add(f.gateway.settings.registrationPath().sourcePause)
+	next := f.lastDirectWatch[kind].Add(f.kinds[kind].Pause)
 	f.lastDirectWatch[kind] = now
 	f.mu.Unlock()
 	if !now.Before(next) {
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pomelocross/pomelocross/boottime"
 	"github.com/pomelocross/pomelocross/link"
+	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/roster"
 )
 
@@ -84,6 +85,19 @@
 	})
 })
 
+var _ = Describe("A reader without a source", func() {
+	// The pause of the registrations applied to all kinds, also those with a shorter bound.
+	It("watches the store as often as a source of the kind would", func(ctx SpecContext) {
+		f := feedOf("e1", "e1:1")
+		for _, kind := range []string{platform.KindServers, platform.KindConfig} {
+			f.throttleDirectWatch(ctx, kind)
+			start := time.Now()
+			f.throttleDirectWatch(ctx, kind)
+			Expect(time.Since(start)).To(BeNumerically("~", f.kinds[kind].Pause, 100*time.Millisecond), kind)
+		}
+	})
+})
+
 var _ = Describe("The candidates for the control role", func() {
 	// Load pattern: every instance is a candidate, and each read of the lease is billed.
 	// The reads of 330 instances must not be 30 times those of 11.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -163,7 +163,7 @@
 func (k *quarantineKeeper) follow(ctx context.Context) {
 	m := &storeMonitor{gateway: k.gateway, kind: kindQuarantine}
 	o := objects.FollowOptions{
-		Wait: k.gateway.settings.quarantinePath().readerWait, MaxPause: maxRetryPause, OnListed: func() { k.listed.Store(true) },
+		Wait: k.gateway.settings.quarantinePath().readerWait, MaxPause: maxRetryPause, Now: k.gateway.clock.Now, OnListed: func() { k.listed.Store(true) },
 		OnCall: func(at time.Time, err error) {
 			if err == nil {
 				k.freshAt.Store(k.gateway.clock.Now().UnixNano())
