Instances stop reporting on services none of whose upstreams has a limit any more

Cause: the state of a service was kept for good once one of its upstreams had named a limit, so that every instance went on with two reports a second. Ruled out: a missing share for a limit that is named again; the state is made with each limit. Change: the state goes with the last limit. One function gives the timing of the grants.

--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -33,7 +33,7 @@
 	g := s.gateway
 	now := g.clock.Now()
 	g.learnLimits(report.Limits)
-	lease, held := g.controlLease.Grant(g.limitTiming().Term)
+	lease, held := g.controlLease.Grant(g.settings.limitTiming().Term)
 	if !held || g.draining.Load() {
 		return errNotLeaseHolder
 	}
@@ -50,9 +50,6 @@
 	return nil
 }
 
-// limitTiming returns the timing of the grants.
-func (g *Gateway) limitTiming() slots.Timing { return g.settings.limitTiming() }
-
 // limitTiming returns the timing of the grants.
 func (s *Settings) limitTiming() slots.Timing {
 	return sendlimit.Timing(leaseTiming(s.LeaseBound).Term, s.LimitWindow)
@@ -72,7 +69,7 @@
 // runLimitReports reports this instance's sends to the holder of the control role while any
 // limit is known, until ctx ends. Instances without callers send nothing.
 func (g *Gateway) runLimitReports(ctx context.Context) {
-	timing := g.limitTiming()
+	timing := g.settings.limitTiming()
 	holder, next, granted, reportedIdle := "", 0, true, false
 	for ctx.Err() == nil {
 		g.limits.SetMembers(g.membership.callerPosition())
@@ -118,7 +115,7 @@
 // reportLimitsTo sends reports to an instance and applies its answer. It returns false if the
 // instance does not answer or does not hold the control role.
 func (g *Gateway) reportLimitsTo(ctx context.Context, reports []slots.Report, peer string) bool {
-	ctx, cancel := context.WithTimeout(ctx, g.limitTiming().Interval)
+	ctx, cancel := context.WithTimeout(ctx, g.settings.limitTiming().Interval)
 	defer cancel()
 	sent := g.clock.Now()
 	var grant LimitGrant
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -347,16 +347,21 @@
 	var reports []slots.Report
 	for name, s := range b.services {
 		r := slots.Report{Service: name, Member: member, Applied: s.member.Applied(), InFlight: slots.Shares{}}
-		used := 0
+		used, limited := 0, false
 		for id, a := range b.accounts {
 			if a.limit.Rate == 0 || a.limit.Service != name {
 				continue
 			}
+			limited = true
 			if n := a.used(b.occupied(), now); n > 0 {
 				r.InFlight[id] = n
 				used += n
 			}
 		}
+		if !limited {
+			delete(b.services, name)
+			continue
+		}
 		r.Demand = used
 		if now.Sub(s.starved) < starvedIntervals*b.timing.Interval {
 			r.Demand = max(2*used, minStarvedDemand)
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -223,6 +223,7 @@
 		Expect(b.Observe(e, "lm", 0, f.now.Add(2*window))).To(BeTrue())
 		Expect(b.Limits()).To(BeEmpty())
 		Expect(b.Available(e, f.now)).To(BeTrue())
+		Expect(b.Reports("i00", f.now)).To(BeEmpty())
 	})
 
 	It("begin with one at a time, until the upstream has responded or its limit is known", func() {
