Limits of upstreams that are gone are not passed on for good

Cause: each instance forgot the limit of an upstream without a registration and learned it again from another one that had not yet. Ruled out: registrations that vanish for a while; the limits concerned were of engines that had left. Change: limits are learned of registered upstreams only, once these were listed.

--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -85,8 +86,13 @@
 	return sendlimit.Timing(leaseTiming(s.LeaseBound).Term, s.LimitWindow)
 }
 
-// learnLimits records limits that another instance knows.
+// learnLimits records limits that another instance knows. Those of upstreams that are not
+// registered any more would be passed on for good.
 func (g *Gateway) learnLimits(limits sendlimit.Limits) {
+	if g.upstreamsListed.Load() {
+		registered := g.roster.IDs()
+		maps.DeleteFunc(limits, func(id string, _ sendlimit.Limit) bool { return !registered[id] })
+	}
 	if n := g.limits.Learn(limits, g.clock.Now()); n > 0 {
 		g.log.Info("limits of upstreams learned from another instance", zap.Int("changed", n), zap.Int("known", len(g.limits.Limits())))
 	}
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelocross/pomelocross/platform/standin"
 	"github.com/pomelocross/pomelocross/roster"
+	"github.com/pomelocross/pomelocross/sendlimit"
 )
 
 // greatestInWindow returns the greatest number of requests that reached an engine in any span
@@ -173,6 +174,27 @@
 		Eventually(done).WithTimeout(10 * time.Second).Should(BeClosed())
 	})
 
+	It("are forgotten by all instances once their registrations are removed", func() {
+		d := newDeployment(2, 2)
+		limited(d)
+		all := []*testInstance{d.start("entry-0", nil), d.start("entry-1", nil)}
+		waitForMembership(all...)
+		for _, gw := range all {
+			for range 4 {
+				status("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)
+			}
+		}
+		for _, gw := range all {
+			Eventually(func() int { return len(gw.limits.Limits()) }).WithTimeout(5 * time.Second).Should(Equal(2))
+		}
+		d.store.Remove("servers", d.engines[0].ID)
+		known := func() []int { return []int{len(all[0].limits.Limits()), len(all[1].limits.Limits())} }
+		Eventually(known).WithTimeout(3 * window).Should(Equal([]int{1, 1}))
+		Consistently(known, "2s").Should(Equal([]int{1, 1}))
+		all[0].learnLimits(sendlimit.Limits{d.engines[0].ID: {Service: "lm", Started: 1, Rate: rate}}) // from an instance that is behind
+		Expect(known()).To(Equal([]int{1, 1}))
+	})
+
 	It("are not limited otherwise", func() {
 		d := newDeployment(1, 2)
 		gw := d.start("entry-1", nil)
