A refusal without a limit does not show that an upstream has none

Cause: until an upstream has responded, it gets one request of an instance at a time. A refusal counted as a response, so that an instance that had just started sent a burst to an engine that refused the first request while it loaded weights. Ruled out: shares; no limit was known when the burst was sent. Change: a response that says that the request has not run counts only if it names a limit.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -92,7 +92,7 @@
 		a.log.Warn("an upstream names a limit that cannot be decoded; it is ignored, and further ones are not logged", zap.String("upstream", to.ID), telemetry.Error(reply.RateLimitErr))
 	}
 	e, known := a.roster.Entry(to.ID)
-	if known && a.limits.Observe(to, e.Service, reply.RateLimit, a.clock.Now()) {
+	if known && a.limits.Observe(to, e.Service, reply.RateLimit, reply.NotRun, a.clock.Now()) {
 		a.log.Info("limit of an upstream changed", zap.String("upstream", to.ID), zap.String("service", e.Service), zap.Int64("started", to.Started), zap.Float64("perSecond", reply.RateLimit))
 	}
 }
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -131,12 +131,16 @@
 }
 
 // limitMemory is the number of windows for which a limit holds after the last response that
-// named it. A refusal or an error response may lack it.
+// named it. An error response may lack it.
 const limitMemory = 2
 
-// Observe records the rate that an upstream names in a response; 0 if it names none. It
-// returns true if the limit changes.
-func (b *Book) Observe(u upstream.Target, serviceName string, rate float64, now time.Time) bool {
+// Observe records the rate that an upstream names in a response; 0 if it names none. refused is
+// true for a response that says that the request has not run; without a limit it shows nothing.
+// Observe returns true if the limit changes.
+func (b *Book) Observe(u upstream.Target, serviceName string, rate float64, refused bool, now time.Time) bool {
+	if refused && rate == 0 {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(u)
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -113,7 +113,7 @@
 			if ticket.Write(f.now) {
 				f.arrivals[e.ID] = append(f.arrivals[e.ID], f.now)
 				f.sends[name]++
-				b.Observe(e, "lm", rate, f.now)
+				b.Observe(e, "lm", rate, false, f.now)
 			}
 			ticket.Close()
 			break
@@ -219,10 +219,10 @@
 	It("keep a limit that a response does not name for two windows only", func() {
 		f := newFleetOf(1, 1, 4)
 		b, e := f.books["i00"], f.engines[0]
-		Expect(b.Observe(e, "lm", rate, f.now)).To(BeTrue())
-		Expect(b.Observe(e, "lm", 0, f.now.Add(2*window-1))).To(BeFalse())
+		Expect(b.Observe(e, "lm", rate, false, f.now)).To(BeTrue())
+		Expect(b.Observe(e, "lm", 0, false, f.now.Add(2*window-1))).To(BeFalse())
 		Expect(b.Limits()).To(HaveLen(1))
-		Expect(b.Observe(e, "lm", 0, f.now.Add(2*window))).To(BeTrue())
+		Expect(b.Observe(e, "lm", 0, false, f.now.Add(2*window))).To(BeTrue())
 		Expect(b.Limits()).To(BeEmpty())
 		Expect(b.Available(e, f.now)).To(BeTrue())
 		Expect(b.Reports("i00", f.now)).To(BeEmpty())
@@ -236,6 +236,8 @@
 		Expect(b.Reserve(e, f.now)).To(BeNil())
 		first.Close()
 		Expect(b.Reserve(e, f.now)).NotTo(BeNil(), "the first one failed without a response")
+		Expect(b.Observe(e, "lm", 0, true, f.now)).To(BeFalse())
+		Expect(b.Reserve(e, f.now)).To(BeNil(), "a refusal does not show whether there is a limit")
 		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, f.now)
 		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
 	})
@@ -244,7 +246,7 @@
 		f := newFleetOf(1, 1, 6)
 		b, e := f.books["i00"], f.engines[0]
 		admitted := b.Reserve(e, f.now)
-		b.Observe(e, "lm", rate, f.now)
+		b.Observe(e, "lm", rate, false, f.now)
 		Expect(admitted.Write(f.now)).To(BeFalse())
 		admitted.Close()
 		Expect(b.Reports("i00", f.now)[0].InFlight).To(BeEmpty())
