Instances without demand keep a sixteenth of their equal part of a limit, not a quarter

Cause: a quarter of all units stayed with instances that send nothing, while the owner of the batches waited. The quarter is meant for requests that wait for a slot where the next report is far; here the next one comes within a quarter of a second. Change: the divisor of the least share is a property of the allocator.

--- a/sendlimit/grants.go
+++ b/sendlimit/grants.go
@@ -26,6 +26,11 @@
 // NewGrants returns a Grants without reports.
 func NewGrants(timing slots.Timing) *Grants { return &Grants{timing: timing} }
 
+// minShareDivisor is the divisor of an instance's equal part of the units that gives its
+// minimum share. Few instances send nearly everything, and one that begins to send reports it
+// within a fraction of a second.
+const minShareDivisor = 16
+
 // Begin starts the epoch of the control role in which reports are answered. It has no effect
 // in the epoch that has begun last.
 func (g *Grants) Begin(epoch int64, now time.Time) {
@@ -47,6 +52,7 @@
 	allocator := g.allocators[r.Service]
 	if allocator == nil {
 		allocator = slots.NewAllocator(g.timing, epoch)
+		allocator.SetMinShareDivisor(minShareDivisor)
 		g.allocators[r.Service] = allocator
 	}
 	allocator.SetMembers(members, engines, now)
--- a/slots/allocator.go
+++ b/slots/allocator.go
@@ -20,6 +20,8 @@
 	domainMembers []string                // names of the domain's instances, sorted
 	members       map[string]*memberState // all that have reported, by name
 	lastNumber    int64
+	// minShareDivisor is as described at defaultMinShareDivisor.
+	minShareDivisor int
 	// reservations is valid for the current domainMembers and engines and is reset
 	// when either changes.
 	reservations *reservations
@@ -40,10 +42,10 @@
 	possibleUse Shares
 }
 
-// minShareDivisor sets the minimum share of a member of the domain: its equal part
+// defaultMinShareDivisor sets the minimum share of a member of the domain: its equal part
 // of the slots divided by this. A member without demand keeps that much for requests
 // that arrive between two reports.
-const minShareDivisor = 4
+const defaultMinShareDivisor = 4
 
 // answerNumberBits is the number of low bits of an answer number that count the
 // answers of one epoch; the epoch is stored above them.
@@ -52,9 +54,13 @@
 // NewAllocator returns an allocator without members and engines. The epoch of the
 // lease makes its answer numbers distinct from those of other allocators.
 func NewAllocator(timing Timing, epoch int64) *Allocator {
-	return &Allocator{timing: timing, members: map[string]*memberState{}, lastNumber: epoch << answerNumberBits, reservations: newReservations()}
+	return &Allocator{timing: timing, members: map[string]*memberState{}, lastNumber: epoch << answerNumberBits, minShareDivisor: defaultMinShareDivisor, reservations: newReservations()}
 }
 
+// SetMinShareDivisor sets the divisor of a member's equal part of the slots that gives its
+// minimum share.
+func (a *Allocator) SetMinShareDivisor(divisor int) { a.minShareDivisor = divisor }
+
 // SetMembers replaces the instances of the domain, sorted by name, and its engines.
 // The shares of removed instances stay reserved until their term ends.
 func (a *Allocator) SetMembers(members []string, engines []Engine, now time.Time) {
@@ -212,7 +218,7 @@
 	for _, e := range a.engines {
 		available += e.Slots
 	}
-	minShare := available / max(1, minShareDivisor*len(a.domainMembers))
+	minShare := available / max(1, a.minShareDivisor*len(a.domainMembers))
 	var demands []int
 	totalDemand := 0
 	for _, name := range a.domainMembers {
