Sends to upstreams without a limit are forgotten once they have left the window

Cause: the times of sends were dropped only where a limit was checked, so that an instance whose upstreams name none kept one for each request it had ever sent. Ruled out: a use of older sends; a limit that is named later counts a window back. Change: each send drops those that have left the window.

--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -309,7 +309,8 @@
 	if t.written {
 		extra = 1
 	}
-	if a.limit.Rate > 0 && a.used(t.book.occupied(), now)+extra > t.book.share(t.id, a, now) {
+	used := a.used(t.book.occupied(), now) // also forgets the sends that have left the window
+	if a.limit.Rate > 0 && used+extra > t.book.share(t.id, a, now) {
 		return false
 	}
 	if !t.written {
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -206,6 +206,20 @@
 		Expect(f.greatest()).To(BeNumerically("<=", allowed))
 	})
 
+	// The sends to upstreams without a limit were kept for as long as the process ran.
+	It("are forgotten once they have left the window, also without a limit", func() {
+		f := newFleetOf(1, 1, 9)
+		b, e := f.books["i00"], f.engines[0]
+		b.Observe(e, "lm", 0, false, f.now)
+		for range 1000 {
+			ticket := b.Reserve(e, f.now)
+			Expect(ticket.Write(f.now)).To(BeTrue())
+			ticket.Close()
+			f.now = f.now.Add(100 * time.Millisecond)
+		}
+		Expect(len(b.accounts[e.ID].sent)).To(BeNumerically("<=", 50))
+	})
+
 	It("count from the choice of the upstream on", func() {
 		f := newFleetOf(1, 1, 7)
 		b, e := f.books["i00"], f.engines[0]
