The holder of the control role grants sends at once when limits are first named

Cause: the time in which a new holder grants nothing, so that sends under the grants of another one leave the window, counted from the first report it got, and not from when it became holder. Upstreams that first named a limit got hardly a request for that window. Ruled out: sends from before; instances report them with their first report. Change: it counts from the begin of the term.

--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -111,6 +111,24 @@
 		}
 	})
 
+	// The holder of the control role counted the time in which it grants nothing from the first
+	// report, so that no upstream got a request for a window when limits were first named.
+	It("get requests soon after they first name it, if the control role was held for a window", func() {
+		d := newDeployment(3, 2)
+		gw := d.start("entry-0", nil)
+		Eventually(func() error { _, err := gw.holder(); return err }).WithTimeout(5 * time.Second).Should(Succeed())
+		time.Sleep(gw.settings.limitTiming().Hold)
+		limited(d)
+		Expect(submit(gw.address, "l1", batchBody(30, 1))).To(Equal(http.StatusAccepted))
+		time.Sleep(2 * time.Second)
+		sent := 0
+		for _, e := range d.engines {
+			sent += len(e.Arrivals())
+			Expect(greatestInWindow(e, window)).To(BeNumerically("<=", allowed), e.ID)
+		}
+		Expect(sent).To(BeNumerically(">=", 30))
+	})
+
 	It("get no more requests than it allows from instances that just started or have lost the holder of the control role", func() {
 		d := newDeployment(2, 2)
 		limited(d)
--- a/sendlimit/grants.go
+++ b/sendlimit/grants.go
@@ -19,7 +19,7 @@
 
 	mu         sync.Mutex // guards all below
 	epoch      int64
-	since      time.Time // when a report was first received in this epoch
+	since      time.Time // begin of the epoch
 	allocators map[string]*slots.Allocator
 }
 
@@ -31,8 +31,9 @@
 // within a fraction of a second.
 const minShareDivisor = 16
 
-// Begin starts the epoch of the control role in which reports are answered. It has no effect
-// in the epoch that has begun last.
+// Begin starts the epoch of the control role in which reports are answered, once sends under
+// the grants of another holder have left the window. It has no effect in the epoch that has
+// begun last.
 func (g *Grants) Begin(epoch int64, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
