The holder of the control role tells instances that do not report of the limits

Cause: limits spread within a failure domain and to instances that report. Those of other domains sent nothing, heard of no limit and did not report, so that their fixed shares were kept for them. Change: the holder tells instances that have not reported for a term, each again after four.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -224,6 +224,13 @@
 	return position, len(names)
 }
 
+// peerOf returns the address of an instance; empty if it is not known.
+func (m *membership) peerOf(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.instances[name].Peer
+}
+
 // controlCandidates returns the addresses of all instances, including this one, those first
 // that seek the control role eagerly.
 func (m *membership) controlCandidates() []string {
--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -111,6 +111,7 @@
 	for ctx.Err() == nil {
 		g.limits.SetMembers(g.membership.callerPosition())
 		g.retainLimits()
+		g.notifyOfLimits(ctx)
 		reports := g.limits.Reports(g.settings.Name, g.clock.Now())
 		idle := !slices.ContainsFunc(reports, func(r slots.Report) bool { return !r.Idle() })
 		reportedIdle = idle && !reportedIdle // every other report of an idle instance is left out
@@ -128,6 +129,28 @@
 	}
 }
 
+// notifyOfLimits tells instances that do not report of the limits, if this instance holds the
+// control role. Limits spread by themselves only within a failure domain and to instances that
+// report.
+func (g *Gateway) notifyOfLimits(ctx context.Context) {
+	limits := g.limits.Limits()
+	holder, err := g.holder()
+	if err != nil || len(limits) == 0 {
+		return
+	}
+	for _, name := range g.limitGrants.ToNotify(holder.Epoch, g.membership.callerNames(), g.clock.Now()) {
+		peer := g.membership.peerOf(name)
+		if peer == "" || name == g.settings.Name {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, limitsQueryTimeout)
+			defer cancel()
+			g.counters.Add("limits", g.dialer.Call(ctx, peer, "Limits.Report", LimitReport{Limits: limits}, &LimitGrant{}))
+		}()
+	}
+}
+
 // retainLimits forgets the limits of upstreams that are not registered.
 func (g *Gateway) retainLimits() { g.limits.Retain(g.roster.IDs(), g.clock.Now()) }
 
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -129,6 +129,31 @@
 		Expect(sent).To(BeNumerically(">=", 30))
 	})
 
+	// Instances of other failure domains sent nothing and heard of no limit. They did not report,
+	// so that their fixed shares were kept for them.
+	It("get most of what they allow from one instance if all others are in other failure domains", func() {
+		d := newDeployment(2, 2)
+		limited(d)
+		all := []*testInstance{d.start("entry-0", nil)}
+		for _, domain := range []string{"b", "c", "d"} {
+			all = append(all, d.start("entry-"+domain, func(s *Settings) { s.Domain = domain }))
+		}
+		waitForMembership(all...)
+		Expect(all[0].holder()).Error().NotTo(HaveOccurred())
+		time.Sleep(all[0].settings.limitTiming().Hold) // from then on it answers, and nobody else is asked
+		Expect(submit(all[0].address, "l1", batchBody(400, 1))).To(Equal(http.StatusAccepted))
+		time.Sleep(3 * window)
+		count := func() int { return len(d.engines[0].Arrivals()) + len(d.engines[1].Arrivals()) }
+		before := count()
+		time.Sleep(2 * window)
+		used := float64(count()-before) / float64(2*allowed*len(d.engines))
+		AddReportEntry("part of the limit that is used", used)
+		Expect(used).To(BeNumerically(">=", 0.6))
+		for _, e := range d.engines {
+			Expect(greatestInWindow(e, window)).To(BeNumerically("<=", allowed), e.ID)
+		}
+	})
+
 	It("get no more requests than it allows from instances that just started or have lost the holder of the control role", func() {
 		d := newDeployment(2, 2)
 		limited(d)
--- a/sendlimit/grants.go
+++ b/sendlimit/grants.go
@@ -21,6 +21,7 @@
 	epoch      int64
 	since      time.Time // begin of the epoch
 	allocators map[string]*slots.Allocator
+	expected   map[string]time.Time // by instance: until when a report or the effect of a notice is awaited
 }
 
 // NewGrants returns a Grants without reports.
@@ -38,15 +39,40 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.allocators == nil || g.epoch != epoch {
-		g.epoch, g.since, g.allocators = epoch, now, map[string]*slots.Allocator{}
+		g.epoch, g.since, g.allocators, g.expected = epoch, now, map[string]*slots.Allocator{}, map[string]time.Time{}
 	}
 }
 
+// noticeTerms is the number of terms between two notices to an instance that does not report.
+const noticeTerms = 4
+
+// ToNotify returns the members that have not reported in an epoch for a term and must be told of
+// the limits: the fixed shares of instances that do not report are kept for them. It returns a
+// member again only after a while.
+func (g *Grants) ToNotify(epoch int64, members []string, now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch || g.expected == nil {
+		return nil
+	}
+	var missing []string
+	for _, name := range members {
+		if now.After(g.expected[name]) {
+			g.expected[name] = now.Add(noticeTerms * g.timing.Term)
+			missing = append(missing, name)
+		}
+	}
+	return missing
+}
+
 // Answer returns the answer to a report received in an epoch. members are the instances
 // that share the limits, sorted, and engines the upstreams of the service with their units.
 func (g *Grants) Answer(epoch int64, r slots.Report, members []string, engines []slots.Engine, now time.Time) (slots.Answer, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.epoch == epoch && g.expected != nil {
+		g.expected[r.Member] = now.Add(g.timing.Term)
+	}
 	if g.epoch != epoch || now.Sub(g.since) < g.timing.Hold {
 		return slots.Answer{}, ErrNotReady
 	}
