--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// notifyOfLimits tells instances that do not report of the limits, if this instance holds the
+// notifyOfLimits sends the limits to instances that do not report, if this instance holds the
 // control role. Limits spread by themselves only within a failure domain and to instances that
 // report.
 func (g *Gateway) notifyOfLimits(ctx context.Context) {
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -140,7 +140,7 @@
 		}
 		waitForMembership(all...)
 		Expect(all[0].holder()).Error().NotTo(HaveOccurred())
-		time.Sleep(all[0].settings.limitTiming().Hold) // from then on it answers, and nobody else is asked
+		time.Sleep(all[0].settings.limitTiming().Hold) // from then on it answers, and no other instance is asked
 		Expect(submit(all[0].address, "l1", batchBody(400, 1))).To(Equal(http.StatusAccepted))
 		time.Sleep(3 * window)
 		count := func() int { return len(d.engines[0].Arrivals()) + len(d.engines[1].Arrivals()) }
--- a/sendlimit/grants.go
+++ b/sendlimit/grants.go
@@ -46,7 +46,7 @@
 // noticeTerms is the number of terms between two notices to an instance that does not report.
 const noticeTerms = 4
 
-// ToNotify returns the members that have not reported in an epoch for a term and must be told of
+// ToNotify returns the members that have not reported in an epoch for a term and are to get
 // the limits: the fixed shares of instances that do not report are kept for them. It returns a
 // member again only after a while.
 func (g *Grants) ToNotify(epoch int64, members []string, now time.Time) []string {
