An instance that starts asks for limits once it has read the list of instances

Ruled out: units of the ended process (they stay reserved; spec exists). It now waits for the list for up to 1 s before it asks. The list is also needed for the fixed shares: without it, an instance took the whole limit for its own after 5.5 s without grants; now it has no fixed share until it knows the others.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -40,6 +40,7 @@
 type membership struct {
 	self instanceRecord
 	name string
+	read chan struct{} // closed once the list of instances has been read
 
 	mu        sync.Mutex // guards all below
 	instances map[string]instanceRecord
@@ -81,7 +82,7 @@
 // newMembership returns a membership that knows only the instance configured by s.
 func newMembership(s *Settings) *membership {
 	return &membership{
-		name: s.Name, instances: map[string]instanceRecord{},
+		name: s.Name, read: make(chan struct{}), instances: map[string]instanceRecord{},
 		self: instanceRecord{Peer: s.PeerListen, Domain: s.Domain, ServesCallers: s.Listen != "", EagerCandidate: s.Control == "first", Incarnation: time.Now().Format(time.RFC3339Nano), CPUShare: s.CPUShare},
 	}
 }
@@ -101,6 +102,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.instances) == 0 && len(instances) > 0 {
+		select {
+		case <-m.read:
+		default:
+			close(m.read)
+		}
+	}
 	m.instances = instances
 	return decodeErr
 }
@@ -217,8 +225,11 @@
 }
 
 // callerPosition returns the position of this instance among the names of the instances that
-// serve callers, and their number.
+// serve callers, and their number; 0 while the list of instances has not been read.
 func (m *membership) callerPosition() (position, count int) {
+	if !m.listed() {
+		return 0, 0
+	}
 	names := m.callerNames()
 	position, _ = slices.BinarySearch(names, m.name)
 	return position, len(names)
--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -57,13 +57,23 @@
 	return nil
 }
 
-// limitsQueryTimeout bounds the query for limits that delays the start of an instance.
-const limitsQueryTimeout = 250 * time.Millisecond
+// What delays the start of an instance until it knows the limits.
+const (
+	// membershipWait bounds the wait for the list of instances.
+	membershipWait = time.Second
+	// limitsQueryTimeout bounds the query for limits.
+	limitsQueryTimeout = 250 * time.Millisecond
+)
 
 // askForLimits asks a few other instances for the limits that they know, so that an instance
 // knows them before its first request.
 func (g *Gateway) askForLimits(ctx context.Context) {
 	defer g.limitsAsked.Store(true)
+	select {
+	case <-g.membership.read:
+	case <-g.clock.After(membershipWait):
+	case <-ctx.Done():
+	}
 	ctx, cancel := context.WithTimeout(ctx, limitsQueryTimeout)
 	defer cancel()
 	peers := g.relayCandidates()
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -181,6 +181,22 @@
 		}
 	})
 
+	// An instance without configured peers asked nobody, since it had not read the list of
+	// instances yet.
+	It("have their limits known to an instance before it is ready", func() {
+		d := newDeployment(2, 2)
+		limited(d)
+		first := d.start("entry-0", nil)
+		second := d.start("entry-1", nil)
+		waitForMembership(first, second)
+		Eventually(func() sendlimit.Limits {
+			status("POST", first.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)
+			return first.limits.Limits()
+		}).WithTimeout(10 * time.Second).Should(HaveLen(len(d.engines)))
+		third := d.start("entry-2", func(s *Settings) { s.Domain = "b" })
+		Expect(third.limits.Limits()).To(HaveLen(len(d.engines)))
+	})
+
 	// The roster and the limits called each other with their locks held, and the instance
 	// served nothing until it was killed.
 	It("are chosen while their limits are looked after", func() {
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -50,7 +50,7 @@
 	mu       sync.Mutex // guards all below
 	accounts map[string]*account
 	services map[string]*service
-	members  int // instances that share the limits
+	members  int // instances that share the limits; 0 if not known
 	position int // of this instance among them
 }
 
@@ -75,16 +75,16 @@
 // NewBook returns a book without limits for a process of an instance. incarnation identifies
 // the process, and window is the time over which sends are counted.
 func NewBook(timing slots.Timing, window time.Duration, incarnation string) *Book {
-	return &Book{timing: timing, incarnation: incarnation, window: window, accounts: map[string]*account{}, services: map[string]*service{}, members: 1}
+	return &Book{timing: timing, incarnation: incarnation, window: window, accounts: map[string]*account{}, services: map[string]*service{}}
 }
 
 // SetMembers sets the number of instances that share the limits and the position of this
-// one in their order.
+// one in their order. There are no fixed shares while the number is 0, its initial value.
 func (b *Book) SetMembers(position, members int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.position != position || b.members != members {
-		b.position, b.members = position, max(1, members)
+		b.position, b.members = position, members
 		b.recomputeFixed()
 	}
 }
@@ -242,7 +242,10 @@
 func (b *Book) share(id string, a *account, now time.Time) int {
 	s := b.services[a.limit.Service]
 	if s.fixed == nil {
-		s.fixed = slots.FixedShares(b.engines(a.limit.Service), b.position, b.members)
+		s.fixed = slots.Shares{}
+		if b.members > 0 {
+			s.fixed = slots.FixedShares(b.engines(a.limit.Service), b.position, b.members)
+		}
 	}
 	shares, _ := s.member.Shares(now, s.fixed)
 	return shares[id]
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -283,6 +283,17 @@
 		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
 	})
 
+	// An instance that had not read the list of instances took the whole limit for its fixed
+	// share.
+	It("wait for the list of instances or a grant", func() {
+		b, e := NewBook(timing, window, "1"), upstream.Target{ID: "e00", Started: 1}
+		now := time.Unix(1e6, 0)
+		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, now)
+		Expect(b.Available(e, now.Add(time.Minute))).To(BeFalse())
+		b.SetMembers(0, 4)
+		Expect(b.Available(e, now.Add(time.Minute))).To(BeTrue())
+	})
+
 	It("are not written if the share has become smaller since they were admitted", func() {
 		f := newFleetOf(1, 1, 6)
 		b, e := f.books["i00"], f.engines[0]
