A limit ends with the first response that names none

The limit holds for as long as responses name it.

The memory was to bridge error responses, which may lack the limit, and responses to requests written before it was named. Both are now told apart: a refusal or a status of 500 and more shows nothing, nor does the response to a request that was written before the limit was last named.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
@@ -60,7 +61,7 @@
 		}
 		return reply, err
 	}
-	a.observe(to, reply)
+	a.observe(to, ticket, reply)
 	return reply, nil
 }
 
@@ -84,15 +85,19 @@
 }
 
 // observe records the limit that an upstream names in a response.
-func (a *admission) observe(to upstream.Target, reply *upstream.Reply) {
+func (a *admission) observe(to upstream.Target, ticket *sendlimit.Ticket, reply *upstream.Reply) {
 	if reply.Misdirected {
 		return // the response of another upstream
 	}
 	if reply.RateLimitErr != nil && a.invalidLimitLogged.CompareAndSwap(false, true) {
 		a.log.Warn("an upstream names a limit that cannot be decoded; it is ignored, and further ones are not logged", zap.String("upstream", to.ID), telemetry.Error(reply.RateLimitErr))
 	}
+	response := sendlimit.Response{
+		Rate: reply.RateLimit, Failed: reply.NotRun || reply.Status >= http.StatusInternalServerError,
+		Written: ticket.Written(), Received: a.clock.Now(),
+	}
 	e, known := a.roster.Entry(to.ID)
-	if known && a.limits.Observe(to, e.Service, reply.RateLimit, reply.NotRun, a.clock.Now()) {
+	if known && a.limits.Observe(to, e.Service, response) {
 		a.log.Info("limit of an upstream changed", zap.String("upstream", to.ID), zap.String("service", e.Service), zap.Int64("started", to.Started), zap.Float64("perSecond", reply.RateLimit))
 	}
 }
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -257,6 +257,21 @@
 		Expect(known()).To(Equal([]int{1, 1}))
 	})
 
+	It("are free again with the first response that names no limit", func() {
+		d := newDeployment(1, 1)
+		limited(d)
+		gw := d.start("entry-1", nil)
+		request := func() { status("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model) }
+		request()
+		Eventually(func() int { request(); return len(d.engines[0].Arrivals()) }).WithTimeout(2 * window).Should(BeNumerically(">=", 4), "a share is granted")
+		Expect(gw.limits.Limits()).To(HaveLen(1))
+		d.engines[0].SetLimit("")
+		Eventually(func() sendlimit.Limits { request(); return gw.limits.Limits() }).WithTimeout(window).Should(BeEmpty())
+		Expect(submit(gw.address, "l1", batchBody(100, 1))).To(Equal(http.StatusAccepted))
+		results(gw.address, "l1", 100)
+		Expect(greatestInWindow(d.engines[0], window)).To(BeNumerically(">", 4*allowed))
+	})
+
 	It("are not limited otherwise", func() {
 		d := newDeployment(1, 2)
 		gw := d.start("entry-1", nil)
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -130,25 +130,31 @@
 	return a
 }
 
-// limitMemory is the number of windows for which a limit holds after the last response that
-// named it. An error response may lack it.
-const limitMemory = 2
-
-// Observe records the rate that an upstream names in a response; 0 if it names none. refused is
-// true for a response that says that the request has not run; without a limit it shows nothing.
-// Observe returns true if the limit changes.
-func (b *Book) Observe(u upstream.Target, serviceName string, rate float64, refused bool, now time.Time) bool {
-	if refused && rate == 0 {
+// Response is what a response says about the limit of its upstream.
+type Response struct {
+	Rate float64 // limit in requests in a second; 0 if the response names none
+	// Failed is true for a refusal and for the response to a request that failed. Such a
+	// response may lack the limit.
+	Failed bool
+	// Written is when the request was written, and Received when the response arrived.
+	Written, Received time.Time
+}
+
+// Observe records the limit that an upstream names in a response. A limit ends with a response
+// that names none, if its request was written after the limit was last named. Observe returns
+// true if the limit changes.
+func (b *Book) Observe(u upstream.Target, serviceName string, r Response) bool {
+	if r.Failed && r.Rate == 0 {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(u)
 	a.answered = true
-	if rate == 0 && now.Sub(a.namedAt) < limitMemory*b.window {
+	if r.Rate == 0 && r.Written.Before(a.namedAt) {
 		return false
 	}
-	return b.setLimit(a, Limit{Service: serviceName, Started: u.Started, Rate: rate}, now)
+	return b.setLimit(a, Limit{Service: serviceName, Started: u.Started, Rate: r.Rate}, r.Received)
 }
 
 // Learn records limits that other instances know. Limits of upstreams that this instance
@@ -285,9 +291,17 @@
 	id      string
 	account *account
 	written bool
+	at      time.Time // of the last permission to write
 	closed  bool
 }
 
+// Written returns when the request was last permitted to be written; zero if it was not.
+func (t *Ticket) Written() time.Time {
+	t.book.mu.Lock()
+	defer t.book.mu.Unlock()
+	return t.at
+}
+
 // Reserve returns a ticket for a request to an upstream that was chosen for it, or nil if none
 // may be sent now.
 // Close must be called when the request has been answered or has failed.
@@ -323,6 +337,7 @@
 		t.written = true
 		a.reserved--
 	}
+	t.at = now
 	a.sent = append(a.sent, now)
 	return true
 }
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -119,7 +119,7 @@
 			if ticket.Write(f.now) {
 				f.arrivals[e.ID] = append(f.arrivals[e.ID], f.now)
 				f.sends[name]++
-				b.Observe(e, "lm", rate, false, f.now)
+				b.Observe(e, "lm", Response{Rate: rate, Written: f.now, Received: f.now})
 			}
 			ticket.Close()
 			break
@@ -237,7 +237,7 @@
 	It("are forgotten once they have left the window, also without a limit", func() {
 		f := newFleetOf(1, 1, 9)
 		b, e := f.books["i00"], f.engines[0]
-		b.Observe(e, "lm", 0, false, f.now)
+		b.Observe(e, "lm", Response{Written: f.now, Received: f.now})
 		for range 1000 {
 			ticket := b.Reserve(e, f.now)
 			Expect(ticket.Write(f.now)).To(BeTrue())
@@ -257,16 +257,20 @@
 		Expect(b.Available(e, f.now)).To(BeFalse())
 	})
 
-	It("keep a limit that a response does not name for two windows only", func() {
+	// A limit held for two more windows after the upstream had ceased to name it.
+	It("are free again once a response to a later request names no limit", func() {
 		f := newFleetOf(1, 1, 4)
 		b, e := f.books["i00"], f.engines[0]
-		Expect(b.Observe(e, "lm", rate, false, f.now)).To(BeTrue())
-		Expect(b.Observe(e, "lm", 0, false, f.now.Add(2*window-1))).To(BeFalse())
+		named := f.now.Add(time.Second)
+		Expect(b.Observe(e, "lm", Response{Rate: rate, Written: f.now, Received: named})).To(BeTrue())
+		later := named.Add(time.Second)
+		Expect(b.Observe(e, "lm", Response{Written: f.now, Received: later})).To(BeFalse(), "the request was written before the limit was named")
+		Expect(b.Observe(e, "lm", Response{Failed: true, Written: named, Received: later})).To(BeFalse(), "a refusal may lack it")
 		Expect(b.Limits()).To(HaveLen(1))
-		Expect(b.Observe(e, "lm", 0, false, f.now.Add(2*window))).To(BeTrue())
+		Expect(b.Observe(e, "lm", Response{Written: named, Received: later})).To(BeTrue())
 		Expect(b.Limits()).To(BeEmpty())
-		Expect(b.Available(e, f.now)).To(BeTrue())
-		Expect(b.Reports("i00", f.now)).To(BeEmpty())
+		Expect(b.Available(e, later)).To(BeTrue())
+		Expect(b.Reports("i00", later)).To(BeEmpty())
 	})
 
 	It("begin with one at a time, until the upstream has responded or its limit is known", func() {
@@ -277,7 +281,7 @@
 		Expect(b.Reserve(e, f.now)).To(BeNil())
 		first.Close()
 		Expect(b.Reserve(e, f.now)).NotTo(BeNil(), "the first one failed without a response")
-		Expect(b.Observe(e, "lm", 0, true, f.now)).To(BeFalse())
+		Expect(b.Observe(e, "lm", Response{Failed: true, Written: f.now, Received: f.now})).To(BeFalse())
 		Expect(b.Reserve(e, f.now)).To(BeNil(), "a refusal does not show whether there is a limit")
 		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, f.now)
 		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
@@ -298,7 +302,7 @@
 		f := newFleetOf(1, 1, 6)
 		b, e := f.books["i00"], f.engines[0]
 		admitted := b.Reserve(e, f.now)
-		b.Observe(e, "lm", rate, false, f.now)
+		b.Observe(e, "lm", Response{Rate: rate, Written: f.now, Received: f.now})
 		Expect(admitted.Write(f.now)).To(BeFalse())
 		admitted.Close()
 		Expect(b.Reports("i00", f.now)[0].InFlight).To(BeEmpty())
