Units of a limit are rounded up, at least one

An upstream that accepts less than one request in a window had no unit: it got nothing from any instance, and since a limit ends only with a response, it got nothing for good. Rounding down also left up to 8 percent of small limits unused (2.9 a second: 11 in 4 s).

Units are rounded up. A send occupies its unit for 4.25 s where the window is 4 s, so that 2.9 a second are used as 2.82.

Spec: rates of 0.1 and 2.9 failed before.

--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -9,6 +9,7 @@
 package sendlimit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -231,8 +232,10 @@
 	return engines
 }
 
-// units returns the number of requests that an upstream accepts in a window.
-func (b *Book) units(l Limit) int { return int(min(maxUnits, l.Rate*b.window.Seconds())) }
+// units returns the number of requests that an upstream may get in a window. It is rounded up:
+// an upstream that accepts less than one in a window gets one, or its next limit would never be
+// known, and a send occupies a unit for longer than a window.
+func (b *Book) units(l Limit) int { return int(min(maxUnits, math.Ceil(l.Rate*b.window.Seconds()))) }
 
 // used returns the units that this instance occupies at an upstream.
 func (a *account) used(occupied time.Duration, now time.Time) int {
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -287,6 +287,16 @@
 		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
 	})
 
+	// An upstream that accepts one request in ten seconds got none, for good.
+	DescribeTable("are whole requests in a window, at least one",
+		func(rate float64, units int) {
+			b := NewBook(timing, window, "1")
+			b.Learn(Limits{"e00": {Service: "lm", Started: 1, Rate: rate}}, time.Unix(1e6, 0))
+			Expect(b.Engines("lm")).To(Equal([]slots.Engine{{Name: "e00", Slots: units}}))
+		},
+		Entry(nil, 0.1, 1), Entry(nil, 0.25, 1), Entry(nil, 2.9, 12), Entry(nil, 5.0, 20), Entry(nil, 1e9, 2000),
+	)
+
 	// An instance that had not read the list of instances took the whole limit for its fixed
 	// share.
 	It("wait for the list of instances or a grant", func() {
