A holder of the control role that grants nothing yet records reports

A new holder grants nothing for a window, and refused reports before they were recorded, so that it did not know that there had been another process.

Ruled out: units of a process that ends after its holder has begun to grant (they stay reserved), the first request of an instance that has just started (the check allows it).

Reports are recorded from the first one on; several services in one report are all recorded.

--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -47,14 +47,16 @@
 	}
 	g.limitGrants.Begin(lease.Epoch, now)
 	members := g.membership.callerNames()
+	var notReady error
 	for _, r := range report.Reports {
 		answer, err := g.limitGrants.Answer(lease.Epoch, r, members, g.limits.Engines(r.Service), now)
 		if err != nil {
-			return err
+			notReady = err // the reports of other services are recorded
+			continue
 		}
 		grant.Answers = append(grant.Answers, answer)
 	}
-	return nil
+	return notReady
 }
 
 // What delays the start of an instance until it knows the limits.
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -263,7 +263,7 @@
 		gw := d.start("entry-1", nil)
 		request := func() { status("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model) }
 		request()
-		Eventually(func() int { request(); return len(d.engines[0].Arrivals()) }).WithTimeout(2 * window).Should(BeNumerically(">=", 4), "a share is granted")
+		Eventually(func() int { request(); return len(d.engines[0].Arrivals()) }).WithTimeout(2*window).Should(BeNumerically(">=", 4), "a share is granted")
 		Expect(gw.limits.Limits()).To(HaveLen(1))
 		d.engines[0].SetLimit("")
 		Eventually(func() sendlimit.Limits { request(); return gw.limits.Limits() }).WithTimeout(window).Should(BeEmpty())
--- a/sendlimit/grants.go
+++ b/sendlimit/grants.go
@@ -73,7 +73,7 @@
 	if g.epoch == epoch && g.expected != nil {
 		g.expected[r.Member] = now.Add(g.timing.Term)
 	}
-	if g.epoch != epoch || now.Sub(g.since) < g.timing.Hold {
+	if g.epoch != epoch || g.allocators == nil {
 		return slots.Answer{}, ErrNotReady
 	}
 	allocator := g.allocators[r.Service]
@@ -83,5 +83,9 @@
 		g.allocators[r.Service] = allocator
 	}
 	allocator.SetMembers(members, engines, now)
+	if now.Sub(g.since) < g.timing.Hold {
+		allocator.Record(r, now)
+		return slots.Answer{}, ErrNotReady
+	}
 	return allocator.HandleReport(r, now), nil
 }
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -333,6 +333,20 @@
 		Expect(len(f.arrivals["e00"]) - first).To(BeNumerically(">", 20))
 	})
 
+	// The new holder recorded no reports until it granted units, and so knew nothing of what a
+	// process that ended meanwhile had sent within its fixed share.
+	It("stay within the limit when an instance restarts before a new holder grants units", func() {
+		f := newFleetOf(3, 1, 21)
+		all := func(string) int { return 3 }
+		f.run(10*time.Second, all)
+		f.changeHolder()
+		f.run(3*time.Second, all)
+		f.restart("i00")
+		f.books["i00"].Learn(f.limits(), f.now)
+		f.run(5*time.Second, all)
+		Expect(f.greatest()).To(BeNumerically("<=", allowed))
+	})
+
 	DescribeTable("stay within the limit through restarts, cuts and changes of the holder",
 		func(seed uint64) {
 			f := newFleetOf(7, 12, seed)
--- a/slots/allocator.go
+++ b/slots/allocator.go
@@ -87,8 +87,9 @@
 	return now.Sub(m.reportedAt) >= a.timing.Term+a.timing.Hold
 }
 
-// HandleReport records a member's report and returns its new shares.
-func (a *Allocator) HandleReport(r Report, now time.Time) Answer {
+// memberOf returns the state of the process that sent a report, a new one if it has sent none
+// before.
+func (a *Allocator) memberOf(r Report) *memberState {
 	m := a.members[r.Member]
 	if m != nil && m.incarnation != r.Incarnation && a.timing.Hold > 0 {
 		// What the ended process may have in use stays reserved, apart from the new one's.
@@ -100,6 +101,22 @@
 		m = &memberState{incarnation: r.Incarnation, possibleUse: a.fixedShares(r.Member)}
 		a.members[r.Member] = m
 	}
+	return m
+}
+
+// Record records a report without an answer. It is for the time in which the role holder grants
+// nothing yet: a process that ends in it has slots in use all the same.
+func (a *Allocator) Record(r Report, now time.Time) {
+	m := a.memberOf(r)
+	m.reportedAt = now
+	a.lastNumber++
+	m.answerNumber = a.lastNumber // that no report confirms
+	m.possibleUse = maxShares(m.possibleUse, r.InFlight)
+}
+
+// HandleReport records a member's report and returns its new shares.
+func (a *Allocator) HandleReport(r Report, now time.Time) Answer {
+	m := a.memberOf(r)
 	previousUse, previousGrant := m.possibleUse, m.granted
 	applied := r.Applied == m.answerNumber && r.Applied != 0
 	if applied && a.isUnconfirmed(m, now) {
