--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -121,7 +121,8 @@
 	timing := g.settings.limitTiming()
 	holder, next, granted, reportedIdle := "", 0, true, false
 	for ctx.Err() == nil {
-		g.limits.SetMembers(g.membership.callerPosition())
+		position, members := g.membership.callerPosition()
+		g.limits.SetMembers(position, members, g.clock.Now())
 		g.retainLimits()
 		g.notifyOfLimits(ctx)
 		reports := g.limits.Reports(g.settings.Name, g.clock.Now())
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -53,6 +53,8 @@
 	services map[string]*service
 	members  int // instances that share the limits; 0 if not known
 	position int // of this instance among them
+	// fewerSince is when fewer instances than members were first listed; zero if they are not.
+	fewerSince time.Time
 }
 
 // account is the state of one upstream.
@@ -80,12 +82,22 @@
 }
 
 // SetMembers sets the number of instances that share the limits and the position of this
-// one in their order. There are no fixed shares while the number is 0, its initial value.
-func (b *Book) SetMembers(position, members int) {
+// one in their order. There are no fixed shares while the number is 0, its initial value. A
+// smaller number takes effect once the sends of an instance that has left are out of the
+// window; until then the instances that stay keep their shares.
+func (b *Book) SetMembers(position, members int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if members >= b.members {
+		b.fewerSince = time.Time{}
+	} else if b.fewerSince.IsZero() {
+		b.fewerSince = now
+	}
+	if !b.fewerSince.IsZero() && now.Sub(b.fewerSince) < b.occupied() {
+		return
+	}
 	if b.position != position || b.members != members {
-		b.position, b.members = position, members
+		b.position, b.members, b.fewerSince = position, members, time.Time{}
 		b.recomputeFixed()
 	}
 }
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -58,7 +58,7 @@
 func (f *fleetOf) restart(name string) {
 	f.starts++
 	f.books[name] = NewBook(timing, window, fmt.Sprint(f.starts))
-	f.books[name].SetMembers(slices.Index(f.names, name), len(f.names))
+	f.books[name].SetMembers(slices.Index(f.names, name), len(f.names), f.now)
 }
 
 // changeHolder starts another epoch of the control role.
@@ -304,7 +304,7 @@
 		now := time.Unix(1e6, 0)
 		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, now)
 		Expect(b.Available(e, now.Add(time.Minute))).To(BeFalse())
-		b.SetMembers(0, 4)
+		b.SetMembers(0, 4, now)
 		Expect(b.Available(e, now.Add(time.Minute))).To(BeTrue())
 	})
 
@@ -347,6 +347,36 @@
 		Expect(f.greatest()).To(BeNumerically("<=", allowed))
 	})
 
+	// Two instances shared the limit between them as soon as a third one had left, whose sends
+	// were still in the window.
+	It("leave the fixed share of an instance that has left until its sends have left the window", func() {
+		b, e, now := NewBook(timing, window, "1"), upstream.Target{ID: "e00", Started: 1}, time.Unix(1e6, 0)
+		sendAll := func() (sent int) {
+			for {
+				ticket := b.Reserve(e, now)
+				if ticket == nil {
+					return sent
+				}
+				Expect(ticket.Write(now)).To(BeTrue())
+				ticket.Close()
+				sent++
+			}
+		}
+		b.SetMembers(0, 4, now)
+		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, now)
+		now = now.Add(time.Minute)
+		Expect(sendAll()).To(Equal(allowed / 4))
+		b.SetMembers(0, 2, now)
+		now = now.Add(window)
+		b.SetMembers(0, 2, now)
+		Expect(sendAll()).To(BeZero())
+		now = now.Add(windowMargin)
+		b.SetMembers(0, 2, now)
+		Expect(sendAll()).To(Equal(allowed / 2))
+		b.SetMembers(0, 4, now)
+		Expect(b.Available(e, now)).To(BeFalse(), "an instance that joins has its share at once")
+	})
+
 	DescribeTable("stay within the limit through restarts, cuts and changes of the holder",
 		func(seed uint64) {
 			f := newFleetOf(7, 12, seed)
