--- a/gateway/leave_bound_test.go
+++ b/gateway/leave_bound_test.go
@@ -222,4 +222,22 @@
 		d.store.Remove("servers", d.desk.ID)
 		expectNoLateArrival(d.desk, time.Now(), bound)
 	})
+
+	// The instances reach the store again one after the other, and each ends the calls that it
+	// had others relay. These ends were taken for an outage that lasts.
+	It("gets no request after the bound from any instance if the store was lost until shortly before", func() {
+		const bound, outage, contact = 2 * time.Second, 6 * time.Second, 3 * time.Second
+		d := newDeployment(0, 0)
+		for n, domain := range []string{"a", "b", "c"} {
+			reader := d.start(fmt.Sprint("entry-", n), func(s *Settings) { s.LeaveBound, s.LeaseBound, s.Domain = bound, 3*time.Second, domain })
+			DeferCleanup(keepCalling(reader.address))
+		}
+		Eventually(d.desk.Runs).WithTimeout(3 * time.Second).ShouldNot(BeEmpty())
+		d.store.SetFault(func(*http.Request) standin.Fault { return standin.NoReply })
+		time.Sleep(outage)
+		d.store.SetFault(nil)
+		time.Sleep(contact)
+		d.store.Remove("servers", d.desk.ID)
+		expectNoLateArrival(d.desk, time.Now(), bound)
+	})
 })
