What was last said of a limit holds, to whichever instance it was said

Limits now carry the time since the upstream last named them, and the newer statement holds.

Spec: failed before (a limit named later than the last response without one was not learned).

--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -255,7 +255,7 @@
 	received := s.gateway.clock.Now()
 	if args.Kind == platform.KindServers {
 		s.gateway.learnLimits(args.Limits)
-		defer func() { reply.Limits = s.gateway.limits.Limits() }()
+		defer func() { reply.Limits = s.gateway.limits.Limits(s.gateway.clock.Now()) }()
 	}
 	list, err := s.gateway.feed.readCache(ctx, args)
 	if errors.Is(err, errNotFollowed) {
@@ -342,7 +342,7 @@
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+f.queryTimeout(args.Kind))
 	defer cancel()
 	if args.Kind == platform.KindServers {
-		args.Limits = f.gateway.limits.Limits()
+		args.Limits = f.gateway.limits.Limits(f.gateway.clock.Now())
 	}
 	var reply FeedReply
 	sent := f.gateway.clock.Now()
--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -37,7 +37,7 @@
 	g := s.gateway
 	now := g.clock.Now()
 	g.learnLimits(report.Limits)
-	grant.Limits = g.limits.Limits()
+	grant.Limits = g.limits.Limits(g.clock.Now())
 	if len(report.Reports) == 0 {
 		return nil
 	}
@@ -106,7 +106,7 @@
 		maps.DeleteFunc(limits, func(id string, _ sendlimit.Limit) bool { return !registered[id] })
 	}
 	if n := g.limits.Learn(limits, g.clock.Now()); n > 0 {
-		g.log.Info("limits of upstreams learned from another instance", zap.Int("changed", n), zap.Int("known", len(g.limits.Limits())))
+		g.log.Info("limits of upstreams learned from another instance", zap.Int("changed", n), zap.Int("known", len(g.limits.Limits(g.clock.Now()))))
 	}
 }
 
@@ -146,7 +146,7 @@
 // control role. Limits spread by themselves only within a failure domain and to instances that
 // report.
 func (g *Gateway) notifyOfLimits(ctx context.Context) {
-	limits := g.limits.Limits()
+	limits := g.limits.Limits(g.clock.Now())
 	holder, err := g.holder()
 	if err != nil || len(limits) == 0 {
 		return
@@ -193,7 +193,7 @@
 	sent := g.clock.Now()
 	var grant LimitGrant
 	var err error
-	report := LimitReport{Reports: reports, Limits: g.limits.Limits()}
+	report := LimitReport{Reports: reports, Limits: g.limits.Limits(g.clock.Now())}
 	if peer == g.settings.PeerListen {
 		err = (&limitsService{g}).Report(report, &grant)
 	} else {
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -191,10 +191,10 @@
 		waitForMembership(first, second)
 		Eventually(func() sendlimit.Limits {
 			status("POST", first.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)
-			return first.limits.Limits()
+			return first.limits.Limits(first.clock.Now())
 		}).WithTimeout(10 * time.Second).Should(HaveLen(len(d.engines)))
 		third := d.start("entry-2", func(s *Settings) { s.Domain = "b" })
-		Expect(third.limits.Limits()).To(HaveLen(len(d.engines)))
+		Expect(third.limits.Limits(third.clock.Now())).To(HaveLen(len(d.engines)))
 	})
 
 	// The roster and the limits called each other with their locks held, and the instance
@@ -247,10 +247,10 @@
 			}
 		}
 		for _, gw := range all {
-			Eventually(func() int { return len(gw.limits.Limits()) }).WithTimeout(5 * time.Second).Should(Equal(2))
+			Eventually(func() int { return len(gw.limits.Limits(gw.clock.Now())) }).WithTimeout(5 * time.Second).Should(Equal(2))
 		}
 		d.store.Remove("servers", d.engines[0].ID)
-		known := func() []int { return []int{len(all[0].limits.Limits()), len(all[1].limits.Limits())} }
+		known := func() []int { return []int{len(all[0].limits.Limits(all[0].clock.Now())), len(all[1].limits.Limits(all[1].clock.Now()))} }
 		Eventually(known).WithTimeout(3 * window).Should(Equal([]int{1, 1}))
 		Consistently(known, "2s").Should(Equal([]int{1, 1}))
 		all[0].learnLimits(sendlimit.Limits{d.engines[0].ID: {Service: "lm", Started: 1, Rate: rate}}) // from an instance that is behind
@@ -264,9 +264,9 @@
 		request := func() { status("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model) }
 		request()
 		Eventually(func() int { request(); return len(d.engines[0].Arrivals()) }).WithTimeout(2*window).Should(BeNumerically(">=", 4), "a share is granted")
-		Expect(gw.limits.Limits()).To(HaveLen(1))
+		Expect(gw.limits.Limits(gw.clock.Now())).To(HaveLen(1))
 		d.engines[0].SetLimit("")
-		Eventually(func() sendlimit.Limits { request(); return gw.limits.Limits() }).WithTimeout(window).Should(BeEmpty())
+		Eventually(func() sendlimit.Limits { request(); return gw.limits.Limits(gw.clock.Now()) }).WithTimeout(window).Should(BeEmpty())
 		Expect(submit(gw.address, "l1", batchBody(100, 1))).To(Equal(http.StatusAccepted))
 		results(gw.address, "l1", 100)
 		Expect(greatestInWindow(d.engines[0], window)).To(BeNumerically(">", 4*allowed))
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -34,8 +34,9 @@
 // Limit is a limit that an incarnation of an upstream has named.
 type Limit struct {
 	Service string
-	Started int64   // identifies the incarnation
-	Rate    float64 // requests in a second, from all instances together
+	Started int64         // identifies the incarnation
+	Rate    float64       // requests in a second, from all instances together
+	Age     time.Duration // since the upstream last named the limit
 }
 
 // Limits holds limits by the ID of the upstream.
@@ -60,7 +61,8 @@
 // account is the state of one upstream.
 type account struct {
 	limit    Limit     // Rate is 0 while none is known
-	namedAt  time.Time // when the limit was last named in a response, or learned
+	namedAt  time.Time // when the limit was last named in a response to any instance
+	freeAt   time.Time // as of when a response to this instance has last named none
 	answered bool      // the incarnation has responded to this instance or its limit is known
 	open     int       // requests admitted and not yet answered
 	chosen   int       // requests for which the upstream was chosen, not yet admitted
@@ -164,30 +166,37 @@
 	defer b.mu.Unlock()
 	a := b.account(u)
 	a.answered = true
-	if r.Rate == 0 && r.Written.Before(a.namedAt) {
-		return false
+	if r.Rate > 0 {
+		a.namedAt = r.Received
+	} else {
+		if r.Written.Before(a.namedAt) {
+			return false
+		}
+		a.freeAt = r.Written
 	}
 	return b.setLimit(a, Limit{Service: serviceName, Started: u.Started, Rate: r.Rate}, r.Received)
 }
 
-// Learn records limits that other instances know. Limits of upstreams that this instance
-// knows at first hand stay. It returns the number of limits that changed.
+// Learn records limits that other instances know. What this instance knows stays if it is newer.
+// Learn returns the number of limits that changed.
 func (b *Book) Learn(limits Limits, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := 0
 	for id, l := range limits {
-		a := b.accounts[id]
-		switch {
-		case !(l.Rate > 0): // not from an instance of this version
+		if !(l.Rate > 0) { // not from an instance of this version
 			continue
-		case a == nil:
+		}
+		a, namedAt := b.accounts[id], now.Add(-max(0, l.Age))
+		if a == nil {
 			a = &account{}
 			b.accounts[id] = a
-		case a.answered && a.limit.Started >= l.Started, a.limit.Started > l.Started:
+		}
+		known := a.limit.Started == l.Started && (namedAt.Before(a.namedAt) || namedAt.Before(a.freeAt))
+		if known || a.limit.Started > l.Started {
 			continue
 		}
-		a.answered = true
+		a.answered, a.namedAt = true, namedAt
 		if b.setLimit(a, l, now) {
 			changed++
 		}
@@ -199,9 +208,6 @@
 func (b *Book) setLimit(a *account, l Limit, now time.Time) bool {
 	same := a.limit.Rate == l.Rate && (a.limit.Service == l.Service || l.Rate == 0)
 	a.limit = l
-	if l.Rate > 0 {
-		a.namedAt = now
-	}
 	if same {
 		return false
 	}
@@ -213,13 +219,15 @@
 }
 
 // Limits returns the known limits.
-func (b *Book) Limits() Limits {
+func (b *Book) Limits(now time.Time) Limits {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limits := Limits{}
 	for id, a := range b.accounts {
 		if a.limit.Rate > 0 {
-			limits[id] = a.limit
+			l := a.limit
+			l.Age = max(0, now.Sub(a.namedAt))
+			limits[id] = l
 		}
 	}
 	return limits
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -73,7 +73,7 @@
 	all := Limits{}
 	for name, b := range f.books {
 		if !f.cut[name] {
-			for id, l := range b.Limits() {
+			for id, l := range b.Limits(f.now) {
 				all[id] = l
 			}
 		}
@@ -266,13 +266,31 @@
 		later := named.Add(time.Second)
 		Expect(b.Observe(e, "lm", Response{Written: f.now, Received: later})).To(BeFalse(), "the request was written before the limit was named")
 		Expect(b.Observe(e, "lm", Response{Failed: true, Written: named, Received: later})).To(BeFalse(), "a refusal may lack it")
-		Expect(b.Limits()).To(HaveLen(1))
+		Expect(b.Limits(f.now)).To(HaveLen(1))
 		Expect(b.Observe(e, "lm", Response{Written: named, Received: later})).To(BeTrue())
-		Expect(b.Limits()).To(BeEmpty())
+		Expect(b.Limits(f.now)).To(BeEmpty())
 		Expect(b.Available(e, later)).To(BeTrue())
 		Expect(b.Reports("i00", later)).To(BeEmpty())
 	})
 
+	// An instance that had had responses without a limit heard nothing of others, and sent its
+	// next burst unlimited.
+	It("follow what was last said of the limit, to whichever instance", func() {
+		f := newFleetOf(1, 1, 4)
+		b, e := f.books["i00"], f.engines[0]
+		limited := func(age time.Duration) int {
+			return b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate, Age: age}}, f.now)
+		}
+		b.Observe(e, "lm", Response{Written: f.now, Received: f.now})
+		f.now = f.now.Add(time.Second)
+		Expect(limited(2*time.Second)).To(BeZero(), "named before the response")
+		Expect(limited(500 * time.Millisecond)).To(Equal(1))
+		Expect(b.Limits(f.now.Add(time.Second))[e.ID].Age).To(Equal(1500 * time.Millisecond))
+		b.Observe(e, "lm", Response{Written: f.now, Received: f.now})
+		Expect(b.Limits(f.now)).To(BeEmpty())
+		Expect(limited(100 * time.Millisecond)).To(BeZero())
+	})
+
 	It("begin with one at a time, until the upstream has responded or its limit is known", func() {
 		f := newFleetOf(1, 1, 5)
 		b, e := f.books["i00"], f.engines[0]
