One odd entry does not make the list of upstreams unreadable

Report of other operators: another writer leaves an entry among those of the engines that is nested very deeply, or has a number too large or a port out of range, and the machines that read the list end again and again.

Shown here at the sockets, eight kinds of entry: two nested 100,000 deep made the whole list an error, so that an instance never became ready and a running one learned of nothing any more; the process did not end. The others passed. encoding/json rejects a document for one value nested beyond 10,000, and a metadata number out of range failed the whole page.

--- a/gateway/operators_reports_test.go
+++ b/gateway/operators_reports_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -331,3 +332,48 @@
 		Expect(d.store.Calls() - before).To(BeNumerically("<", 2*idle+10))
 	})
 })
+
+// alteredStore serves the store with a part of its responses replaced by other text.
+func (d *deployment) alteredStore(part, by string) string {
+	return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		d.store.ServeHTTP(recorded, r)
+		w.WriteHeader(recorded.Code)
+		_, _ = io.WriteString(w, strings.ReplaceAll(recorded.Body.String(), part, by)) // fails if the caller has left
+	}))
+}
+
+// Another writer left an entry among those of the upstreams that made the list unreadable as a
+// whole, so that nobody learned of upstreams any more.
+var _ = Describe("An odd entry among the registrations", func() {
+	const marker = `"odd"`
+	registration := func(change func(map[string]any)) map[string]any {
+		r := map[string]any{"Service": "desk", "Addr": "127.0.0.1:9", "Zone": "a", "State": "ready", "Slots": 4}
+		change(r)
+		return r
+	}
+	DescribeTable("stops neither the process nor the reading of the others",
+		func(by string, change func(map[string]any)) {
+			d := newDeployment(0, 0)
+			d.store.Set("servers", "a-odd-one", registration(change))
+			address := d.alteredStore(marker, by)
+			gw := d.start("entry-1", func(s *Settings) { s.Store = address })
+			Expect(status("POST", gw.address, "/kits/4", northKey, nil)).To(Equal(http.StatusOK))
+			second := &standin.Engine{ID: "desk-9", Service: "desk", Slots: 4}
+			d.store.Set("servers", second.ID, second.Registration(serve(second), "a", "ready"))
+			Eventually(func() bool { _, ok := gw.roster.Entry(second.ID); return ok }).WithTimeout(5 * time.Second).Should(BeTrue())
+			d.store.Set("servers", "a-odd-two", registration(change))
+			d.store.Remove("servers", second.ID)
+			Eventually(func() bool { _, ok := gw.roster.Entry(second.ID); return ok }).WithTimeout(5 * time.Second).Should(BeFalse())
+			Expect(status("POST", gw.address, "/kits/4", northKey, nil)).To(Equal(http.StatusOK))
+		},
+		Entry("nested very deeply", strings.Repeat("[", 100_000)+strings.Repeat("]", 100_000), func(r map[string]any) { r["Models"] = "odd" }),
+		Entry("nested very deeply in objects", strings.Repeat(`{"a":`, 100_000)+"1"+strings.Repeat("}", 100_000), func(r map[string]any) { r["Other"] = "odd" }),
+		Entry("a number that is too large", "1e999", func(r map[string]any) { r["Slots"] = "odd" }),
+		Entry("a number of many digits", strings.Repeat("9", 1000), func(r map[string]any) { r["Born"] = "odd" }),
+		Entry("a port out of range", `"127.0.0.1:99999"`, func(r map[string]any) { r["Addr"] = "odd" }),
+		Entry("a negative port", `"127.0.0.1:-1"`, func(r map[string]any) { r["Addr"] = "odd" }),
+		Entry("no port", `"127.0.0.1"`, func(r map[string]any) { r["Addr"] = "odd" }),
+		Entry("a value of another type", `[1,{"x":null}]`, func(r map[string]any) { r["Addr"] = "odd" }),
+	)
+})
