Specs of broken streams and heads, as other operators reported

A stream that broke off and whose next engine answers with an error (500 with a text, 503 without a length, 400 as a stream, 200 that is no stream, half a head): no part of the error in the caller's stream, which ends by a reset. An upstream that closes in the middle of its head, at seven places: no caller gets a response of 200. All 12 pass on the code as it is: neither can happen here. The formatting of a spec file is mended as well.

--- a/gateway/operators_reports_test.go
+++ b/gateway/operators_reports_test.go
@@ -377,3 +377,88 @@
 		Entry("a value of another type", `[1,{"x":null}]`, func(r map[string]any) { r["Addr"] = "odd" }),
 	)
 })
+
+// closing ends the connection after it has written text.
+func closing(text string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "@ID", r.Header.Get("X-Pomelocross-Request-Id"))) // the caller may have left
+		conn.Close()
+	}
+}
+
+var _ = Describe("A stream that has begun and broke off", func() {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pomelocross-Request-Id: @ID\r\nX-Pomelocross-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const secret = "the engine's own words"
+
+	// The next engine's error was passed on in the middle of the stream, or the stream ended as
+	// if it were complete.
+	DescribeTable("has no part of the next engine's error in it and is not complete",
+		func(answer string) {
+			d := newDeployment(0, 0)
+			d.setRoute("chat", "Attempts", 3)
+			first, next := &standin.Engine{ID: "engine-0", Service: "lm", Slots: 8}, &standin.Engine{ID: "engine-1", Service: "lm", Slots: 8}
+			var broken atomic.Int64
+			first.SetVersion(model, 1)
+			next.SetVersion(model, 1)
+			address := rawEngine(func(conn net.Conn, r *http.Request) {
+				broken.Add(1)
+				text := ""
+				for n := range 2 {
+					event := fmt.Sprintf("id: %d\ndata: token\n\n", n+1)
+					text += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+				}
+				closing(head+text)(conn, r)
+			})
+			failing := rawEngine(closing(answer))
+			d.store.Set("servers", first.ID, first.Registration(address, "a", "ready"))
+			gw := d.start("entry-1", nil)
+			Eventually(func() bool { _, ok := gw.roster.Entry(first.ID); return ok }).WithTimeout(3 * time.Second).Should(BeTrue())
+			d.store.Set("servers", next.ID, next.Registration(failing, "a", "ready"))
+			Eventually(func() bool { _, ok := gw.roster.Entry(next.ID); return ok }).WithTimeout(3 * time.Second).Should(BeTrue())
+			begun := 0
+			for range 6 {
+				a, err := call("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)
+				Expect(string(a.Body)).NotTo(ContainSubstring("HTTP/1.1"))
+				if a.Status == http.StatusOK {
+					begun++
+					Expect(err).To(HaveOccurred(), "a stream without its end must not look complete")
+					Expect(string(a.Body)).NotTo(ContainSubstring(secret))
+				}
+			}
+			Expect(begun).To(BeNumerically(">", 0))
+			Expect(broken.Load()).To(BeNumerically(">", 0))
+		},
+		Entry("500 with a text", "HTTP/1.1 500 Internal Server Error\r\nX-Pomelocross-Request-Id: @ID\r\nContent-Length: 22\r\n\r\n"+secret),
+		Entry("503 without a length", "HTTP/1.1 503 Service Unavailable\r\nX-Pomelocross-Request-Id: @ID\r\nConnection: close\r\n\r\n"+secret),
+		Entry("400 as a stream of events", "HTTP/1.1 400 Bad Request\r\nContent-Type: text/event-stream\r\nX-Pomelocross-Request-Id: @ID\r\nTransfer-Encoding: chunked\r\n\r\n16\r\n"+secret+"\r\n0\r\n\r\n"),
+		Entry("200 that is no stream", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Pomelocross-Request-Id: @ID\r\nX-Pomelocross-Server-Seal: s\r\nContent-Length: 22\r\n\r\n"+secret),
+		Entry("half a head", "HTTP/1.1 200 OK\r\nContent-Type: text/ev"),
+	)
+})
+
+var _ = Describe("An upstream that stops in the middle of the head of its response", func() {
+	// Callers got a 200 with an empty or short body that looked complete.
+	DescribeTable("gives no caller a response",
+		func(head string) {
+			d := newDeployment(0, 0)
+			d.setRoute("chat", "Attempts", 2)
+			d.registerDesk(rawEngine(closing(head)))
+			engine := &standin.Engine{ID: "engine-0", Service: "lm", Slots: 8}
+			engine.SetVersion(model, 1)
+			d.store.Set("servers", engine.ID, engine.Registration(rawEngine(closing(head)), "a", "ready"))
+			gw := d.start("entry-1", nil)
+			Eventually(func() bool { _, ok := gw.roster.Entry(engine.ID); return ok }).WithTimeout(3 * time.Second).Should(BeTrue())
+			for range 3 {
+				Expect(status("POST", gw.address, "/kits/4", northKey, nil)).To(BeNumerically(">=", 500))
+				Expect(status("POST", gw.address, "/chat/1", northKey, nil, "X-Pomelocross-Model", model)).To(BeNumerically(">=", 500))
+			}
+		},
+		Entry("nothing at all", ""),
+		Entry("in the status line", "HTTP/1.1 2"),
+		Entry("after the status line", "HTTP/1.1 200 OK\r\n"),
+		Entry("in the name of a header", "HTTP/1.1 200 OK\r\nContent-Le"),
+		Entry("in the value of a header", "HTTP/1.1 200 OK\r\nX-Pomelocross-Request-Id: @ID\r\nContent-Length: 1"),
+		Entry("before the empty line", "HTTP/1.1 200 OK\r\nX-Pomelocross-Request-Id: @ID\r\nX-Pomelocross-Server-Seal: s\r\nContent-Length: 0\r\n"),
+		Entry("before the second end of line", "HTTP/1.1 200 OK\r\nX-Pomelocross-Request-Id: @ID\r\nX-Pomelocross-Server-Seal: s\r\nContent-Length: 0\r\n\r"),
+	)
+})
--- a/gateway/send_limits_test.go
+++ b/gateway/send_limits_test.go
@@ -250,7 +250,9 @@
 			Eventually(func() int { return len(gw.limits.Limits(gw.clock.Now())) }).WithTimeout(5 * time.Second).Should(Equal(2))
 		}
 		d.store.Remove("servers", d.engines[0].ID)
-		known := func() []int { return []int{len(all[0].limits.Limits(all[0].clock.Now())), len(all[1].limits.Limits(all[1].clock.Now()))} }
+		known := func() []int {
+			return []int{len(all[0].limits.Limits(all[0].clock.Now())), len(all[1].limits.Limits(all[1].clock.Now()))}
+		}
 		Eventually(known).WithTimeout(3 * window).Should(Equal([]int{1, 1}))
 		Consistently(known, "2s").Should(Equal([]int{1, 1}))
 		all[0].learnLimits(sendlimit.Limits{d.engines[0].ID: {Service: "lm", Started: 1, Rate: rate}}) // from an instance that is behind
