Upstreams that have just started are not held to one request at a time

The rule: an upstream that has not responded to an instance, and of which nobody has named a limit, gets one request of it at a time. It held back all instances from each engine that had just started, and longer from one that refused while it loaded weights.

It is needed only while an instance may have missed what others know: until one of them has answered its question, which is repeated until then.

--- a/gateway/send_limits.go
+++ b/gateway/send_limits.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,19 +68,26 @@
 	limitsQueryTimeout = 250 * time.Millisecond
 )
 
-// askForLimits asks a few other instances for the limits that they know, so that an instance
-// knows them before its first request.
-func (g *Gateway) askForLimits(ctx context.Context) {
+// learnLimitsAtStart asks other instances for the limits that they know, once the list of
+// instances has been read, so that an instance knows them before its first request.
+func (g *Gateway) learnLimitsAtStart(ctx context.Context) (informed bool) {
 	defer g.limitsAsked.Store(true)
 	select {
 	case <-g.membership.read:
 	case <-g.clock.After(membershipWait):
 	case <-ctx.Done():
 	}
+	return g.askForLimits(ctx)
+}
+
+// askForLimits asks a few other instances for the limits that they know. It returns true if one
+// has answered or there are no others.
+func (g *Gateway) askForLimits(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, limitsQueryTimeout)
 	defer cancel()
 	peers := g.relayCandidates()
 	var queries sync.WaitGroup
+	var answered atomic.Bool
 	for _, peer := range peers[:min(maxHolderQueries, len(peers))] {
 		queries.Go(func() {
 			var known LimitGrant
@@ -87,10 +95,16 @@
 			g.counters.Add("limits", err)
 			if err == nil {
 				g.learnLimits(known.Limits)
+				answered.Store(true)
 			}
 		})
 	}
 	queries.Wait()
+	if answered.Load() || len(peers) == 0 && g.membership.listed() {
+		g.limits.SetInformed()
+		return true
+	}
+	return false
 }
 
 // limitTiming returns the timing of the grants.
@@ -117,10 +131,11 @@
 // runLimitReports reports this instance's sends to the holder of the control role while any
 // limit is known, until ctx ends. Instances without callers send nothing.
 func (g *Gateway) runLimitReports(ctx context.Context) {
-	g.askForLimits(ctx)
+	informed := g.learnLimitsAtStart(ctx)
 	timing := g.settings.limitTiming()
 	holder, next, granted, reportedIdle := "", 0, true, false
 	for ctx.Err() == nil {
+		informed = informed || g.askForLimits(ctx)
 		position, members := g.membership.callerPosition()
 		g.limits.SetMembers(position, members, g.clock.Now())
 		g.retainLimits()
--- a/sendlimit/sendlimit.go
+++ b/sendlimit/sendlimit.go
@@ -52,8 +52,9 @@
 	mu       sync.Mutex // guards all below
 	accounts map[string]*account
 	services map[string]*service
-	members  int // instances that share the limits; 0 if not known
-	position int // of this instance among them
+	members  int  // instances that share the limits; 0 if not known
+	position int  // of this instance among them
+	informed bool // limits that other instances know are known here
 	// fewerSince is when fewer instances than members were first listed; zero if they are not.
 	fewerSince time.Time
 }
@@ -280,8 +281,17 @@
 	return shares[id]
 }
 
-// Available reports whether a request may be sent to an upstream now. An upstream that may
-// have a limit gets one request of this instance at a time until it has responded.
+// SetInformed records that the limits that other instances know are known here, or that there
+// are no others.
+func (b *Book) SetInformed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.informed = true
+}
+
+// Available reports whether a request may be sent to an upstream now. Until SetInformed, an
+// upstream that has not responded to this instance gets one request at a time, since it may
+// have named a limit to others.
 func (b *Book) Available(u upstream.Target, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -291,7 +301,7 @@
 // available is Available for a caller that holds mu.
 func (b *Book) available(id string, a *account, now time.Time) bool {
 	if a.limit.Rate == 0 {
-		return a.answered || a.open+a.chosen == 0
+		return b.informed || a.answered || a.open+a.chosen == 0
 	}
 	if a.used(b.occupied(), now) < b.share(id, a, now) {
 		return true
--- a/sendlimit/sendlimit_test.go
+++ b/sendlimit/sendlimit_test.go
@@ -326,6 +326,19 @@
 		Expect(b.Available(e, now.Add(time.Minute))).To(BeTrue())
 	})
 
+	// An upstream that had just started got one request of each instance until it had responded,
+	// although nobody could know of a limit.
+	It("begin at once if the limits that others know are known", func() {
+		f := newFleetOf(1, 1, 5)
+		b, e := f.books["i00"], f.engines[0]
+		Expect(b.Reserve(e, f.now)).NotTo(BeNil())
+		Expect(b.Reserve(e, f.now)).To(BeNil())
+		b.SetInformed()
+		Expect(b.Reserve(e, f.now)).NotTo(BeNil())
+		b.Learn(Limits{e.ID: {Service: "lm", Started: 1, Rate: rate}}, f.now)
+		Expect(b.Reserve(e, f.now)).To(BeNil(), "no share was granted yet")
+	})
+
 	It("are not written if the share has become smaller since they were admitted", func() {
 		f := newFleetOf(1, 1, 6)
 		b, e := f.books["i00"], f.engines[0]
