--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -244,16 +244,7 @@
 // register registers an engine and renews the registration.
 func (d *deployment) register(e *engine) {
 	store := d.store
-	write := func() {
-		var models []object
-		for _, m := range e.models {
-			models = append(models, object{"Name": m, "Version": 1, "Adapters": []string{}})
-		}
-		store.Set("servers", e.id, object{
-			"Service": e.service, "Addr": e.addr, "Zone": e.zone, "Version": "1", "Slots": e.slots, "State": "ready", "ColdLeftMs": 0,
-			"Seq": time.Now().UnixMilli(), "born": e.born, "Stage": "both", "Models": models,
-		})
-	}
+	write := func() { store.Set("servers", e.id, e.registration()) }
 	write()
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
@@ -262,6 +253,24 @@
 	}()
 }
 
+// registration returns the object that registers the engine.
+func (e *engine) registration() object {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var models []object
+	for _, m := range e.models {
+		models = append(models, object{"Name": m, "Version": 1, "Adapters": []string{}})
+	}
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	return object{
+		"Service": e.service, "Addr": e.addr, "Zone": e.zone, "Version": "1", "Slots": e.slots, "State": state, "ColdLeftMs": 0,
+		"Seq": time.Now().UnixMilli(), "born": e.born, "Stage": "both", "Models": models,
+	}
+}
+
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -27,11 +27,12 @@
 	// closed.
 	handle func(c *engineConn, r *http.Request, body []byte) bool
 
-	mu      sync.Mutex // guards all below
-	placed  int        // requests that have a slot or a place in the queue
-	free    chan struct{}
-	answers int // complete answers sent
-	extras  int // second copies sent or planned
+	mu       sync.Mutex // guards all below
+	draining bool
+	placed   int // requests that have a slot or a place in the queue
+	free     chan struct{}
+	answers  int // complete answers sent
+	extras   int // second copies sent or planned
 	// copyOf selects the answers of which a second copy is sent, late.
 	copyOf func(status int) bool
 	runs   []itemRun
