--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -112,7 +112,7 @@
 	}
 	if !e.enter() {
 		e.rec.logf("engine %s: is full and did not run %s: 503 with Not-Run", e.id, id)
-		return c.answer(id, http.StatusServiceUnavailable, "X-Pomelocross-Not-Run: 1\r\n", "full\n")
+		return c.answer(id, http.StatusServiceUnavailable, "X-Pomelocross-Not-Run: 1\r\n", "")
 	}
 	defer e.leave()
 	e.free <- struct{}{}
--- a/review/harness/jobs.go
+++ b/review/harness/jobs.go
@@ -285,8 +285,14 @@
 // while the machine is frozen from which the others of the zone learn of changes. Each round
 // has a deployment of its own.
 func newRoute(d *deployment, trouble bool) (breaches []string) {
-	const rounds = 11
+	const (
+		rounds    = 11
+		lastBegin = 92 * time.Second // no round begins later
+	)
 	for n := range rounds {
+		if time.Since(d.rec.start) > lastBegin {
+			break
+		}
 		d.rec.logf("round %d", n+1)
 		breaches = append(breaches, newRouteRound(d, trouble)...)
 		d.stopAll()
