An owner that is behind runs a batch on its route as accepted

Cause: dispatch took a route that is missing from the configuration for a route that has ended. The owner may only be behind the instance that accepted the batch. The head did not say under which configuration that was.

Ruled out: engines (no run of these items), the age limit (no log line of it).

Change: the head keeps the route as accepted and the version of the configuration. An older configuration uses that route; one as new or newer without the route ends it, which is logged once per batch. Age limits come from the same route, and an expiry is postponed if the route allows more by then. A service that the older configuration lacks keeps its name.

Why it works: whether a route has ended is decided only by a configuration that is at least as new as the one under which the batch was accepted.

--- a/batch/belief_test.go
+++ b/batch/belief_test.go
@@ -106,7 +106,7 @@
 	})
 
 	submit := func(ctx context.Context, sub *Submission) {
-		_, err := owner.SubmitHere(ctx, SubmitArgs{sub, "t", "r"}, time.Now())
+		_, err := owner.SubmitHere(ctx, SubmitArgs{Submission: sub, Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 	}
 
--- a/batch/checkpoint_test.go
+++ b/batch/checkpoint_test.go
@@ -24,7 +24,7 @@
 		store = memstore.New()
 		s := newIdleService(store, "a")
 		r = s.runner
-		_, err := s.SubmitHere(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())
+		_, err := s.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 1), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		due = checkpoint{job: r.jobs["l"], texts: map[string]Partial{"l-0": {Events: 1, Text: "old", Versions: []int64{1}}}}
 	})
--- a/batch/headnotice_test.go
+++ b/batch/headnotice_test.go
@@ -33,7 +33,7 @@
 	)
 	BeforeEach(func(ctx SpecContext) {
 		store = memstore.New()
-		_, err := newIdleService(store, "a").SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		_, err := newIdleService(store, "a").SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		b = newIdleService(store, "b")
 	})
--- a/batch/heads_test.go
+++ b/batch/heads_test.go
@@ -34,7 +34,7 @@
 	It("is applied by an instance that loads the batch from an older head", func(ctx SpecContext) {
 		store := memstore.New()
 		a, b := newIdleService(store, "a"), newIdleService(store, "b")
-		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		h, err := b.store.Head(ctx, "l")
 		Expect(err).NotTo(HaveOccurred())
@@ -48,7 +48,7 @@
 	It("is detected after a gap in the change history, and the watch continues from the current version", func(ctx SpecContext) {
 		store := memstore.New()
 		a := newIdleService(store, "a")
-		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		h, err := a.store.UpdateHead(ctx, "l", func(h *Head) bool { h.Ended = true; return true })
 		Expect(err).NotTo(HaveOccurred())
@@ -81,7 +81,7 @@
 		peers := &forgetfulPeers{owner: owner}
 		peers.failures.Store(2)
 		other.peers = peers
-		_, err := owner.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		_, err := owner.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(other.End(ctx, "l", "t")).To(Succeed())
 		Eventually(owner.runner.Open).WithTimeout(2 * time.Second).Should(BeZero())
--- a/batch/job.go
+++ b/batch/job.go
@@ -93,7 +93,7 @@
 }
 
 // job is a batch that this instance runs. It is guarded by Runner.mu, except for id, sub,
-// due, expires and flush, which do not change.
+// due and flush, which do not change.
 type job struct {
 	id         string // of the batch
 	head       Stored
@@ -121,6 +121,7 @@
 	untrustedLogged bool
 	confirming      bool      // a read of the head is in progress
 	confirmAfter    time.Time // no read of the head starts before, after one that failed
+	routeEndLogged  bool
 }
 
 // Limits are the time limits of a batch, relative to the current time.
--- a/batch/ownership_test.go
+++ b/batch/ownership_test.go
@@ -22,8 +22,9 @@
 	r := NewRunner(Options{
 		Name: name, Peer: name, Store: NewStore(store, name), Roster: roster.New(), Catalog: func() *catalog.Catalog { return nil },
 		Clock: clockwork.NewRealClock(), Log: zap.NewNop(), Retention: time.Minute, RetentionBytes: 1 << 20,
+		LimitsOf: func(Head) Limits { return Limits{Due: time.Second, MaxAge: time.Minute} },
 	})
-	return NewService(r, store, unresponsivePeers{}, func(string) Limits { return Limits{Due: time.Second, MaxAge: time.Minute} })
+	return NewService(r, store, unresponsivePeers{})
 }
 
 // refusingPeers simulates peers that refuse connections.
@@ -58,7 +59,7 @@
 	BeforeEach(func(ctx SpecContext) {
 		store := memstore.New()
 		a, b = newIdleService(store, "a"), newIdleService(store, "b")
-		Expect(a.Submit(ctx, SubmitArgs{submission("l", 4), "t", "r"}, time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{Submission: submission("l", 4), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		_, err := a.store.Append(ctx, "l", 0, completeResults("l-0"))
 		Expect(err).NotTo(HaveOccurred())
 		a.runner.jobs["l"].results.Apply(completeResults("l-0"))
@@ -121,9 +122,9 @@
 	It("are removed from memory and from the store after their expired items are abandoned", func(ctx SpecContext) {
 		store := memstore.New()
 		a := newIdleService(store, "a")
-		a.limitsOf = func(string) Limits { return Limits{} }
+		a.runner.LimitsOf = func(Head) Limits { return Limits{} }
 		a.runner.Retention = 50 * time.Millisecond
-		Expect(a.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		a.runner.cleanUp()
 		Eventually(func() int { page, _ := a.Read(ctx, ReadArgs{ID: "l", Team: "t"}); return len(page.Results) }).Should(Equal(2))
 		page, err := a.Read(ctx, ReadArgs{ID: "l", Team: "t"})
@@ -145,7 +146,7 @@
 	It("does not take over a batch from the owner named in the store", func(ctx SpecContext) {
 		store := memstore.New()
 		former, owner, reader := newIdleService(store, "former"), newIdleService(store, "owner"), newIdleService(store, "reader")
-		Expect(former.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(former.Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		_, err := reader.remote(ctx, "l")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = owner.claim(ctx, "l", ownedByAny)
@@ -162,7 +163,7 @@
 	It("takes the batch over from an owner that refuses connections", func(ctx SpecContext) {
 		store := memstore.New()
 		unavailable, reader := newIdleService(store, "unavailable"), newIdleService(store, "reader")
-		Expect(unavailable.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(unavailable.Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		reader.peers = refusingPeers{}
 		_, err := reader.Read(ctx, ReadArgs{ID: "l", Team: "t"})
 		Expect(err).NotTo(HaveOccurred())
@@ -176,7 +177,7 @@
 	It("is taken over once", func(ctx SpecContext) {
 		store := memstore.New()
 		failed := newIdleService(store, "failed")
-		Expect(failed.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(failed.Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		_, err := failed.store.Append(ctx, "l", 0, completeResults("l-0"))
 		Expect(err).NotTo(HaveOccurred())
 		previous, err := failed.store.Head(ctx, "l")
@@ -198,7 +199,7 @@
 
 	It("is run by its owner again if that has only restarted", func(ctx SpecContext) {
 		store := memstore.New()
-		Expect(newIdleService(store, "a").Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(newIdleService(store, "a").Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		restarted := newIdleService(store, "a")
 		_, err := restarted.ReadHere(ctx, ReadArgs{ID: "l", Team: "t"})
 		Expect(err).NotTo(HaveOccurred())
@@ -207,7 +208,7 @@
 
 	It("is not claimed back by an owner that was replaced before it restarted", func(ctx SpecContext) {
 		store := memstore.New()
-		Expect(newIdleService(store, "a").Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(newIdleService(store, "a").Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		restarted, successor := newIdleService(store, "a"), newIdleService(store, "b")
 		_, err := restarted.remote(ctx, "l") // the head as cached before the takeover
 		Expect(err).NotTo(HaveOccurred())
@@ -225,7 +226,7 @@
 	It("is measured by the wall clock of the runner", func(ctx SpecContext) {
 		store := memstore.New()
 		a, b := newIdleService(store, "a"), newIdleService(store, "b")
-		Expect(a.Submit(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())).To(Succeed())
+		Expect(a.Submit(ctx, SubmitArgs{Submission: submission("l", 1), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		b.runner.Wall = func() time.Time { return time.Now().Add(45 * time.Second) }
 		_, err := b.claim(ctx, "l", ownedByAny)
 		Expect(err).NotTo(HaveOccurred())
@@ -251,7 +252,7 @@
 	It("stays with its next owner", func(ctx SpecContext) {
 		store := memstore.New()
 		stopping, successor := newIdleService(store, "a"), newIdleService(store, "b")
-		Expect(stopping.Submit(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())).To(Succeed())
+		Expect(stopping.Submit(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())).To(Succeed())
 		stopping.peers = adoptingPeers{successor: successor}
 		stopping.handOverBatch(ctx, "l", unfinishedBatch{})
 		h, err := successor.store.Head(ctx, "l")
--- a/batch/reward_test.go
+++ b/batch/reward_test.go
@@ -124,6 +124,7 @@
 
 	newRunner := func(name string) *Runner {
 		r := newIdleService(store, name).runner
+		r.LimitsOf = func(Head) Limits { return limits }
 		r.Rewards = rewards
 		r.Catalog = func() *catalog.Catalog {
 			return catalog.New(1, routes, []catalog.Service{{Name: "desk"}, {Name: "lm"}}, nil, catalog.Limits{})
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -34,7 +34,9 @@
 	Engines upstream.Forwarder
 	Rewards RewardCaller
 	Catalog func() *catalog.Catalog // returns nil until a catalog is available
-	Clock   clockwork.Clock
+	// LimitsOf returns the limits of a batch by its route as now known.
+	LimitsOf func(Head) Limits
+	Clock    clockwork.Clock
 	// Wall returns the wall clock time corrected for steps of the machine's clock. It
 	// is used for the age of stored batches. The default is time.Now.
 	Wall func() time.Time
@@ -147,8 +149,9 @@
 	defer r.logTrusts(now)
 	noCapacity := map[requirement]bool{}
 	for _, q := range r.queue() {
-		route, ok := config.Route(q.job.head.Route)
+		route, ok := q.job.head.RouteIn(config)
 		if !ok {
+			r.logRouteEnded(q.job, config)
 			q.job.recordResult(Result{ID: q.state.item.ID, State: Dead})
 			continue
 		}
@@ -157,6 +160,20 @@
 	r.dispatchRewards(ctx, config, now)
 }
 
+// logRouteEnded logs, once for each job, that its route has ended. The caller holds mu.
+func (r *Runner) logRouteEnded(j *job, config *catalog.Catalog) {
+	if j.routeEndLogged {
+		return
+	}
+	j.routeEndLogged = true
+	var accepted int64
+	if j.head.Accepted != nil {
+		accepted = j.head.Accepted.Config
+	}
+	r.Log.Info("route of the batch has ended; its waiting items are abandoned", zap.String("batch", j.id), zap.String("route", j.head.Route),
+		zap.Int64("config", config.Version), zap.Int64("acceptedUnder", accepted))
+}
+
 // tryStart sends one item if an engine has capacity for it. noCapacity collects the
 // requirements for which no engine has capacity. The caller holds mu.
 func (r *Runner) tryStart(ctx context.Context, q queuedItem, route catalog.Route, config *catalog.Catalog, noCapacity map[requirement]bool, now time.Time) {
@@ -168,7 +185,7 @@
 	if noCapacity[required] || q.job.awaitsConfirmation(now, r.trusts(q.job, now)) {
 		return
 	}
-	need := r.need(q.job, q.state, config.Services[service])
+	need := r.need(q.job, q.state, config.Service(service))
 	need.Avoid = map[string]bool{q.state.avoid: true}
 	choice, ok := r.Roster.Pick(need, now)
 	if !ok && q.state.avoid != "" {
@@ -329,7 +346,7 @@
 // by slowRatio has capacity for it.
 func (r *Runner) fasterEngineAvailable(j *job, s *itemState, now time.Time) bool {
 	config := r.Catalog()
-	return config != nil && r.Roster.HasFaster(r.need(j, s, config.Services[s.running.service]), s.running.upstream, slowRatio, now)
+	return config != nil && r.Roster.HasFaster(r.need(j, s, config.Service(s.running.service)), s.running.upstream, slowRatio, now)
 }
 
 // engineAvailable reports whether another engine has capacity for the item.
@@ -338,7 +355,7 @@
 	if config == nil {
 		return false
 	}
-	need := r.need(j, s, config.Services[s.running.service])
+	need := r.need(j, s, config.Service(s.running.service))
 	need.Avoid = map[string]bool{s.running.upstream: true}
 	_, ok := r.Roster.Pick(need, now)
 	return ok
@@ -381,7 +398,7 @@
 			ended = append(ended, j)
 			bytes += j.results.bytes
 		case now.After(j.expires):
-			r.expireItems(j)
+			r.expireItems(j, now)
 		}
 	}
 	slices.SortFunc(ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
@@ -395,8 +412,13 @@
 }
 
 // expireItems abandons the queued items of a job that has exceeded the maximum age of
-// its route. Their result is Dead. The caller holds mu.
-func (r *Runner) expireItems(j *job) {
+// its route. Their result is Dead. If the configuration has raised that age since the job
+// was added, its expiry is postponed instead. The caller holds mu.
+func (r *Runner) expireItems(j *job, now time.Time) {
+	if expires := now.Add(r.LimitsOf(j.head.Head).remaining(j.head.Age(r.Wall())).MaxAge); expires.After(now) {
+		j.expires = expires
+		return
+	}
 	for id, s := range j.items {
 		if s.running == nil && s.reward.cancel == nil {
 			r.Log.Info("item exceeded the maximum age of its route and is abandoned", zap.String("batch", j.head.ID), zap.String("item", id), zap.Int("sendings", s.attempts))
--- a/batch/service.go
+++ b/batch/service.go
@@ -59,13 +59,11 @@
 	runner *Runner
 	// heads is the store from which heads are listed and watched; its data may be some
 	// seconds old.
-	heads objects.Store
-	store *Store
-	peers Peers
-	log   *zap.Logger
-	// limitsOf returns the limits of a new batch of a route.
-	limitsOf func(route string) Limits
-	claims   singleflight.Group
+	heads  objects.Store
+	store  *Store
+	peers  Peers
+	log    *zap.Logger
+	claims singleflight.Group
 
 	mu           sync.Mutex // guards all below
 	remotes      map[string]*remoteBatch
@@ -91,10 +89,9 @@
 )
 
 // NewService returns a Service for the batches of runner and of other instances. heads is
-// the store from which heads are listed and watched; limitsOf returns the limits of a
-// new batch of a route.
-func NewService(runner *Runner, heads objects.Store, peers Peers, limitsOf func(string) Limits) *Service {
-	return &Service{runner: runner, heads: heads, store: runner.Store, peers: peers, log: runner.Log, limitsOf: limitsOf, remotes: map[string]*remoteBatch{}, backoffUntil: map[string]time.Time{}}
+// the store from which heads are listed and watched.
+func NewService(runner *Runner, heads objects.Store, peers Peers) *Service {
+	return &Service{runner: runner, heads: heads, store: runner.Store, peers: peers, log: runner.Log, remotes: map[string]*remoteBatch{}, backoffUntil: map[string]time.Time{}}
 }
 
 // Read returns results of a team's batch, on whichever instance it runs. If the owner
@@ -486,7 +483,7 @@
 		if err != nil {
 			return h, err
 		}
-		s.runner.Add(h, sub, results, partials, s.limitsOf(h.Route).remaining(h.Age(s.runner.Wall())))
+		s.runner.Add(h, sub, results, partials, s.runner.LimitsOf(h.Head).remaining(h.Age(s.runner.Wall())))
 		return h, nil
 	})
 	h, _ := claimed.(Stored)
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -15,7 +15,8 @@
 type SubmitArgs struct {
 	Submission *Submission
 	Team       string
-	Route      string
+	Route      string      // name of the route
+	Accepted   *Acceptance // nil in calls of instances of an older version
 }
 
 // ErrDeclined means that an instance has not accepted a batch and will not run it.
@@ -109,7 +110,7 @@
 	if sub == nil || sub.ID == "" {
 		return Stored{}, oops.In("batch").With("step", "submit").Wrap(errNoSubmission)
 	}
-	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: args.Team, Route: args.Route, Submitted: now.UnixMilli()}
+	h := Head{Owner: s.runner.Name, Peer: s.runner.Peer, Team: args.Team, Route: args.Route, Accepted: args.Accepted, Submitted: now.UnixMilli()}
 	began := s.runner.Clock.Now()
 	stored, created, err := s.store.Create(ctx, sub, h)
 	stored.readAt = began
@@ -125,7 +126,7 @@
 	s.log.Info("batch accepted", zap.String("batch", sub.ID), zap.String("team", args.Team), zap.Int64("step", sub.Step),
 		zap.Int("items", len(sub.Items)), zap.Int64("leastVersion", sub.MinVersion), zap.Bool("again", !created), zap.String("owner", stored.Owner))
 	if created {
-		s.runner.Add(stored, sub, NewResultLog(len(sub.Items)), nil, s.limitsOf(args.Route))
+		s.runner.Add(stored, sub, NewResultLog(len(sub.Items)), nil, s.runner.LimitsOf(stored.Head))
 	}
 	return stored, nil
 }
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -41,7 +41,7 @@
 		a, b  *Service
 		peers *singleOwnerPeers
 	)
-	args := func(id string) SubmitArgs { return SubmitArgs{submission(id, 2), "t", "r"} }
+	args := func(id string) SubmitArgs { return SubmitArgs{Submission: submission(id, 2), Team: "t", Route: "r"} }
 
 	BeforeEach(func() {
 		store = memstore.New()
@@ -107,7 +107,7 @@
 		store := memstore.New()
 		a, b = newIdleService(store, "a"), newIdleService(store, "b")
 		b.peers = stoppingPeers{owner: a}
-		_, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		a.runner.mu.Lock()
 		a.runner.stopping = true
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -48,7 +48,7 @@
 			errs = append(errs, err)
 			continue
 		}
-		age := s.limitsOf(h.Route).MaxAge + s.runner.Retention + sweepMargin
+		age := s.runner.LimitsOf(h.Head).MaxAge + s.runner.Retention + sweepMargin
 		responsible := h.Owner == s.runner.Name || h.Owner == "" || h.Age(now) > orphanFactor*age
 		if !responsible || h.Age(now) < age || s.runner.Runs(h.ID) {
 			continue
--- a/batch/types.go
+++ b/batch/types.go
@@ -12,7 +12,11 @@
 //   - A result is returned to readers only after its chunk is stored.
 package batch
 
-import "time"
+import (
+	"time"
+
+	"github.com/pomelocross/pomelocross/catalog"
+)
 
 // Item is one request of a batch.
 type Item struct {
@@ -103,6 +107,28 @@
 	Parts     int    `json:"parts"`     // number of stored parts of the submission
 	Items     int    `json:"items"`     // number of items in the submission
 	Ended     bool   `json:"ended,omitempty"`
+	// Accepted is nil in heads that were stored by versions without it.
+	Accepted *Acceptance `json:"accepted,omitempty"`
+}
+
+// Acceptance is the route of a batch as it was when the batch was accepted.
+type Acceptance struct {
+	Config int64         `json:"config"` // version of the configuration
+	Route  catalog.Route `json:"route"`
+}
+
+// RouteIn returns the route of the batch in a configuration, which is nil if none is known.
+// It returns false if the configuration has no such route any more. In a configuration that
+// is older than the one under which the batch was accepted, the route as accepted holds: it
+// may have been added or changed since.
+func (h Head) RouteIn(config *catalog.Catalog) (catalog.Route, bool) {
+	if h.Accepted != nil && (config == nil || config.Version < h.Accepted.Config) {
+		return h.Accepted.Route, true
+	}
+	if config == nil {
+		return catalog.Route{}, false
+	}
+	return config.Route(h.Route)
 }
 
 // Age returns the time since the submission. now is a wall clock time.
--- a/batch/write_test.go
+++ b/batch/write_test.go
@@ -35,7 +35,7 @@
 	It("is stored without access to the head", func(ctx SpecContext) {
 		store := memstore.New()
 		a := newIdleService(store, "a")
-		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())
+		h, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 1), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		proceed := make(chan struct{})
 		store.Fault = func(string, string, bool) memstore.Fault { <-proceed; return memstore.None }
@@ -52,7 +52,7 @@
 	It("is read from another writer without access to the head", func(ctx SpecContext) {
 		store := memstore.New()
 		a := newIdleService(store, "a")
-		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 2), "t", "r"}, time.Now())
+		h, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		_, err = a.store.Append(ctx, "l", 0, completeResults("l-0"))
 		Expect(err).NotTo(HaveOccurred())
@@ -69,7 +69,7 @@
 
 	It("does not share its head with the log of an attempt", func(ctx SpecContext) {
 		a := newIdleService(memstore.New(), "a")
-		h, err := a.SubmitHere(ctx, SubmitArgs{submission("l", 1), "t", "r"}, time.Now())
+		h, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 1), Team: "t", Route: "r"}, time.Now())
 		Expect(err).NotTo(HaveOccurred())
 		j := a.runner.jobs["l"]
 		q := queuedItem{job: j, state: j.items["l-0"]}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -24,31 +24,32 @@
 // Share is a service of a route with its weight among the services of that route.
 // A weight below 0 counts as 0.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
-// Route defines how requests for a host and path prefix are handled.
+// Route defines how requests for a host and path prefix are handled. Its JSON form is stored
+// with batches; durations are in nanoseconds.
 type Route struct {
-	Name   string
-	Host   string // matched without regard to case
-	Prefix string // of the path; begins and ends with a slash
-	Kind   Kind
-	Shares []Share // at least one
+	Name   string  `json:"name"`
+	Host   string  `json:"host"`   // matched without regard to case
+	Prefix string  `json:"prefix"` // of the path; begins and ends with a slash
+	Kind   Kind    `json:"kind"`
+	Shares []Share `json:"shares"` // at least one
 	// Attempts limits how many upstreams one request is sent to.
-	Attempts int
-	Timeout  time.Duration // maximum time until the response; 0 means no limit
-	Goal     time.Duration // target response time; a later response has less value for the caller
-	Priority int           // 0 is the highest
-	Open     bool          // requests need no key
+	Attempts int           `json:"attempts"`
+	Timeout  time.Duration `json:"timeout,omitempty"`  // maximum time until the response; 0 means no limit
+	Goal     time.Duration `json:"goal,omitempty"`     // target response time; a later response has less value for the caller
+	Priority int           `json:"priority,omitempty"` // 0 is the highest
+	Open     bool          `json:"open,omitempty"`     // requests need no key
 	// Resumable allows a stream to continue on another upstream after its last event.
-	Resumable bool
+	Resumable bool `json:"resumable,omitempty"`
 	// Due is the time after the submission of a batch at which all its results are due.
-	Due time.Duration
+	Due time.Duration `json:"due,omitempty"`
 	// MaxAge is the time after the submission of an item from which it may be abandoned.
-	MaxAge time.Duration
+	MaxAge time.Duration `json:"maxAge,omitempty"`
 	// SingleVersion requires each result to come from a single weight version.
-	SingleVersion bool
+	SingleVersion bool `json:"singleVersion,omitempty"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -139,6 +140,14 @@
 	return Route{}, false
 }
 
+// Service returns the service with the given name. A service that the configuration does not
+// declare has a name only.
+func (c *Catalog) Service(name string) Service {
+	s := c.Services[name]
+	s.Name = name
+	return s
+}
+
 // HasHost reports whether the host has a route.
 func (c *Catalog) HasHost(host string) bool { return len(c.routesByHost[strings.ToLower(host)]) > 0 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,11 +112,11 @@
 	}
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Store: batch.NewStore(g.store, incarnation),
-		Roster: g.roster, Engines: admitted, Rewards: g.forward, Catalog: g.catalog.Load, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
+		Roster: g.roster, Engines: admitted, Rewards: g.forward, Catalog: g.catalog.Load, LimitsOf: g.batchLimits, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
 		Record: counters.recordItem, RecordReward: counters.recordReward, RecordHeadAge: counters.recordHeadAge, EndBound: s.EndBound,
 		Retention: s.Keep, RetentionBytes: resultMemoryBytes(s.MemoryMB),
 	})
-	g.batches = batch.NewService(g.runner, g.feed, &peerClient{g}, g.batchLimits)
+	g.batches = batch.NewService(g.runner, g.feed, &peerClient{g})
 	g.controlLease = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
 	g.controlLease.SetPollFactor(g.membership.pollFactor)
 	return g, errors.Join(g.peerServer.Register("Batches", &batchesService{g}), g.peerServer.Register("Store", &storeService{g}),
@@ -157,15 +157,16 @@
 	return memoryMB << 20 / resultMemoryDivisor
 }
 
-// batchLimits returns the limits for batches of a route.
-func (g *Gateway) batchLimits(route string) batch.Limits {
-	limits := batch.Limits{Due: 10 * time.Second, MaxAge: time.Minute} // defaults, also for a route that no longer exists
-	c := g.catalog.Load()
-	if c == nil {
-		return limits
-	}
-	r, ok := c.Route(route)
-	if !ok {
+// batchLimits returns the limits of a batch by its route. For a route that no longer exists,
+// those of the route as accepted hold.
+func (g *Gateway) batchLimits(h batch.Head) batch.Limits {
+	limits := batch.Limits{Due: 10 * time.Second, MaxAge: time.Minute} // defaults
+	r, ok := h.RouteIn(g.catalog.Load())
+	switch {
+	case ok:
+	case h.Accepted != nil:
+		r = h.Accepted.Route
+	default:
 		return limits
 	}
 	// The age of a batch is measured with the clocks of two machines, which may
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -165,7 +165,7 @@
 	}
 	switch {
 	case route.Kind == catalog.KindRollout:
-		g.serveSubmission(w, r, route, team, body)
+		g.serveSubmission(w, r, batch.Acceptance{Config: c.Version, Route: route}, team, body)
 	case route.Kind == catalog.KindStream:
 		g.serveStream(w, r, g.request(r, caller, route, team, body))
 	default:
@@ -267,8 +267,9 @@
 // batchRetryAfter returns a retry delay with jitter.
 func batchRetryAfter() time.Duration { return batchRetryMin + rand.N(batchRetryJitter) }
 
-// serveSubmission accepts a batch. The caller's request ID is the ID of the batch.
-func (g *Gateway) serveSubmission(w http.ResponseWriter, r *http.Request, route catalog.Route, team catalog.Team, body []byte) {
+// serveSubmission accepts a batch under a route. The caller's request ID is the ID of the
+// batch.
+func (g *Gateway) serveSubmission(w http.ResponseWriter, r *http.Request, accepted batch.Acceptance, team catalog.Team, body []byte) {
 	if r.Method != http.MethodPost {
 		g.reject(w, r, rejection{status: http.StatusMethodNotAllowed, reason: "batches are posted"})
 		return
@@ -284,7 +285,8 @@
 	}
 	// The caller's cancellation is ignored: a batch that is stored must run even if
 	// its caller has disconnected.
-	err = g.batches.Submit(context.WithoutCancel(r.Context()), batch.SubmitArgs{Submission: sub, Team: team.Name, Route: route.Name}, g.wall.Now())
+	args := batch.SubmitArgs{Submission: sub, Team: team.Name, Route: accepted.Route.Name, Accepted: &accepted}
+	err = g.batches.Submit(context.WithoutCancel(r.Context()), args, g.wall.Now())
 	if err != nil {
 		g.reject(w, r, submissionRejection(err))
 		return
