A response is compared with its request before it is used

Cause: the item sender judged the status before the ID; load, limits and the sign of leaving were taken from the response earlier still. net/http reuses the connection of a response without a body before its receiver has seen it, so that the response that was due could go to one more request.

Ruled out: the engines (no 422 or 500 to these items in their record).

Change: upstream.Client.SendChecked compares the ID first. A foreign response is an error that says nothing about the request in hand; it is no attempt against an item. Its connection is closed, and a request that was already assigned to it is not written.

Why it works: nothing of a response is read before it is known to be one to this request, and no later request can get what it displaced.

--- a/batch/belief_test.go
+++ b/batch/belief_test.go
@@ -34,7 +34,7 @@
 		return nil, &upstream.SendError{NotSent: true, Err: errors.New("not permitted")}
 	}
 	e.sent.Add(1)
-	return &upstream.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
+	return &upstream.Reply{Status: http.StatusServiceUnavailable, ID: f.ID, NotRun: true, Body: http.NoBody}, nil
 }
 
 // unfitRewards responds to each reward call without a reward. It asks for permission like a
--- a/batch/send.go
+++ b/batch/send.go
@@ -34,8 +34,6 @@
 	return [...]string{"complete", "refused", "failed", "rejected", "broken", "unfit", "canceled"}[o]
 }
 
-var errOtherItem = errors.New("response belongs to another request")
-
 // hashFraction maps an item ID to [0, 1). It distributes items over the services of a
 // split route so that an item always goes to the same service.
 func hashFraction(id string) float64 {
@@ -53,6 +51,9 @@
 		return r.attemptFailed(ctx, q, choice, err)
 	}
 	defer response.Body.Close()
+	if err := upstream.CheckID(response.ID, f.ID); err != nil {
+		return r.attemptFailed(ctx, q, choice, err)
+	}
 	if response.Occupancy != nil {
 		r.Roster.SetLoad(choice.ID, *response.Occupancy, r.Clock.Now())
 	}
@@ -63,7 +64,7 @@
 	return result
 }
 
-// readResponse checks the status, ID and weight version of a response and reads its events.
+// readResponse checks the status and weight version of a response and reads its events.
 func (r *Runner) readResponse(ctx context.Context, q queuedItem, response *upstream.Reply, choice roster.Choice) outcome {
 	now := r.Clock.Now()
 	switch {
@@ -75,8 +76,6 @@
 		r.Roster.MarkFailed(choice.ID, now)
 		r.logItem(q, choice, "engine responded to an item with an error", zap.Int("status", response.Status))
 		return outcomeFailed
-	case response.ID != q.state.item.ID:
-		return r.attemptFailed(ctx, q, choice, errOtherItem)
 	}
 	version := response.Version
 	if version == 0 {
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -136,26 +136,45 @@
 // Send sends r with body, without automatic retries by net/http. The caller must
 // close the body of the response. Errors are of type *SendError.
 func (c *Client) Send(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
-	return c.SendPermitted(ctx, r, body, nil)
+	return c.SendChecked(ctx, r, body, Checks{})
 }
 
-// SendPermitted is Send with a Permit as in Forward.
-func (c *Client) SendPermitted(ctx context.Context, r *http.Request, body []byte, permit func() bool) (*http.Response, error) {
+// Checks are decisions of the caller of SendChecked during the exchange; each may be nil.
+type Checks struct {
+	Permit func() bool // as in Forward
+	// Accept returns an error if a response does not belong to the request. The response is
+	// then dropped, and its connection carries no further request.
+	Accept func(*http.Response) error
+}
+
+// SendChecked is Send with checks.
+func (c *Client) SendChecked(ctx context.Context, r *http.Request, body []byte, checks Checks) (*http.Response, error) {
 	setSingleUseBody(r, body)
-	return c.sendTracked(ctx, r, &sendTracker{permit: permit})
+	return c.sendTracked(ctx, r, checks)
 }
 
 // send sends r, whose body is already set. Errors are of type *SendError.
 func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
-	return c.sendTracked(ctx, r, &sendTracker{})
+	return c.sendTracked(ctx, r, Checks{})
 }
 
-func (c *Client) sendTracked(ctx context.Context, r *http.Request, tracker *sendTracker) (*http.Response, error) {
+func (c *Client) sendTracked(ctx context.Context, r *http.Request, checks Checks) (*http.Response, error) {
+	tracker := &sendTracker{permit: checks.Permit}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
 	resp, err := c.http.Do(r.WithContext(tracker.withTrace(ctx)))
 	if err != nil {
 		wrapped := oops.In("upstream").With("step", "send", "peer", r.URL.Host).Wrap(err)
-		return nil, &SendError{NotSent: tracker.notSent(), Err: wrapped}
+		notSent := tracker.notSent()
+		tracker.decide(false)
+		return nil, &SendError{NotSent: notSent, Err: wrapped}
+	}
+	if checks.Accept != nil {
+		err = checks.Accept(resp)
+	}
+	tracker.decide(err == nil)
+	if err != nil {
+		_ = resp.Body.Close() // the response is dropped
+		return nil, &SendError{Err: oops.In("upstream").With("step", "accept response", "peer", r.URL.Host, "status", resp.StatusCode).Wrap(err)}
 	}
 	return resp, nil
 }
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -64,11 +65,26 @@
 // the maximum that it processes concurrently.
 type Occupancy struct{ Running, Waiting, Slots int }
 
-// Forwarder forwards requests to upstreams. Errors are of type *SendError.
+// Forwarder forwards requests to upstreams. Errors are of type *SendError; they wrap
+// ErrOtherRequest if the response belongs to another request.
 type Forwarder interface {
 	Forward(ctx context.Context, to Target, f Forward) (*Reply, error)
 }
 
+// ErrOtherRequest is the cause of an error for a response that belongs to another request, as
+// a late second copy of an earlier response does. It says nothing about the request that was
+// sent: that may have run.
+var ErrOtherRequest = errors.New("response belongs to another request")
+
+// CheckID returns ErrOtherRequest unless a response with the ID got belongs to the request
+// with the ID sent. Nothing else of a response may be used before.
+func CheckID(got, sent string) error {
+	if got != sent {
+		return ErrOtherRequest
+	}
+	return nil
+}
+
 // Event is one event of a streamed response.
 type Event struct {
 	ID   int64
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -40,6 +40,7 @@
 var (
 	errWritesBlocked = errors.New("writes on the connection are blocked because its request was abandoned")
 	errNotPermitted  = errors.New("the request is no longer to be sent")
+	errRejected      = errors.New("the connection is closed because its last response was rejected")
 )
 
 // trackedConn counts the bytes written to an upstream. HTTP/1 has one request in
@@ -51,11 +52,31 @@
 	started int64       // bytes that were or are being passed to the kernel
 	blocked bool        // no further write may start
 	permit  func() bool // Permit of a request of which no byte was written yet; may be nil
+	verdict *verdict    // on the response to the last request; nil before the first
+	// previous is the verdict for which the first write of a request waits; nil if it has
+	// started. net/http may reuse a connection before the receiver of a response without a
+	// body has seen it.
+	previous *verdict
+}
+
+// verdict is the decision whether a response belongs to its request.
+type verdict struct {
+	done     chan struct{} // closed when decided
+	accepted bool          // valid once done is closed
+}
+
+func (v *verdict) decide(accepted bool) {
+	v.accepted = accepted
+	close(v.done)
 }
 
 // Write implements net.Conn. It counts bytes before it writes them: if a request is
 // abandoned during a write, it must not be reported as not sent.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if !c.awaitVerdict() {
+		c.blockWrites(c.startedBytes())
+		return 0, errRejected
+	}
 	if permit := c.takePermit(); permit != nil && !permit() {
 		c.blockWrites(c.startedBytes())
 		return 0, errNotPermitted
@@ -70,13 +91,34 @@
 	return n, err
 }
 
-// beginRequest sets the Permit of the next request and returns the number of bytes counted
-// before it.
-func (c *trackedConn) beginRequest(permit func() bool) int64 {
+// beginRequest sets the Permit of the next request. It returns the number of bytes counted
+// before the request and the verdict on its response, which the caller must decide if the
+// request gets one.
+func (c *trackedConn) beginRequest(permit func() bool) (int64, *verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.permit = permit
-	return c.started
+	c.previous, c.verdict = c.verdict, &verdict{done: make(chan struct{})}
+	return c.started, c.verdict
+}
+
+// awaitVerdict waits for the verdict on the response before the current request, once. It
+// returns false if that response was rejected: what the connection brings next belongs to an
+// earlier request.
+func (c *trackedConn) awaitVerdict() bool {
+	c.mu.Lock()
+	previous := c.previous
+	c.mu.Unlock()
+	if previous == nil {
+		return true
+	}
+	<-previous.done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if previous.accepted {
+		c.previous = nil
+	}
+	return previous.accepted
 }
 
 // takePermit returns the Permit of the request that is about to be written, once.
@@ -133,8 +175,9 @@
 
 	mu          sync.Mutex // guards all below; gotConn may run on another goroutine
 	conn        *trackedConn
-	startOffset int64 // bytes written to conn before this request
-	sentEarlier bool  // on a previous connection
+	startOffset int64    // bytes written to conn before this request
+	verdict     *verdict // on the response on conn
+	sentEarlier bool     // on a previous connection
 }
 
 // withTrace returns a context that reports the connections of a request to t.
@@ -148,11 +191,26 @@
 	defer t.mu.Unlock()
 	if t.conn != nil {
 		t.sentEarlier = t.sentEarlier || !t.conn.blockWrites(t.startOffset)
+		t.verdict.decide(false) // net/http has given the connection up
 	}
 	t.conn, _ = info.Conn.(*trackedConn)
 	if t.conn != nil {
-		t.startOffset = t.conn.beginRequest(t.permit)
+		t.startOffset, t.verdict = t.conn.beginRequest(t.permit)
+	}
+}
+
+// decide records whether the request got a response that was accepted. Otherwise its
+// connection is closed: the next response on it may belong to any earlier request.
+func (t *sendTracker) decide(accepted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return
+	}
+	if !accepted {
+		_ = t.conn.Close() // nothing more is expected on it
 	}
+	t.verdict.decide(accepted)
 }
 
 // notSent reports whether no byte of the request was sent. If so, none will be sent
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -1,9 +1,11 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -159,6 +161,77 @@
 	})
 })
 
+var _ = Describe("A connection that brought the response to another request", func() {
+	// The response that was due came next and was taken for that to the next request. Without
+	// a body, net/http reuses the connection before the receiver sees the response.
+	DescribeTable("carries no further request", func(ctx SpecContext, body string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		const copyAt = 5 // request of each connection that gets the copy of an earlier response
+		var copies, after atomic.Int32
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return // the test has closed the listener
+				}
+				go func() {
+					defer conn.Close()
+					requests, first := bufio.NewReader(conn), ""
+					for n := 1; ; n++ {
+						r, err := http.ReadRequest(requests)
+						if err != nil {
+							return
+						}
+						if _, err := io.Copy(io.Discard, r.Body); err != nil {
+							return
+						}
+						id := r.Header.Get("Id")
+						switch {
+						case n == 1:
+							first = id
+						case n == copyAt:
+							copies.Add(1)
+							id = first
+						case n > copyAt:
+							after.Add(1)
+						}
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body) // the client may have closed it
+					}
+				}()
+			}
+		}()
+		client := upstream.NewClient()
+		var callers sync.WaitGroup
+		for caller := range 8 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for n := range 200 {
+					id := fmt.Sprint(caller, "-", n)
+					r, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String(), nil)
+					Expect(err).NotTo(HaveOccurred())
+					r.Header.Set("Id", id)
+					accept := func(resp *http.Response) error { return upstream.CheckID(resp.Header.Get("Id"), id) }
+					resp, err := client.SendChecked(ctx, r, nil, upstream.Checks{Accept: accept})
+					if err != nil {
+						Expect(isNotSent(err) || errors.Is(err, upstream.ErrOtherRequest)).To(BeTrue(), err.Error())
+						continue
+					}
+					_, _ = io.Copy(io.Discard, resp.Body) // lets the connection be reused
+					resp.Body.Close()
+				}
+			})
+		}
+		callers.Wait()
+		Expect(copies.Load()).To(BeNumerically(">", 50))
+		Expect(after.Load()).To(BeZero())
+	},
+		Entry("without a body", ""),
+		Entry("with a body", "busy"),
+	)
+})
+
 var _ = Describe("A request that is no longer to be sent", func() {
 	// It was decided on, waited for its connection and was sent seconds later.
 	It("is not written to a new or a kept connection, and is reported as not sent", func(ctx SpecContext) {
@@ -175,7 +248,7 @@
 		send := func(permit func() bool) error {
 			r, err := http.NewRequest(http.MethodPost, server.URL, nil)
 			Expect(err).NotTo(HaveOccurred())
-			resp, err := client.SendPermitted(ctx, r, []byte("item"), permit)
+			resp, err := client.SendChecked(ctx, r, []byte("item"), upstream.Checks{Permit: permit})
 			if err == nil {
 				resp.Body.Close()
 			}
@@ -197,7 +270,7 @@
 		body := []byte(strings.Repeat("a", 1<<20)) // written in several parts
 		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/orders", nil)
 		Expect(err).NotTo(HaveOccurred())
-		resp, err := client.SendPermitted(ctx, r, body, func() bool { asked++; return true })
+		resp, err := client.SendChecked(ctx, r, body, upstream.Checks{Permit: func() bool { asked++; return true }})
 		Expect(err).NotTo(HaveOccurred())
 		resp.Body.Close()
 		Expect(asked).To(Equal(1))
