Requests and streams are not judged by the response to another request

Ruled out: a retry after a break: the forwarder's log has "refused" for the attempt, and the engine's record a run.

Change: exchange and attempt compare the ID first, whichever Forwarder they use. The outcome is Unknown: a request that must not run twice gets 502, one that may be repeated goes to the next upstream.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -241,8 +241,7 @@
 }
 
 var (
-	errOtherRequest = errors.New("response belongs to another request")
-	errUnsigned     = errors.New("response is not signed by the upstream")
+	errUnsigned = errors.New("response is not signed by the upstream")
 )
 
 // exchange sends a request to one upstream and reads the complete response.
@@ -252,6 +251,9 @@
 		return f.sendFailed(ctx, to, err)
 	}
 	defer reply.Body.Close()
+	if err := upstream.CheckID(reply.ID, forward.ID); err != nil {
+		return attemptResult{upstream: to.ID, outcome: f.incomplete(ctx, to), err: err}
+	}
 	if reply.Occupancy != nil {
 		f.Roster.SetLoad(to.ID, *reply.Occupancy, f.Clock.Now())
 	}
@@ -263,8 +265,6 @@
 		f.Roster.MarkFull(to.ID, f.Clock.Now(), refusalBackoff)
 	case err != nil, len(body) > maxResponseBytes:
 		r.outcome = f.incomplete(ctx, to)
-	case reply.ID != forward.ID:
-		r.outcome, r.err = f.incomplete(ctx, to), errOtherRequest
 	case reply.Status >= http.StatusInternalServerError:
 		r.outcome = Failed
 		f.Roster.MarkFailed(to.ID, f.Clock.Now())
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -47,8 +47,8 @@
 	return &upstream.Reply{Status: http.StatusOK, ID: id, Signature: "s", Header: http.Header{"X-Seal": {"s"}}, Body: io.NopCloser(bytes.NewReader([]byte(body)))}
 }
 
-func refusedReply() *upstream.Reply {
-	return &upstream.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Header: http.Header{}, Body: io.NopCloser(&bytes.Buffer{})}
+func refusedReply(id string) *upstream.Reply {
+	return &upstream.Reply{Status: http.StatusServiceUnavailable, ID: id, NotRun: true, Header: http.Header{}, Body: io.NopCloser(&bytes.Buffer{})}
 }
 
 var errReset = &upstream.SendError{Err: errors.New("connection reset")}
@@ -91,8 +91,8 @@
 	})
 
 	It("that every upstream refuses returns immediately with a Retry-After delay", func(ctx SpecContext) {
-		f := &fakeUpstreams{respond: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
-			return refusedReply(), nil
+		f := &fakeUpstreams{respond: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
+			return refusedReply(r.ID), nil
 		}}
 		start := time.Now()
 		response := newForwarder(f, 3).Do(ctx, request(unsafe))
@@ -129,6 +129,27 @@
 		Eventually(cancelled).Should(BeClosed())
 	})
 
+	// The second copy of another request's refusal, late, was taken for the response: the
+	// request was sent again, or was reported as not run, while the first upstream ran it.
+	DescribeTable("that must not run twice is not judged by the response to another request", func(ctx SpecContext, reply *upstream.Reply) {
+		f := &fakeUpstreams{respond: func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
+			return reply, nil
+		}}
+		Expect(newForwarder(f, 3).Do(ctx, request(unsafe)).Status).To(Equal(http.StatusBadGateway))
+		Expect(f.count()).To(Equal(1))
+		stream := unsafe
+		stream.Kind = catalog.KindStream
+		response := newForwarder(f, 3).Stream(ctx, request(stream), nil)
+		Expect(response.Status).To(Equal(http.StatusBadGateway))
+		Expect(response.Header).To(BeNil())
+		Expect(f.count()).To(Equal(2))
+	},
+		Entry("a refusal", refusedReply("r0")),
+		Entry("a refusal without an ID", refusedReply("")),
+		Entry("an error", &upstream.Reply{Status: http.StatusInternalServerError, ID: "r0", Header: http.Header{}, Body: http.NoBody}),
+		Entry("a misdirected request", &upstream.Reply{Status: http.StatusMisdirectedRequest, ID: "r0", NotRun: true, Misdirected: true, Header: http.Header{}, Body: http.NoBody}),
+	)
+
 	DescribeTable("rejects an incomplete response or one to another request", func(ctx SpecContext, reply func(id string) *upstream.Reply) {
 		f := &fakeUpstreams{respond: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
 			return reply(r.ID), nil
@@ -180,8 +201,8 @@
 		counted := 0
 		forwarder := newForwarder(f, 2)
 		forwarder.OnRun = func(string, time.Time) { counted++ }
-		f.respond = func(context.Context, upstream.Target, upstream.Forward) (*upstream.Reply, error) {
-			return refusedReply(), nil
+		f.respond = func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
+			return refusedReply(r.ID), nil
 		}
 		forwarder.Do(ctx, request(safe))
 		Expect(counted).To(BeZero())
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -153,12 +153,13 @@
 		return r.outcome, nil, err
 	}
 	defer reply.Body.Close()
+	if err := upstream.CheckID(reply.ID, s.request.ID); err != nil {
+		return f.incomplete(ctx, choice), nil, err
+	}
 	switch {
 	case reply.NotRun:
 		f.Roster.MarkFull(choice.ID, now, refusalBackoff)
 		return Refused, nil, nil
-	case reply.ID != s.request.ID:
-		return f.incomplete(ctx, choice), nil, errOtherRequest
 	case reply.Status != http.StatusOK:
 		return s.handleNonStream(ctx, choice, reply)
 	}
