--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,34 +279,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// shutdownReserve is the part of the shutdown grace period that is kept for the
-// writes at the end of a shutdown.
-const shutdownReserve = 1500 * time.Millisecond
-
-// stop shuts the instance down: it fails the readiness check, hands batches over to
-// other instances, accepts requests until the load balancer sends no more, and then
-// waits for the running requests.
-func (g *Gateway) stop(server *http.Server) {
-	g.log.Info("stopping", zap.Int("batches", g.runner.Open()))
-	g.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), g.currentSettings.Load().Grace-shutdownReserve)
-	defer cancel()
-	var handovers sync.WaitGroup
-	handovers.Go(func() { g.unregister(ctx) })
-	handovers.Go(func() { g.batches.Handover(ctx) })
-	handovers.Go(func() { g.releaseControl(ctx) })
-	g.clock.Sleep(g.currentSettings.Load().DrainGrace)
-	// This must precede the closing of connections. The server may treat a connection
-	// as idle and close it although it has just read the next request from it; that
-	// request must not reach an upstream.
-	g.closing.Store(true)
-	server.SetKeepAlivesEnabled(false)
-	if err := server.Shutdown(ctx); err != nil {
-		g.log.Warn("shutdown deadline reached with requests still running", telemetry.Error(err))
-	}
-	handovers.Wait()
-	writeCtx, cancelWrites := context.WithTimeout(context.Background(), shutdownReserve)
-	defer cancelWrites()
-	g.publishTally(writeCtx) // ctx may have ended with the requests
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -648,7 +648,10 @@
 	// of the requests, and failed when a request had lasted until then.
 	It("are stored at a stop whose time for requests has run out", func() {
 		d := newDeployment(0, 0)
-		gw := d.start("entry-1", func(s *Settings) { longWindow(s); s.Grace = shutdownReserve + time.Millisecond })
+		d.desk.SetFault(func(string) standin.Fault { return standin.NoReply })
+		gw := d.start("entry-1", func(s *Settings) { longWindow(s); s.Grace = time.Second })
+		go status("POST", gw.address, "/kits/4", southKey, nil) // lasts until the cut
+		Eventually(func() int { return len(d.desk.Runs()) }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 		gw.meter.count("north", gw.wall.Now())
 		gw.stop()
 		Eventually(gw.done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -68,8 +68,6 @@
 	return err
 }
 
-var errStopping = errors.New("this instance is stopping")
-
 // Body returns the body of an item of a batch that runs or has run on this instance.
 func (b *batchesService) Body(args batch.BodyArgs, reply *[]byte) error {
 	body, ok := b.gateway.runner.Body(args.ID, args.Team, args.Item)
