What a planned stop cuts is answered, and what could outlast it is rejected

Other operators report requests that were passed on late in the grace period of a stop and cut with no answer, among them such as must not be repeated.

Cause: all requests were admitted until connections were closed, also those that may take longer than the instance lives; what still ran at the end was cut by the end of the process. Shown here: with 2.5 s of 4 s left to run, an unsafe request was passed on; running ones got no response.

Ruled out: requests that cross the close of a kept connection (they are rejected before they are passed on, as before).

Change: while it stops, the instance admits a request that must not be repeated only if its longest run ends before the cut, any other in the first 3 s, and later only if it ends before the cut; the rest is rejected at once as not run. At the cut, requests are cancelled and answered 504 (503 if nothing was sent); only a stream that has begun is broken off.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,8 +74,12 @@
 	usageOutage       outage // of writes of usage counts
 	versions          *versionTable
 	noticeRecipients  noticeRecipients
-	draining          atomic.Bool // the readiness check fails
-	closing           atomic.Bool // new requests are rejected because connections are being closed
+	draining          atomic.Bool              // the readiness check fails
+	closing           atomic.Bool              // new requests are rejected because connections are being closed
+	stopping          atomic.Pointer[stopPlan] // nil until the instance stops
+	// requests is the context of all requests of callers; cutRequests cancels it.
+	requests    context.Context
+	cutRequests context.CancelCauseFunc
 }
 
 // New returns an instance that opens no listeners until Run is called.
@@ -97,6 +101,7 @@
 	g.currentSettings.Store(s)
 	g.membership = newMembership(s)
 	g.background, g.stopBackground = context.WithCancel(context.Background())
+	g.requests, g.cutRequests = context.WithCancelCause(context.Background())
 	g.store = objects.NewRelay(g.directStore, g.relay, g.storePathChanged)
 	g.feed = newFeed(g)
 	g.engines.OnLeaving = g.upstreamLeaves
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -650,13 +650,15 @@
 		d := newDeployment(0, 0)
 		d.desk.SetFault(func(string) standin.Fault { return standin.NoReply })
 		gw := d.start("entry-1", func(s *Settings) { longWindow(s); s.Grace = time.Second })
-		go status("POST", gw.address, "/kits/4", southKey, nil) // lasts until the cut
+		last := make(chan int, 1)
+		go func() { last <- status("POST", gw.address, "/kits/4", southKey, nil) }()
 		Eventually(func() int { return len(d.desk.Runs()) }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 		gw.meter.count("north", gw.wall.Now())
 		gw.stop()
 		Eventually(gw.done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
 		gw.done <- nil // for the cleanup of start
-		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1}))
+		Expect(<-last).To(Equal(http.StatusGatewayTimeout), "the request lasted until the cut")
+		Expect(stored(gw)).To(Equal(map[string]int64{"north": 1, "south": 1}))
 	})
 })
 
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -43,6 +43,7 @@
 	return &http.Server{
 		Handler: httpdrain.Handler(g.instrument(batchPathsOr(mux, http.HandlerFunc(g.serveRouted)))), ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: callerHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return g.requests },
 	}
 }
 
@@ -158,6 +159,10 @@
 		g.reject(w, r, rejection{status: http.StatusUnauthorized, reason: "unknown key"})
 		return
 	}
+	if route.Kind != catalog.KindRollout && !g.admitsWhileStopping(route, caller.Budget) {
+		g.reject(w, r, rejectionStopping)
+		return
+	}
 	body, rejected := readBody(w, r, c.Limits)
 	if rejected != nil {
 		g.reject(w, r, *rejected)
@@ -227,7 +232,7 @@
 // servePlain forwards a request that has a single, buffered response.
 func (g *Gateway) servePlain(w http.ResponseWriter, r *http.Request, request forward.Request) {
 	response := g.forward.Do(r.Context(), request)
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !isCut(r) {
 		g.log.Info("caller disconnected", zap.String("request", request.ID), zap.Int("sent", response.Tally.Sent))
 		panic(http.ErrAbortHandler)
 	}
@@ -239,7 +244,7 @@
 		g.log.Info("no upstream responded to the request; rejecting it", zap.String("request", request.ID), zap.String("route", request.Route.Name), zap.String("team", request.Team),
 			zap.Duration("budget", request.Budget), zap.Duration("timeout", request.Route.Timeout), zap.Int("sent", response.Tally.Sent),
 			zap.Int("open", response.Tally.Open), zap.Int("refused", response.Tally.Refused), zap.Bool("mayHaveRun", response.Tally.MayHaveRun))
-		g.reject(w, r, rejection{response.Status, "no upstream answered", response.RetryAfter})
+		g.reject(w, r, unanswered(r, response))
 		return
 	}
 	g.log.Info("upstream responded to the request", zap.String("request", request.ID), zap.String("route", request.Route.Name), zap.String("team", request.Team),
@@ -252,6 +257,16 @@
 	}
 }
 
+// unanswered returns the rejection of a request that was given up without an upstream's
+// response.
+func unanswered(r *http.Request, response forward.Response) rejection {
+	reason := "no upstream answered"
+	if isCut(r) {
+		reason = "the instance stops, and no upstream had answered"
+	}
+	return rejection{response.Status, reason, response.RetryAfter}
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/catalog"
+	"github.com/pomelocross/pomelocross/forward"
 	"github.com/pomelocross/pomelocross/telemetry"
 )
 
@@ -16,12 +18,16 @@
 	// stopReserveDivisor is the divisor of the grace period that gives the part at its end in
 	// which no request runs any more. Requests may only be cut in the last sixth of the period.
 	stopReserveDivisor = 10
-	// maxStopReserve bounds that part. It has room for one write of usage counts, which takes some
-	// ten milliseconds.
+	// maxStopReserve bounds that part. It has room for the responses to the requests that are
+	// cut and for one write of usage counts, which take some ten milliseconds each.
 	maxStopReserve = time.Second
+	// cutAllowedArrival is the time from the begin of a stop within which a request has to
+	// arrive to be cut at the end of the grace period.
+	cutAllowedArrival = 3 * time.Second
 )
 
-// errStopping is the error of calls that an instance rejects because it is stopping.
+// errStopping is the error of calls that an instance rejects because it is stopping, and the
+// cause for which the requests are cancelled that still run at the end of the grace period.
 var errStopping = errors.New("this instance is stopping")
 
 // stopPlan is the timing of a planned stop.
@@ -37,13 +43,49 @@
 	return stopPlan{began: began, cut: grace - reserve, reserve: reserve}
 }
 
+// admits reports whether a request that arrives at a time may still be passed on. limit is the
+// longest time that it can take; 0 if there is none.
+//
+// Load pattern: an instance that stops still gets requests, and other instances can serve them.
+// What may not be repeated is passed on only if it ends before the instance does. What may be
+// repeated is passed on as long as it may be cut, since few requests take as long as allowed.
+func (p stopPlan) admits(at time.Time, limit time.Duration, repeatable bool) bool {
+	elapsed := at.Sub(p.began)
+	if limit > 0 && elapsed+limit <= p.cut {
+		return true
+	}
+	return repeatable && elapsed <= cutAllowedArrival
+}
+
+// longestRun returns the longest time that a request can take; 0 if there is no limit. A stream
+// that has begun is limited by its budget only.
+func longestRun(route catalog.Route, budget time.Duration) time.Duration {
+	if route.Kind == catalog.KindStream {
+		return budget
+	}
+	return forward.Timeout(route, budget)
+}
+
+// admitsWhileStopping reports whether a request on a route may be passed on. That is always so
+// unless the instance stops.
+func (g *Gateway) admitsWhileStopping(route catalog.Route, budget time.Duration) bool {
+	plan := g.stopping.Load()
+	return plan == nil || plan.admits(g.clock.Now(), longestRun(route, budget), route.Repeatable())
+}
+
+// isCut reports whether a request was cancelled because the instance stops, and not by its
+// caller.
+func isCut(r *http.Request) bool { return errors.Is(context.Cause(r.Context()), errStopping) }
+
 // stop shuts the instance down: it fails the readiness check, hands batches over to
 // other instances, accepts requests until the load balancer sends no more, and then
-// waits for the running requests until shortly before the end of the grace period.
+// waits for the running requests. Those that still run shortly before the end of the grace
+// period are answered as given up.
 func (g *Gateway) stop(server *http.Server) {
 	settings := g.currentSettings.Load()
 	plan := newStopPlan(g.clock.Now(), settings.Grace)
 	g.log.Info("stopping", zap.Int("batches", g.runner.Open()), zap.Duration("accepts", settings.DrainGrace), zap.Duration("cut", plan.cut))
+	g.stopping.Store(&plan)
 	g.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), plan.cut)
 	defer cancel()
@@ -59,6 +101,12 @@
 	server.SetKeepAlivesEnabled(false)
 	if err := server.Shutdown(ctx); err != nil {
 		g.log.Warn("requests still run at the end of the grace period; cutting them", telemetry.Error(err))
+		g.cutRequests(errStopping)
+		answered, cancelAnswers := context.WithTimeout(context.Background(), plan.reserve/2)
+		defer cancelAnswers()
+		if err := server.Shutdown(answered); err != nil {
+			g.log.Warn("requests that were cut could not be answered in time", telemetry.Error(err))
+		}
 	}
 	handovers.Wait()
 	writeCtx, cancelWrites := context.WithTimeout(context.Background(), plan.reserve/2)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,7 +23,7 @@
 		// response is incomplete.
 		g.log.Info("stream aborted before its end", zap.String("request", request.ID), zap.Int("sent", response.Tally.Sent), telemetry.Error(response.Err))
 		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil:
+	case r.Context().Err() != nil && !isCut(r):
 		panic(http.ErrAbortHandler)
 	case response.Header != nil:
 		copyHeader(w.Header(), response.Header)
@@ -32,7 +32,7 @@
 	case response.Quarantined:
 		g.rejectQuarantined(w, r, response.Response)
 	default:
-		g.reject(w, r, rejection{response.Status, "no upstream answered", response.RetryAfter})
+		g.reject(w, r, unanswered(r, response.Response))
 	}
 }
 
