The memory of responses that are read at the same time is bounded

Other operators report that a faulty engine sent bytes without end and that the machine that had called it ran out of memory, with the requests of others.

Cause: each response has a bound, their sum had none; a body grew by copying.

Ruled out: heads, chunk sizes and trailers, bounded by 64 KB and less each.

Change: upstream.Buffers counts what responses take beyond 64 KB each. Above an eighth of the instance's memory, the largest is broken off with an unknown outcome. Bodies are read in parts that are joined once; large events count.

Not covered: the bodies of callers have no bound in sum.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -28,6 +27,7 @@
 	Domain    string // failure domain of the instance
 	Roster    *roster.Roster
 	Upstreams upstream.Forwarder
+	Buffers   *upstream.Buffers // bounds the memory of responses; nil for no bound
 	Clock     clockwork.Clock
 	Log       *zap.Logger
 	// OnRun is called once for each request of a team that ran or may have run, with
@@ -257,7 +257,7 @@
 	if reply.Occupancy != nil {
 		f.Roster.SetLoad(to.ID, *reply.Occupancy, f.Clock.Now())
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
+	body, err := f.readBody(reply)
 	r := attemptResult{upstream: to.ID, reply: reply, body: body, err: err}
 	switch {
 	case reply.NotRun:
@@ -277,6 +277,13 @@
 	return r
 }
 
+// readBody reads the body of a response, up to maxResponseBytes+1.
+func (f *Forwarder) readBody(reply *upstream.Reply) ([]byte, error) {
+	buffer := f.Buffers.Open(func() { _ = reply.Body.Close() }) // ends the read with an error
+	defer buffer.Close()
+	return buffer.ReadAll(reply.Body, maxResponseBytes)
+}
+
 // refusalBackoff is how long no request is sent to an upstream after a refusal.
 const refusalBackoff = 50 * time.Millisecond
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -174,8 +174,8 @@
 // handleNonStream handles a response that is not a stream. It returns it for the
 // caller if the stream has not begun and the request is not sent again.
 func (s *streamRequest) handleNonStream(ctx context.Context, choice roster.Choice, reply *upstream.Reply) (Outcome, *Response, error) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes))
-	if err != nil || s.headerSent {
+	body, err := s.forwarder.readBody(reply)
+	if err != nil || len(body) > maxResponseBytes || s.headerSent {
 		return s.forwarder.incomplete(ctx, choice), nil, err
 	}
 	if reply.Status >= http.StatusInternalServerError && s.request.Route.Resumable && s.tally.Sent < s.request.Route.Attempts {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	cloud        *platform.Cloud
 	engines      *platform.Engines
 	roster       *roster.Roster
+	buffers      *upstream.Buffers // of the responses of upstreams
 	forward      *forward.Forwarder
 	runner       *batch.Runner
 	batches      *batch.Service
@@ -104,7 +105,8 @@
 	g.requests, g.cutRequests = context.WithCancelCause(context.Background())
 	g.store = objects.NewRelay(g.directStore, g.relay, g.storePathChanged)
 	g.feed = newFeed(g)
-	g.engines.OnLeaving = g.upstreamLeaves
+	g.buffers = upstream.NewBuffers(memoryShare(s.MemoryMB))
+	g.engines.OnLeaving, g.engines.Buffers = g.upstreamLeaves, g.buffers
 	g.meter = newMeter(s.UsageWindow)
 	g.quarantine = newQuarantineKeeper(g)
 	incarnation := uuid.NewString()
@@ -112,14 +114,14 @@
 	g.roster.SetLimits(g.limits)
 	admitted := &admission{next: g.engines, roster: g.roster, limits: g.limits, clock: g.clock, log: t.Log}
 	g.forward = &forward.Forwarder{
-		Domain: s.Domain, Roster: g.roster, Upstreams: admitted, Clock: g.clock, Log: t.Log,
+		Domain: s.Domain, Roster: g.roster, Upstreams: admitted, Buffers: g.buffers, Clock: g.clock, Log: t.Log,
 		OnRun: g.countRequest, OnAttempt: counters.recordAttempt, Guard: g.quarantine, Gone: g.upstreamGone,
 	}
 	g.runner = batch.NewRunner(batch.Options{
 		Name: s.Name, Peer: s.PeerListen, Domain: s.Domain, Store: batch.NewStore(g.store, incarnation),
 		Roster: g.roster, Engines: admitted, Rewards: g.forward, Catalog: g.catalog.Load, LimitsOf: g.batchLimits, Clock: g.clock, Wall: g.wall.Now, Log: t.Log,
 		Record: counters.recordItem, RecordReward: counters.recordReward, RecordHeadAge: counters.recordHeadAge, EndBound: s.EndBound,
-		Retention: s.Keep, RetentionBytes: resultMemoryBytes(s.MemoryMB),
+		Retention: s.Keep, RetentionBytes: memoryShare(s.MemoryMB),
 	})
 	g.batches = batch.NewService(g.runner, g.feed, &peerClient{g})
 	g.controlLease = lease.NewKeeper("control", s.Name, g.store, g.clock, leaseTiming(s.LeaseBound))
@@ -148,18 +150,17 @@
 	return cmp.Or(maxFiles, defaultMaxFiles) / idleConnsDivisor
 }
 
-// resultMemoryDivisor is the divisor of the memory limit that gives the memory for
-// results of ended batches.
-const resultMemoryDivisor = 8
+// memoryShareDivisor is the divisor of the memory limit that gives the memory for the results of
+// ended batches, and likewise that for the responses of upstreams while they are read.
+const memoryShareDivisor = 8
 
-// resultMemoryBytes returns the memory budget for results of ended batches, in
-// bytes.
-func resultMemoryBytes(memoryMB int) int {
-	const defaultResultMB = 64 // applies when the process has no memory limit
+// memoryShare returns such a part of the memory limit in bytes.
+func memoryShare(memoryMB int) int {
+	const defaultShareMB = 64 // applies when the process has no memory limit
 	if memoryMB == 0 {
-		memoryMB = defaultResultMB * resultMemoryDivisor
+		memoryMB = defaultShareMB * memoryShareDivisor
 	}
-	return memoryMB << 20 / resultMemoryDivisor
+	return memoryMB << 20 / memoryShareDivisor
 }
 
 // batchLimits returns the limits of a batch by its route. For a route that no longer exists,
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -12,4 +12,5 @@
 	reloaded, atRestart := settings.Differences(g.currentSettings.Load(), s)
 	g.log.Info("settings read again", zap.Strings("taken", reloaded), zap.Strings("atNextStart", atRestart))
 	g.currentSettings.Store(s)
+	g.buffers.SetLimit(memoryShare(s.MemoryMB))
 }
