--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -145,6 +145,8 @@
 	// Accept returns an error if a response does not belong to the request. The response is
 	// then dropped, and its connection carries no further request.
 	Accept func(*http.Response) error
+	// Last reports whether the connection of a response must not carry a further request.
+	Last func(*http.Response) bool
 }
 
 // SendChecked is Send with checks.
@@ -153,9 +155,11 @@
 	return c.sendTracked(ctx, r, checks)
 }
 
-// send sends r, whose body is already set. Errors are of type *SendError.
+// send sends r, whose body is already set. Errors are of type *SendError. A connection that
+// brought a refusal is closed: the responses of this protocol have no ID, and a late second copy
+// of the refusal would be taken for that of the next request.
 func (c *Client) send(ctx context.Context, r *http.Request) (*http.Response, error) {
-	return c.sendTracked(ctx, r, Checks{})
+	return c.sendTracked(ctx, r, Checks{Last: func(resp *http.Response) bool { return isRefusal(resp.StatusCode) }})
 }
 
 func (c *Client) sendTracked(ctx context.Context, r *http.Request, checks Checks) (*http.Response, error) {
@@ -171,7 +175,7 @@
 	if checks.Accept != nil {
 		err = checks.Accept(resp)
 	}
-	tracker.decide(err == nil)
+	tracker.decide(err == nil && (checks.Last == nil || !checks.Last(resp)))
 	if err != nil {
 		_ = resp.Body.Close() // the response is dropped
 		return nil, &SendError{Err: oops.In("upstream").With("step", "accept response", "peer", r.URL.Host, "status", resp.StatusCode).Wrap(err)}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -19,7 +19,6 @@
 	// of a stream, since reading pauses while the caller processes an event.
 	maxEventBytes    = 256 << 10
 	streamBufferSize = 4 << 10
-	maxRefusalBytes  = 4 << 10
 )
 
 // Complete runs a completion and passes each chunk to emit in order. It returns
@@ -53,7 +52,6 @@
 // protocol allows 429 and 503 only before the request is executed; with other
 // statuses it may have been executed.
 func engineRefusal(resp *http.Response) error {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // allows the connection to be reused
 	if isRefusal(resp.StatusCode) {
 		return &RefusedError{Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -40,7 +40,7 @@
 var (
 	errWritesBlocked = errors.New("writes on the connection are blocked because its request was abandoned")
 	errNotPermitted  = errors.New("the request is no longer to be sent")
-	errRejected      = errors.New("the connection is closed because its last response was rejected")
+	errNotReusable   = errors.New("the connection is closed because its next response may belong to an earlier request")
 )
 
 // trackedConn counts the bytes written to an upstream. HTTP/1 has one request in
@@ -52,21 +52,21 @@
 	started int64       // bytes that were or are being passed to the kernel
 	blocked bool        // no further write may start
 	permit  func() bool // Permit of a request of which no byte was written yet; may be nil
-	verdict *verdict    // on the response to the last request; nil before the first
+	verdict *verdict    // after the response to the last request; nil before the first
 	// previous is the verdict for which the first write of a request waits; nil if it has
 	// started. net/http may reuse a connection before the receiver of a response without a
 	// body has seen it.
 	previous *verdict
 }
 
-// verdict is the decision whether a response belongs to its request.
+// verdict is the decision whether the connection may carry another request after a response.
 type verdict struct {
 	done     chan struct{} // closed when decided
-	accepted bool          // valid once done is closed
+	reusable bool          // valid once done is closed
 }
 
-func (v *verdict) decide(accepted bool) {
-	v.accepted = accepted
+func (v *verdict) decide(reusable bool) {
+	v.reusable = reusable
 	close(v.done)
 }
 
@@ -75,7 +75,7 @@
 func (c *trackedConn) Write(p []byte) (int, error) {
 	if !c.awaitVerdict() {
 		c.blockWrites(c.startedBytes())
-		return 0, errRejected
+		return 0, errNotReusable
 	}
 	if permit := c.takePermit(); permit != nil && !permit() {
 		c.blockWrites(c.startedBytes())
@@ -102,8 +102,8 @@
 	return c.started, c.verdict
 }
 
-// awaitVerdict waits for the verdict on the response before the current request, once. It
-// returns false if that response was rejected: what the connection brings next belongs to an
+// awaitVerdict waits for the verdict after the response before the current request, once. It
+// returns false if the connection must not be reused: what it brings next may belong to an
 // earlier request.
 func (c *trackedConn) awaitVerdict() bool {
 	c.mu.Lock()
@@ -115,10 +115,10 @@
 	<-previous.done
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if previous.accepted {
+	if previous.reusable {
 		c.previous = nil
 	}
-	return previous.accepted
+	return previous.reusable
 }
 
 // takePermit returns the Permit of the request that is about to be written, once.
@@ -176,7 +176,7 @@
 	mu          sync.Mutex // guards all below; gotConn may run on another goroutine
 	conn        *trackedConn
 	startOffset int64    // bytes written to conn before this request
-	verdict     *verdict // on the response on conn
+	verdict     *verdict // on conn, after the response
 	sentEarlier bool     // on a previous connection
 }
 
@@ -199,18 +199,18 @@
 	}
 }
 
-// decide records whether the request got a response that was accepted. Otherwise its
-// connection is closed: the next response on it may belong to any earlier request.
-func (t *sendTracker) decide(accepted bool) {
+// decide records whether the connection of the request may carry another one. Otherwise it is
+// closed: the next response on it may belong to any earlier request.
+func (t *sendTracker) decide(reusable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn == nil {
 		return
 	}
-	if !accepted {
+	if !reusable {
 		_ = t.conn.Close() // nothing more is expected on it
 	}
-	t.verdict.decide(accepted)
+	t.verdict.decide(reusable)
 }
 
 // notSent reports whether no byte of the request was sent. If so, none will be sent
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -232,6 +232,63 @@
 	)
 })
 
+var _ = Describe("A refusal of a service whose responses have no ID", func() {
+	// Its second copy, late, was taken for the response to the next request, which was sent again
+	// although the service ran it.
+	DescribeTable("is not taken for the response to the next request", func(ctx SpecContext, body string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		var received, ran atomic.Int32
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return // the test has closed the listener
+				}
+				go func() {
+					defer conn.Close()
+					requests, refused := bufio.NewReader(conn), false
+					for {
+						r, err := http.ReadRequest(requests)
+						if err != nil {
+							return
+						}
+						if _, err := io.Copy(io.Discard, r.Body); err != nil {
+							return
+						}
+						response := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkits"
+						if received.Add(1)%2 == 1 {
+							response, refused = refusal, true
+						} else {
+							ran.Add(1)
+							if refused {
+								response = refusal + response
+							}
+						}
+						_, _ = io.WriteString(conn, response) // the client may have closed it
+					}
+				}()
+			}
+		}()
+		client, request := upstream.NewClient(), upstream.PlainRequest{Method: "POST", Path: "/orders", RefusalMeansNotRun: true}
+		for range 10 {
+			var refused *upstream.RefusedError
+			_, err := client.Plain(ctx, listener.Addr().String(), request)
+			Expect(errors.As(err, &refused)).To(BeTrue())
+			before := ran.Load()
+			answer, err := client.Plain(ctx, listener.Addr().String(), request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer.Body)).To(Equal("kits"))
+			Expect(ran.Load()).To(Equal(before + 1))
+		}
+	},
+		Entry("without a body", ""),
+		Entry("with a body", "busy"),
+	)
+})
+
 var _ = Describe("A request that is no longer to be sent", func() {
 	// It was decided on, waited for its connection and was sent seconds later.
 	It("is not written to a new or a kept connection, and is reported as not sent", func(ctx SpecContext) {
