A peer's connection that takes no bytes holds no other call

Cause: the dialer closed a connection under the lock of all connections; TLS waits up to 5 s to write its notice. And a call's deadline had no effect while it was written.

Change: connections are closed without the notice, calls are written in goroutines of their own; the server does the same when the instance stops.

--- a/link/link.go
+++ b/link/link.go
@@ -23,8 +23,8 @@
 	identity *Identity
 	bytes    byteCounter
 
-	mu    sync.Mutex // guards conns
-	conns map[net.Conn]struct{}
+	mu    sync.Mutex            // guards conns
+	conns map[net.Conn]struct{} // without TLS, whose Close may wait for seconds to write a notice
 }
 
 // NewServer returns a server without services that authenticates with identity.
@@ -70,8 +70,8 @@
 	if err != nil {
 		return
 	}
-	s.track(conn, true)
-	defer s.track(conn, false)
+	s.track(conn.NetConn(), true)
+	defer s.track(conn.NetConn(), false)
 	s.rpc.ServeConn(conn)
 }
 
@@ -119,7 +119,8 @@
 // error that the peer returned wraps an rpc.ServerError; after any other error the
 // call may or may not have run. If ctx ends and no reply to any call has arrived on
 // the connection since this call began, the connection is not reused. reply is written
-// only if Call returns nil.
+// only if Call returns nil. args must not be changed after an error: the call may still be
+// waiting to be written.
 func (d *Dialer) Call(ctx context.Context, address, method string, args, reply any) error {
 	p, err := d.peer(ctx, address)
 	if err != nil {
@@ -129,9 +130,11 @@
 	p.beginCall()
 	// A reply may arrive after ctx has ended, when the caller no longer expects writes.
 	received := reflect.New(reflect.TypeOf(reply).Elem())
-	call := p.client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	// Go blocks while the connection takes no bytes, also for another call.
+	go p.client.Go(method, args, received.Interface(), done)
 	select {
-	case <-call.Done:
+	case call := <-done:
 		if call.Error == nil {
 			reflect.ValueOf(reply).Elem().Set(received.Elem())
 		}
@@ -176,7 +179,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return d.addPeer(address, &peerConn{client: rpc.NewClient(tlsConn), lastReply: time.Now()}), nil
+	return d.addPeer(address, &peerConn{conn: conn, client: rpc.NewClient(tlsConn), lastReply: time.Now()}), nil
 }
 
 // addPeer stores p and returns it. If another goroutine has stored a connection
@@ -185,7 +188,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if existing := d.peers[address]; existing != nil {
-		p.client.Close()
+		p.close()
 		return existing
 	}
 	d.peers[address] = p
@@ -208,7 +211,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for address, p := range d.peers {
-		p.client.Close()
+		p.close()
 		delete(d.peers, address)
 	}
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -56,6 +58,9 @@
 	target     string
 	blackholed atomic.Int64 // connections with an id up to this one are blackholed
 	accepted   atomic.Int64
+	// stalled makes the proxy read nothing more from connections with an id up to this one, so
+	// that writes to them block once the buffers are full.
+	stalled atomic.Int64
 }
 
 func (p *blackholeProxy) serve() {
@@ -81,6 +86,9 @@
 				if id > p.blackholed.Load() {
 					to.Write(buffer[:n])
 				}
+				for id <= p.stalled.Load() {
+					time.Sleep(10 * time.Millisecond)
+				}
 			}
 		}()
 	}
@@ -133,6 +141,51 @@
 		Expect(dialer.Traffic().Sent).To(BeNumerically(">", 0))
 	})
 
+	// A path that took no more bytes held all calls of the instance, to any peer, for 5 s: a call
+	// blocked while it was written, and TLS waited to write the notice of a close.
+	It("ends calls in time on a connection that takes no bytes, and delays no other call", func() {
+		other := link.NewServer(identity("d", secret))
+		Expect(other.Register("Echo", echo)).To(Succeed())
+		listener := listen()
+		go other.Serve(listener, func(error) {})
+		DeferCleanup(other.Close)
+		say := func(address, text string, timeout time.Duration) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			var reply string
+			began := time.Now()
+			err := dialer.Call(ctx, address, "Echo.Say", text, &reply)
+			return time.Since(began), err
+		}
+		stalling := proxy.listener.Addr().String()
+		for _, address := range []string{stalling, listener.Addr().String()} {
+			_, err := say(address, "x", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		proxy.stalled.Store(proxy.accepted.Load())
+		DeferCleanup(func() { proxy.stalled.Store(0) })
+		const timeout = 200 * time.Millisecond
+		const soon = timeout + 500*time.Millisecond
+		large := strings.Repeat("x", 32<<20) // more than the buffers take
+		var calls sync.WaitGroup
+		for range 3 {
+			calls.Go(func() {
+				defer GinkgoRecover()
+				took, err := say(stalling, large, timeout)
+				Expect(err).To(MatchError(context.DeadlineExceeded))
+				Expect(took).To(BeNumerically("<", soon))
+			})
+		}
+		for began := time.Now(); time.Since(began) < time.Second; {
+			took, err := say(listener.Addr().String(), "x", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(took).To(BeNumerically("<", soon))
+		}
+		calls.Wait()
+		_, err := say(stalling, "x", time.Second)
+		Expect(err).NotTo(HaveOccurred(), "on a new connection")
+	})
+
 	It("lets a slow call finish on a connection that is no longer reused", func() {
 		slow := make(chan error, 1)
 		go func() { slow <- call(dialer, "Echo.Hold", 10*time.Second) }()
--- a/link/peer.go
+++ b/link/peer.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 
 // peerConn is a connection to a peer with the state of its calls.
 type peerConn struct {
+	conn   net.Conn // without TLS
 	client *rpc.Client
 
 	mu           sync.Mutex // guards the fields below
@@ -55,6 +57,13 @@
 // mu.
 func (p *peerConn) closeIfIdle() {
 	if p.retired && p.pendingCalls == 0 {
-		p.client.Close()
+		p.close()
 	}
 }
+
+// close closes the connection without a notice to the peer. TLS would wait up to 5 s to write
+// one to a connection that takes no bytes, and all calls of the dialer with it.
+func (p *peerConn) close() {
+	_ = p.conn.Close()   // nothing more is expected on it
+	_ = p.client.Close() // fails if the connection was lost before
+}
