An item's failures count across the owners of its batch

Cause: the count of error responses lived in the owner's memory; hand-overs and checkpoints passed on texts only.

Ruled out: sends of the former owner after the hand-over (its runner stops before it).

Change: hand-overs and checkpoints have the count. An item is not sent while as many failures as its route allows attempts are not stored, so that an owner that crashes loses no more. Texts kept for a later batch leave the count out.

--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -21,8 +21,8 @@
 	checkpointRewardWait = time.Second
 )
 
-// Checkpoint periodically stores the texts of long unfinished items, and of items whose
-// reward is late, until ctx ends.
+// Checkpoint periodically stores the texts of long unfinished items and of items whose reward is
+// late, and how often items have failed, until ctx ends.
 // If this instance crashes, the next owner of a batch resumes from these texts.
 func (r *Runner) Checkpoint(ctx context.Context) {
 	ticker := r.Clock.NewTicker(checkpointInterval / 3)
@@ -63,16 +63,19 @@
 	var due []checkpoint
 	now := r.Clock.Now()
 	for _, j := range r.jobs {
-		if r.stopping || !j.open() || now.Sub(j.progressSavedAt) < checkpointInterval {
+		if r.stopping || !j.open() {
 			continue
 		}
-		texts := map[string]Partial{}
+		texts, changed, awaited := map[string]Partial{}, false, false
 		for id, s := range j.items {
-			if s.events >= checkpointEvents || s.whole && now.Sub(s.reward.since) >= checkpointRewardWait {
+			late := s.events >= checkpointEvents || s.whole && now.Sub(s.reward.since) >= checkpointRewardWait
+			if late || s.failures > 0 { // a checkpoint replaces the one before
 				texts[id] = s.partial()
 			}
+			changed = changed || late || s.failures > s.savedFailures
+			awaited = awaited || s.awaitsSave
 		}
-		if len(texts) > 0 {
+		if changed && (awaited || now.Sub(j.progressSavedAt) >= checkpointInterval) {
 			j.progressSavedAt = now
 			due = append(due, checkpoint{j, texts})
 		}
@@ -96,4 +99,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.job.progressVersion = version // 0 after an error
+	if err != nil {
+		return
+	}
+	for id, saved := range c.texts {
+		if s := c.job.items[id]; s != nil {
+			s.savedFailures = saved.Failures
+		}
+	}
+	r.Signal()
 }
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -115,7 +115,7 @@
 		}
 		texts := map[string]Partial{}
 		for _, s := range j.items {
-			if s.events > 0 {
+			if s.events > 0 || s.failures > 0 {
 				texts[s.item.ID] = s.partial()
 			}
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -18,12 +18,16 @@
 	lastEvent int64 // ID of the last event; -1 before the first
 	versions  []int64
 	running   *attempt // nil while the item is queued
-	failures  int      // number of error responses from engines
-	moves     int      // number of attempts cancelled by checkStragglers
-	avoid     string   // ID of the upstream of the last unsuccessful attempt
-	added     time.Time
-	queueTime time.Duration // from added until the first attempt
-	attempts  int
+	failures  int      // number of error responses from engines, also at earlier owners
+	// savedFailures is the number of them that the next owner will know. awaitsSave is set
+	// while the item is not sent because too many would be lost.
+	savedFailures int
+	awaitsSave    bool
+	moves         int    // number of attempts cancelled by checkStragglers
+	avoid         string // ID of the upstream of the last unsuccessful attempt
+	added         time.Time
+	queueTime     time.Duration // from added until the first attempt
+	attempts      int
 	// whole is set once the text is complete and only the reward is missing. The item is
 	// not sent to an engine again.
 	whole  bool
@@ -47,6 +51,7 @@
 	if partial != nil {
 		s.text.WriteString(partial.Text)
 		s.events, s.lastEvent, s.versions = partial.Events, partial.Last, slices.Clone(partial.Versions)
+		s.failures, s.savedFailures = partial.Failures, partial.Failures
 		if partial.Whole && item.Reward != nil {
 			s.awaitReward(now)
 		}
@@ -55,7 +60,14 @@
 }
 
 func (s *itemState) partial() Partial {
-	return Partial{Last: s.lastEvent, Events: s.events, Text: s.text.String(), Versions: slices.Clone(s.versions), Whole: s.whole}
+	return Partial{Last: s.lastEvent, Events: s.events, Text: s.text.String(), Versions: slices.Clone(s.versions), Whole: s.whole, Failures: s.failures}
+}
+
+// mayFailAgain reports whether the item may be sent although its next owner would not know of
+// all its failures if this one crashed now. allowed is the number of failures that may be lost.
+func (s *itemState) mayFailAgain(allowed int) bool {
+	s.awaitsSave = s.failures-s.savedFailures >= allowed
+	return !s.awaitsSave
 }
 
 // queued reports whether the item waits for an engine.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -182,7 +182,7 @@
 		service = route.ServiceOf(hashFraction(q.state.item.ID))
 	}
 	required := requirement{service, q.state.item.Model, q.job.sub.MinVersion}
-	if noCapacity[required] || q.job.awaitsConfirmation(now, r.trusts(q.job, now)) {
+	if !q.state.mayFailAgain(route.Attempts) || noCapacity[required] || q.job.awaitsConfirmation(now, r.trusts(q.job, now)) {
 		return
 	}
 	need := r.need(q.job, q.state, config.Service(service))
--- a/batch/send.go
+++ b/batch/send.go
@@ -173,7 +173,8 @@
 
 // failuresPerAttempt is the number of error responses that an item may get for each
 // attempt that its route allows, so that a faulty engine does not fail an item that
-// other engines could complete.
+// other engines could complete. An owner that crashes may lose the count of as many more
+// as the route allows attempts.
 const failuresPerAttempt = 2
 
 // finishAttempt handles the end of an attempt: it records a final result or leaves the
--- a/batch/store.go
+++ b/batch/store.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -305,10 +306,13 @@
 	return o.Version, nil
 }
 
-// longestPartials returns the longest texts, as many as fit into a stored value.
+// longestPartials returns the items that have failed and the longest texts, as many as fit into a
+// stored value.
 func longestPartials(partials map[string]Partial) map[string]Partial {
 	ids := slices.Collect(maps.Keys(partials))
-	slices.SortFunc(ids, func(a, b string) int { return len(partials[b].Text) - len(partials[a].Text) })
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(compareBool(partials[b].Failures > 0, partials[a].Failures > 0), len(partials[b].Text)-len(partials[a].Text))
+	})
 	longest, size := map[string]Partial{}, 0
 	for _, id := range ids {
 		size += len(partials[id].Text) + 128
--- a/batch/textcache.go
+++ b/batch/textcache.go
@@ -30,6 +30,7 @@
 		c.order = append(c.order, s.item.ID)
 	}
 	p := s.partial()
+	p.Failures = 0 // they belong to the batch that ends
 	c.bytes += len(p.Text) - len(c.texts[s.item.ID].Text)
 	c.texts[s.item.ID] = p
 	for c.bytes > maxTextCacheBytes && len(c.order) > 0 {
--- a/batch/types.go
+++ b/batch/types.go
@@ -140,7 +140,7 @@
 	Results []Result `json:"results"`
 }
 
-// Partial is the generated text of an item without a result.
+// Partial is the state of an item without a result from which its next owner goes on.
 type Partial struct {
 	Last     int64   `json:"last"` // ID of the last event
 	Events   int     `json:"events"`
@@ -148,4 +148,6 @@
 	Versions []int64 `json:"versions"`
 	// Whole is set if the text is complete and only the reward is missing.
 	Whole bool `json:"whole,omitempty"`
+	// Failures is the number of error responses that the item got from engines.
+	Failures int `json:"failures,omitempty"`
 }
