A request assigned to a connection that is just closed goes to another one

Cause: net/http takes a response without a body off the connection and pools the connection before the receiver decides to close it.

Ruled out: a request that had been sent (NotSent was true, and the service's count of runs was right).

Change: such a request is sent on another connection, up to three times; the verdict is published before the close, so that it is known when the close is.

--- a/gateway/operators_reports_test.go
+++ b/gateway/operators_reports_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/batch"
+	"github.com/pomelocross/pomelocross/internal/standin/rawserver"
 	"github.com/pomelocross/pomelocross/link"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform/standin"
@@ -28,33 +28,11 @@
 // What operators of similar systems have reported, each produced at the sockets.
 
 // rawEngine serves requests on each connection by respond, which writes to the connection.
-func rawEngine(respond func(conn net.Conn, r *http.Request)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func rawEngine(respond rawserver.Respond) string {
+	address, closeListener, err := rawserver.Listen(func() rawserver.Respond { return respond })
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the test has closed the listener
-			}
-			go func() {
-				defer conn.Close()
-				requests := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(requests)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil {
-						return
-					}
-					respond(conn, r)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	DeferCleanup(closeListener)
+	return address
 }
 
 // signedResponse returns a complete response to a request.
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 )
 
@@ -14,6 +15,17 @@
 // Close implements io.Closer.
 func (*singleUseBody) Close() error { return nil }
 
+// rewind prepares a request of which nothing was sent to be sent again. It returns false if the
+// request has another kind of body.
+func rewind(r *http.Request) bool {
+	body, ok := r.Body.(*singleUseBody)
+	if !ok {
+		return false
+	}
+	_, err := body.Seek(0, io.SeekStart)
+	return err == nil
+}
+
 // setSingleUseBody sets the body of r to one that net/http cannot rewind. It does
 // so for an empty body too, since net/http would resend a request without a body.
 func setSingleUseBody(r *http.Request, body []byte) {
--- a/upstream/buffers.go
+++ b/upstream/buffers.go
@@ -79,7 +79,7 @@
 	all     *Buffers // nil if there is no limit
 	abort   func()
 	counted int  // bytes beyond freeBufferBytes
-	broken  bool // the response is broken off
+	broken  bool // the response is broken off, or the buffer is closed
 }
 
 // Resize sets the size of the buffer in bytes, before the memory is allocated. If the sum then
@@ -116,7 +116,7 @@
 	go x.abort()
 }
 
-// Close releases the memory of the buffer.
+// Close releases the memory of the buffer, which can't grow any more.
 func (x *Buffer) Close() {
 	if x.all == nil {
 		return
@@ -124,7 +124,7 @@
 	x.all.mu.Lock()
 	defer x.all.mu.Unlock()
 	x.all.used -= x.counted
-	x.counted = 0
+	x.counted, x.broken = 0, true
 	delete(x.all.open, x)
 }
 
--- a/upstream/buffers_test.go
+++ b/upstream/buffers_test.go
@@ -38,6 +38,7 @@
 		Expect(buffers.Used()).To(BeNumerically("<=", 2<<20))
 		small.Close()
 		large.Close()
+		Expect(small.Resize(8<<20)).To(MatchError(upstream.ErrBuffersFull), "a closed buffer does not grow")
 		Expect(buffers.Used()).To(BeZero())
 	})
 
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -162,15 +162,33 @@
 	return c.sendTracked(ctx, r, Checks{Last: func(resp *http.Response) bool { return isRefusal(resp.StatusCode) }})
 }
 
-func (c *Client) sendTracked(ctx context.Context, r *http.Request, checks Checks) (*http.Response, error) {
+// maxStaleConns limits the connections that a request is assigned to although they are closed
+// because of their last response. There are more only after a burst of such responses.
+const maxStaleConns = 3
+
+// sendTracked sends r on the first connection that may carry it.
+func (c *Client) sendTracked(ctx context.Context, r *http.Request, checks Checks) (resp *http.Response, err error) {
+	for range maxStaleConns {
+		resp, err = c.sendOnce(ctx, r, checks)
+		if !errors.Is(err, errNotReusable) || !rewind(r) {
+			break
+		}
+	}
+	return resp, err
+}
+
+func (c *Client) sendOnce(ctx context.Context, r *http.Request, checks Checks) (*http.Response, error) {
 	tracker := &sendTracker{permit: checks.Permit}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
 	resp, err := c.http.Do(r.WithContext(tracker.withTrace(ctx)))
 	if err != nil {
 		wrapped := oops.In("upstream").With("step", "send", "peer", r.URL.Host).Wrap(err)
-		notSent := tracker.notSent()
+		failed := &SendError{NotSent: tracker.notSent(), Err: wrapped}
+		if failed.NotSent && tracker.onClosedConn() {
+			failed.Err = errors.Join(errNotReusable, wrapped)
+		}
 		tracker.decide(false)
-		return nil, &SendError{NotSent: notSent, Err: wrapped}
+		return nil, failed
 	}
 	if checks.Accept != nil {
 		err = checks.Accept(resp)
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -121,6 +121,23 @@
 	return previous.reusable
 }
 
+// closedByVerdict reports whether the current request waits for a verdict that was to close the
+// connection.
+func (c *trackedConn) closedByVerdict() bool {
+	c.mu.Lock()
+	previous := c.previous
+	c.mu.Unlock()
+	if previous == nil {
+		return false
+	}
+	select {
+	case <-previous.done:
+		return !previous.reusable
+	default:
+		return false
+	}
+}
+
 // takePermit returns the Permit of the request that is about to be written, once.
 func (c *trackedConn) takePermit() func() bool {
 	c.mu.Lock()
@@ -199,6 +216,14 @@
 	}
 }
 
+// onClosedConn reports whether the last connection of the request is closed because of its
+// response before.
+func (t *sendTracker) onClosedConn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.closedByVerdict()
+}
+
 // decide records whether the connection of the request may carry another one. Otherwise it is
 // closed: the next response on it may belong to any earlier request.
 func (t *sendTracker) decide(reusable bool) {
@@ -207,10 +232,10 @@
 	if t.conn == nil {
 		return
 	}
+	t.verdict.decide(reusable)
 	if !reusable {
 		_ = t.conn.Close() // nothing more is expected on it
 	}
-	t.verdict.decide(reusable)
 }
 
 // notSent reports whether no byte of the request was sent. If so, none will be sent
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelocross/pomelocross/internal/standin/engine"
+	"github.com/pomelocross/pomelocross/internal/standin/rawserver"
 	"github.com/pomelocross/pomelocross/internal/standin/service"
 	"github.com/pomelocross/pomelocross/upstream"
 )
@@ -38,6 +38,14 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// serveRaw serves connections at the returned address until the test ends.
+func serveRaw(onConnection func() rawserver.Respond) string {
+	address, closeListener, err := rawserver.Listen(onConnection)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(closeListener)
+	return address
+}
+
 func isNotSent(err error) bool {
 	var sendErr *upstream.SendError
 	return errors.As(err, &sendErr) && sendErr.NotSent
@@ -165,43 +173,25 @@
 	// The response that was due came next and was taken for that to the next request. Without
 	// a body, net/http reuses the connection before the receiver sees the response.
 	DescribeTable("carries no further request", func(ctx SpecContext, body string) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
 		const copyAt = 5 // request of each connection that gets the copy of an earlier response
 		var copies, after atomic.Int32
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return // the test has closed the listener
+		address := serveRaw(func() rawserver.Respond {
+			n, first := 0, ""
+			return func(conn net.Conn, r *http.Request) {
+				n++
+				id := r.Header.Get("Id")
+				switch {
+				case n == 1:
+					first = id
+				case n == copyAt:
+					copies.Add(1)
+					id = first
+				case n > copyAt:
+					after.Add(1)
 				}
-				go func() {
-					defer conn.Close()
-					requests, first := bufio.NewReader(conn), ""
-					for n := 1; ; n++ {
-						r, err := http.ReadRequest(requests)
-						if err != nil {
-							return
-						}
-						if _, err := io.Copy(io.Discard, r.Body); err != nil {
-							return
-						}
-						id := r.Header.Get("Id")
-						switch {
-						case n == 1:
-							first = id
-						case n == copyAt:
-							copies.Add(1)
-							id = first
-						case n > copyAt:
-							after.Add(1)
-						}
-						_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body) // the client may have closed it
-					}
-				}()
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body) // the client may have closed it
 			}
-		}()
+		})
 		client := upstream.NewClient()
 		var callers sync.WaitGroup
 		for caller := range 8 {
@@ -209,7 +199,7 @@
 				defer GinkgoRecover()
 				for n := range 200 {
 					id := fmt.Sprint(caller, "-", n)
-					r, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String(), nil)
+					r, err := http.NewRequest(http.MethodPost, "http://"+address, nil)
 					Expect(err).NotTo(HaveOccurred())
 					r.Header.Set("Id", id)
 					accept := func(resp *http.Response) error { return upstream.CheckID(resp.Header.Get("Id"), id) }
@@ -236,49 +226,30 @@
 	// Its second copy, late, was taken for the response to the next request, which was sent again
 	// although the service ran it.
 	DescribeTable("is not taken for the response to the next request", func(ctx SpecContext, body string) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
 		refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		var received, ran atomic.Int32
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return // the test has closed the listener
-				}
-				go func() {
-					defer conn.Close()
-					requests, refused := bufio.NewReader(conn), false
-					for {
-						r, err := http.ReadRequest(requests)
-						if err != nil {
-							return
-						}
-						if _, err := io.Copy(io.Discard, r.Body); err != nil {
-							return
-						}
-						response := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkits"
-						if received.Add(1)%2 == 1 {
-							response, refused = refusal, true
-						} else {
-							ran.Add(1)
-							if refused {
-								response = refusal + response
-							}
-						}
-						_, _ = io.WriteString(conn, response) // the client may have closed it
+		address := serveRaw(func() rawserver.Respond {
+			refused := false
+			return func(conn net.Conn, _ *http.Request) {
+				response := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkits"
+				if received.Add(1)%2 == 1 {
+					response, refused = refusal, true
+				} else {
+					ran.Add(1)
+					if refused {
+						response = refusal + response
 					}
-				}()
+				}
+				_, _ = io.WriteString(conn, response) // the client may have closed it
 			}
-		}()
+		})
 		client, request := upstream.NewClient(), upstream.PlainRequest{Method: "POST", Path: "/orders", RefusalMeansNotRun: true}
 		for range 10 {
 			var refused *upstream.RefusedError
-			_, err := client.Plain(ctx, listener.Addr().String(), request)
+			_, err := client.Plain(ctx, address, request)
 			Expect(errors.As(err, &refused)).To(BeTrue())
 			before := ran.Load()
-			answer, err := client.Plain(ctx, listener.Addr().String(), request)
+			answer, err := client.Plain(ctx, address, request)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(answer.Body)).To(Equal("kits"))
 			Expect(ran.Load()).To(Equal(before + 1))
