A request that goes to another connection is sent as a copy

Cause: the retry reused the request. Ruled out: other paths; they send a request once. Change: the retry clones the request and its body.

--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -170,13 +170,19 @@
 func (c *Client) sendTracked(ctx context.Context, r *http.Request, checks Checks) (resp *http.Response, err error) {
 	for range maxStaleConns {
 		resp, err = c.sendOnce(ctx, r, checks)
-		if !errors.Is(err, errNotReusable) || !rewind(r) {
+		if !errors.Is(err, errNotReusable) {
 			break
 		}
+		again, ok := copyUnsent(r)
+		if !ok {
+			break
+		}
+		r = again
 	}
 	return resp, err
 }
 
+// sendOnce sends r on the connection that net/http assigns.
 func (c *Client) sendOnce(ctx context.Context, r *http.Request, checks Checks) (*http.Response, error) {
 	tracker := &sendTracker{permit: checks.Permit}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
