The cache's spec waits for the version, not for the change before it

Cause: the cache makes each change of a response visible and then advances its version; the spec waited for the change and read the version at once. In between, a watch returns the change with the older version, so that its reader asks again from there and gets the change once more; none is lost.

Change: the spec waits until a watch shows the version, and then expects the same as before: the one change after version 5, and none after version 7.

--- a/objects/cache_test.go
+++ b/objects/cache_test.go
@@ -73,7 +73,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Version).To(Equal(objects.Version(5)))
 		store.updates <- objects.List{Version: 8, Objects: []objects.Object{object("b", 7, `2`)}}
-		Eventually(func() int { l, _ := watch(5); return len(l.Objects) }).Should(Equal(1))
+		// The change becomes visible before the version that it brings the cache to.
+		Eventually(func() objects.Version { l, _ := watch(5); return l.Version }).Should(Equal(objects.Version(8)))
+		l, err = watch(5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Objects).To(HaveLen(1))
 		l, err = watch(7)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.Objects).To(BeEmpty())
