--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelocross/pomelocross/settings"
+	"github.com/pomelocross/pomelocross/upstream"
 )
 
 var _ = Describe("Settings", func() {
@@ -51,10 +52,13 @@
 	It("apply on reload if they are reloadable, and not otherwise", func() {
 		f := feedOf("e4", "e1:1")
 		f.gateway.log = zap.NewNop()
+		f.gateway.buffers = upstream.NewBuffers(memoryShare(8))
+		buffer := f.gateway.buffers.Open(func() {})
 		changed := *f.gateway.settings
-		changed.Peers, changed.Domain = []string{"e2:1"}, "b"
+		changed.Peers, changed.Domain, changed.MemoryMB = []string{"e2:1"}, "b", 64
 		f.gateway.Reload(&changed)
 		Expect(f.sources()).To(Equal([]string{"e2:1"}))
 		Expect(f.gateway.membership.self.Domain).To(Equal("a"))
+		Expect(buffer.Resize(memoryShare(64))).To(Succeed())
 	})
 })
