--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,43 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases holds the cases by name.
+var cases = map[string]func(*world) verdict{}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD, in the root of the repository")
+		os.Exit(int(notRun))
+	}
+	os.Exit(int(play(os.Args[1], os.Args[2])))
+}
+
+// play plays a case and ends all its processes.
+func play(name, out string) (result verdict) {
+	var w *world
+	defer func() {
+		if w != nil {
+			w.close()
+		}
+	}()
+	defer func() {
+		if p := recover(); p != nil {
+			f, ok := p.(failure)
+			if !ok {
+				panic(p)
+			}
+			fmt.Fprintln(os.Stderr, "the case can't run:", f.err)
+			result = notRun
+		}
+	}()
+	w = newWorld(out)
+	result = cases[name](w)
+	w.say("verdict: %s", [...]string{"the rule held", "the rule was broken", "not run"}[result])
+	return result
+}
