--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,8 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the longest time that a case may take.
+const longest = 115 * time.Second
+
 // cases holds the cases by name.
 var cases = map[string]func(*world) verdict{}
 
@@ -37,6 +43,17 @@
 		}
 	}()
 	w = newWorld(out)
+	go func() { // ends all processes if the case takes too long or is interrupted
+		interrupted := make(chan os.Signal, 1)
+		signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-interrupted:
+		case <-time.After(longest):
+		}
+		fmt.Fprintln(os.Stderr, "the case was broken off")
+		w.close()
+		os.Exit(int(notRun))
+	}()
 	result = cases[name](w)
 	w.say("verdict: %s", [...]string{"the rule held", "the rule was broken", "not run"}[result])
 	return result
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -16,6 +16,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,7 @@
 	folder  string // of settings and logs
 	trouble bool   // TROUBLE is not 0
 	began   time.Time
+	closed  atomic.Bool // no process is started any more
 
 	mu       sync.Mutex // guards all below
 	record   *os.File
@@ -83,6 +85,7 @@
 
 // close ends all processes and removes the folder.
 func (w *world) close() {
+	w.closed.Store(true)
 	for _, m := range w.machines {
 		m.kill()
 	}
@@ -176,6 +179,9 @@
 func (m *machine) start() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.w.closed.Load() {
+		return
+	}
 	path := filepath.Join(m.w.folder, m.name+".env")
 	must(os.WriteFile(path, []byte(m.settings()), 0o600))
 	log, err := os.OpenFile(filepath.Join(m.w.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
