--- /dev/null
+++ b/review/standin-3/upload.go
@@ -0,0 +1,147 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pomelocross/pomelocross/platform/standin"
+)
+
+const (
+	blockBytes  = 8192 // of the archive that the client sends
+	blocks      = 16
+	blockPause  = 100 * time.Millisecond
+	freezeAfter = 400 * time.Millisecond
+	clients     = 16
+	freezeTime  = 3 * time.Second
+)
+
+// recordedCall returns a block of the archive: a call to hand in a batch, as a client once
+// recorded it, filled up to the size of a block.
+func recordedCall(client, n int) string {
+	body := fmt.Sprintf(`{"Step":1,"Model":%q,"MinVersion":1,"Desired":1,"Items":[{"Id":"recorded-item-%d-%d","Path":"/train/3/1","Headers":{"X-Pomelocross-Model":%q,"X-Pomelocross-Tokens":"5,40"},"Body":%q,"NumTokens":45,"Group":"g"}]}`,
+		model, client, n, model, base64.StdEncoding.EncodeToString([]byte("draft a plan")))
+	head := func(length int) string {
+		return fmt.Sprintf("POST /train/recorded HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Pomelocross-Request-Id: recorded-%d-%d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", host, key, client, n, length)
+	}
+	length := blockBytes - len(head(1000))
+	return head(length) + body + strings.Repeat(" ", length-len(body))
+}
+
+// upload: a client sends an archive on a route that was removed. It gets its 404 before it has
+// sent all of the body, sends the rest, and uses the channel for its next request. Meanwhile
+// the gateway freezes for three seconds.
+func upload(w *world) {
+	w.storeAddress, w.cloudAddress = w.serve(w.store), w.serve(w.cloud)
+	desk := &standin.Engine{ID: "desk-0", Service: "desk", Slots: 6}
+	w.store.Set("servers", desk.ID, desk.Registration(w.serve(desk), "a", "ready"))
+	engine := &standin.Engine{ID: "engine-0", Service: "lm", Slots: 8, Events: 5, EventInterval: 5 * time.Millisecond}
+	engine.SetVersion(model, 1)
+	w.store.Set("servers", engine.ID, engine.Registration(w.serve(engine), "a", "ready"))
+	kept := []map[string]any{
+		{"Name": "desk", "Host": host, "Prefix": "/kits/", "Type": "safe", "TimeoutMs": 2000, "GoalMs": 150, "Service": "desk", "Attempts": 2},
+		{"Name": "lots", "Host": host, "Prefix": "/train/", "Type": "rollout", "Service": "lm", "Attempts": 3, "MaxQueueS": 40, "DueMs": 7500},
+	}
+	archive := map[string]any{"Name": "archive", "Host": host, "Prefix": "/archive/", "Type": "safe", "TimeoutMs": 8000, "GoalMs": 1000, "Service": "desk", "Attempts": 2}
+	services := []map[string]any{
+		{"Name": "lm", "HealthPath": "/healthz", "MaxConns": 150, "Engine": map[string]any{"Slots": 8, "KvCap": 84492, "Models": []map[string]any{{"Name": model}}}},
+		{"Name": "desk", "HealthPath": "/healthz", "MaxConns": 100},
+	}
+	w.configure(append(kept, archive), services)
+	n := w.addNode("edge-a-1")
+	w.start(n, "a")
+	w.awaitReady(n)
+	w.configure(kept, services)
+	w.rec.say("the operator's second version removes the route /archive/")
+	time.Sleep(3 * time.Second) // ConfigApplyMs is 2,000
+
+	if w.trouble {
+		time.AfterFunc(freezeAfter, func() {
+			n.signal(syscall.SIGSTOP)
+			w.rec.say("the gateway freezes")
+		})
+		time.AfterFunc(freezeAfter+freezeTime, func() {
+			n.signal(syscall.SIGCONT)
+			w.rec.say("the gateway wakes")
+		})
+	}
+	var group sync.WaitGroup
+	var foreign atomic.Int64
+	for c := range clients {
+		group.Go(func() {
+			if !sendArchive(w, n, c) {
+				foreign.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	time.Sleep(2 * time.Second)
+	smuggled := 0
+	for _, r := range engine.Runs() {
+		w.rec.say("engine-0 ran %s of tenant %s; no client has submitted it", r.ID, r.Team)
+		smuggled++
+	}
+	for _, r := range desk.Runs() {
+		w.rec.say("desk-0 ran %s", r.ID)
+	}
+	w.finish(smuggled > 0 || foreign.Load() > 0, "UNASKED: %d items ran that were only inside the bodies of other requests; MIXED: %d of %d second requests got an answer that belongs to another request", smuggled, foreign.Load(), clients)
+}
+
+// sendArchive sends an archive and then another request on the same channel. It returns false
+// if the second request gets an answer that isn't its own.
+func sendArchive(w *world, n *node, client int) bool {
+	conn, err := net.Dial("tcp", n.front)
+	check(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	first, second := fmt.Sprintf("archive-%d", client), fmt.Sprintf("count-%d", client)
+	fmt.Fprintf(conn, "POST /archive/day HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Pomelocross-Request-Id: %s\r\nX-Pomelocross-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n", host, key, first, blocks*blockBytes)
+	w.rec.say("client %d: request %s with a body of %d bytes", client, first, blocks*blockBytes)
+	for b := range blocks {
+		if _, err := conn.Write([]byte(recordedCall(client, b))); err != nil {
+			w.rec.say("client %d: the gateway closed the channel before the body was sent: %v", client, err)
+			return true
+		}
+		time.Sleep(blockPause)
+	}
+	w.rec.say("client %d: the body of %s is sent", client, first)
+	_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	status, id, err := readAnswer(reader)
+	w.rec.say("client %d: answer with status %d and id %q (%v)", client, status, id, err)
+	if err != nil || status != http.StatusNotFound || id != first {
+		return err != nil || id == first
+	}
+	if w.trouble {
+		time.Sleep(freezeTime) // the client has its next request after the freeze
+	}
+	if _, err := fmt.Fprintf(conn, "POST /kits/7 HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Pomelocross-Request-Id: %s\r\nX-Pomelocross-Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nhi", host, key, second); err != nil {
+		w.rec.say("client %d: the channel is closed: %v", client, err)
+		return true
+	}
+	w.rec.say("client %d: request %s on the same channel", client, second)
+	status, id, err = readAnswer(reader)
+	w.rec.say("client %d: answer with status %d and id %q (%v)", client, status, id, err)
+	return err != nil || id == second
+}
+
+// readAnswer reads an answer and returns its status and request id.
+func readAnswer(r *bufio.Reader) (int, string, error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get("X-Pomelocross-Request-Id"), err
+}
