--- /dev/null
+++ b/review/standin-3/failing.go
@@ -0,0 +1,176 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// lotItem is an item of a batch.
+type lotItem struct {
+	ID        string            `json:"Id"`
+	Path      string            `json:"Path"`
+	Headers   map[string]string `json:"Headers"`
+	Body      string            `json:"Body"`
+	NumTokens int               `json:"NumTokens"`
+	Group     string            `json:"Group"`
+}
+
+// step returns the body of a batch of groups of four items.
+func step(model, prefix string, groups, output int) []byte {
+	var items []lotItem
+	for n := range groups * 4 {
+		items = append(items, lotItem{
+			ID: fmt.Sprintf("%s-%03d", prefix, n), Path: "/train/run", NumTokens: 64 + output, Group: fmt.Sprintf("%s-g%d", prefix, n/4),
+			Headers: map[string]string{"X-Pomelocross-Model": model, "X-Pomelocross-Tokens": fmt.Sprintf("64,%d", output), "X-Pomelocross-Prompt-Prefix": fmt.Sprintf("%x:64", n/4)},
+			Body:    base64.StdEncoding.EncodeToString([]byte("draft a plan")),
+		})
+	}
+	body, err := json.Marshal(map[string]any{"Step": 1, "Model": model, "MinVersion": 1, "Desired": groups * 9 / 10, "Items": items})
+	check(err)
+	return body
+}
+
+// results reads the results of a batch from a position on.
+func results(n *node, key, lot string, after int) (ids []string, total, status int) {
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/lots/%s?After=%d", n.front, lot, after), nil)
+	check(err)
+	r.Host = host
+	r.Header.Set("X-Api-Key", key)
+	resp, err := (&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return nil, 0, 0
+	}
+	defer resp.Body.Close()
+	var page struct {
+		Total   int
+		Results []struct {
+			ID    string `json:"Id"`
+			State string
+		}
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&page) != nil {
+		return nil, 0, resp.StatusCode
+	}
+	for _, result := range page.Results {
+		ids = append(ids, result.ID+" "+result.State)
+	}
+	return ids, page.Total, resp.StatusCode
+}
+
+const (
+	stepTime = 12 * time.Second // time budget of the trainer
+	idleTime = 5 * time.Second  // of LOST
+	// failingBelow is the first item of south's step that doesn't fail: half of them do.
+	failingBelow = "south-036"
+)
+
+// failing: the trainers of two tenants hand in a step each. Half of the items of one fail at each
+// run.
+func failing(w *world) {
+	w.storeAddress, w.cloudAddress = w.serve(w.store), w.serve(w.cloud)
+	var engines []*engine
+	for n := range 3 {
+		e := &engine{id: fmt.Sprintf("engine-%d", n), service: "lm", slots: 8, interval: 20 * time.Millisecond, rec: w.rec}
+		e.fails = func(item string) bool { return w.trouble && strings.HasPrefix(item, "south") && item < failingBelow }
+		engines = append(engines, e)
+		w.store.Set("servers", e.id, e.registration(w.serve(e), "m0"))
+	}
+	route := func(name, prefix string) map[string]any {
+		return map[string]any{"Name": name, "Host": host, "Prefix": prefix, "Type": "rollout", "TimeoutMs": 10000, "GoalMs": 500, "Service": "lm", "Attempts": 3, "MaxQueueS": 40, "DueMs": 7500, "Resumable": true}
+	}
+	w.configure([]map[string]any{route("plans", "/train/plans/"), route("notes", "/train/notes/")}, []map[string]any{
+		{"Name": "lm", "HealthPath": "/healthz", "MaxConns": 150, "Engine": map[string]any{"Slots": 8, "KvCap": 84492, "Models": []map[string]any{{"Name": "m0"}}}},
+	})
+	n := w.addNode("edge-a-1")
+	w.start(n, "a")
+	w.awaitReady(n)
+	time.Sleep(time.Second)
+	north, south := step("m0", "north", 18, 16*64), step("m0", "south", 18, 64*64)
+	w.rec.say("north hands in its step: answer %d", call(n, key, "lot-north", "/train/plans/1", north, 4*time.Second))
+	began := time.Now()
+	w.rec.say("south hands in its step: answer %d", call(n, "key-of-south", "lot-south", "/train/notes/1", south, 4*time.Second))
+	listed := 0
+	for time.Since(began) < stepTime {
+		ids, total, status := results(n, key, "lot-north", listed)
+		if len(ids) > 0 || status != http.StatusOK {
+			w.rec.say("north reads %d results more from position %d of %d (status %d)", len(ids), listed, total, status)
+		}
+		if listed += len(ids); listed == 72 {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	over := time.Now()
+	w.rec.say("north's trainer has read %d of 72 results", listed)
+	if listed == 72 {
+		w.finish(false, "LOST held: the step was read whole after %d ms", over.Sub(began).Milliseconds())
+	}
+	judgeIdle(w, engines, "north", 72, began, over)
+}
+
+// judgeIdle checks LOST: the step is over, and one of its items, which no engine has finished
+// or failed, was at no engine for five seconds, while engines were under half full.
+func judgeIdle(w *world, engines []*engine, prefix string, items int, began, over time.Time) {
+	runs := history(engines)
+	slots, begun := 0, 0
+	for _, e := range engines {
+		slots += e.slots
+	}
+	at := func(item string, t time.Time) bool {
+		for _, r := range runs {
+			if r.item == item && !r.began.After(t) && (r.ended.IsZero() || r.ended.After(t)) {
+				return true
+			}
+		}
+		return false
+	}
+	done := map[string]bool{}
+	seen := map[string]bool{}
+	for _, r := range runs {
+		done[r.item] = done[r.item] || r.complete || r.status >= 400
+		seen[r.item] = true
+	}
+	for item := range seen {
+		if strings.HasPrefix(item, prefix) {
+			begun++
+		}
+	}
+	waiting, first := 0, ""
+	for n := range items {
+		item := fmt.Sprintf("%s-%03d", prefix, n)
+		if done[item] {
+			continue
+		}
+		var since time.Time
+		for t := began; t.Before(over); t = t.Add(20 * time.Millisecond) {
+			busy := 0
+			for _, r := range runs {
+				if !r.began.After(t) && (r.ended.IsZero() || r.ended.After(t)) {
+					busy++
+				}
+			}
+			if at(item, t) || 2*busy >= slots {
+				since = time.Time{}
+				continue
+			}
+			if since.IsZero() {
+				since = t
+			}
+			if t.Sub(since) >= idleTime {
+				waiting++
+				if first == "" {
+					first = item
+					w.rec.say("%s was at no engine from %.1f s to %.1f s of the step and longer, and under half of the %d places were taken", item, since.Sub(began).Seconds(), t.Sub(began).Seconds(), slots)
+				}
+				break
+			}
+		}
+	}
+	w.finish(waiting > 0 && begun > 0, "LOST: %d items of %s's step were at no engine for 5 s while engines were under half full; %d of its items had begun", waiting, prefix, begun)
+}
