--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -23,9 +23,61 @@
 	fails func(item string) bool
 	rec   *record
 
-	mu      sync.Mutex // guards all below
-	running int
-	runs    []*engineRun
+	mu       sync.Mutex // guards all below
+	running  int
+	runs     []*engineRun
+	versions map[string]int64 // by model; 1 if missing
+	orders   []engineOrder    // accepted ones
+	loading  time.Time        // end of the load in progress
+}
+
+// engineOrder is an order that an engine has accepted.
+type engineOrder struct {
+	at      time.Time
+	owner   string
+	fence   int64
+	model   string
+	version int64
+}
+
+// loadTime is the time that a load of weights takes.
+const loadTime = 900 * time.Millisecond
+
+// order handles POST /order.
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Op, Model, Mode, Owner string
+		Version, Fence         int64
+		Expect                 *int64
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "Version" || o.Owner == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Before(e.loading) || o.Expect != nil && *o.Expect != int64(len(e.orders)) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.orders = append(e.orders, engineOrder{now, o.Owner, o.Fence, o.Model, o.Version})
+	e.loading, e.versions[o.Model] = now.Add(loadTime), o.Version
+	e.rec.say("%s: accepts order %d: version %d of %s, owner %q, fence %d", e.id, len(e.orders), o.Version, o.Model, o.Owner, o.Fence)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// report handles GET /report.
+func (e *engine) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	models := []map[string]any{}
+	for m, v := range e.versions {
+		models = append(models, map[string]any{"Name": m, "Version": v, "Adapters": []string{}})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"Stage": "both", "Models": models, "Busy": time.Now().Before(e.loading), "Seq": len(e.orders), "NumRunning": e.running, "NumWaiting": 0, "KvUsed": 0, "KvTotal": 84492, "Handles": 0,
+	})
 }
 
 // engineRun is one request that an engine ran.
@@ -40,7 +92,13 @@
 // registration returns what the engine writes into the store.
 func (e *engine) registration(address string, models ...string) any {
 	var served []map[string]any
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.versions == nil {
+		e.versions = map[string]int64{}
+	}
 	for _, m := range models {
+		e.versions[m] = 1
 		served = append(served, map[string]any{"Name": m, "Version": 1, "Adapters": []string{}})
 	}
 	return map[string]any{
@@ -57,10 +115,10 @@
 	}
 	switch r.URL.Path {
 	case "/report":
-		e.mu.Lock()
-		running := e.running
-		e.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "both", "Models": []any{}, "Busy": false, "Seq": 0, "NumRunning": running, "NumWaiting": 0, "KvUsed": 0, "KvTotal": 84492})
+		e.report(w)
+		return
+	case "/order":
+		e.order(w, r)
 		return
 	case "/healthz":
 		w.Header().Set("X-Pomelocross-Instance", e.id)
@@ -109,7 +167,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(e.interval):
+		case <-time.After(e.eventInterval()):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s, part %d\n\n", n, run.item, run.tenant, n); err != nil || flush.Flush() != nil {
 			return
@@ -118,6 +176,18 @@
 	run.complete = true
 }
 
+func (e *engine) setInterval(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.interval = d
+}
+
+func (e *engine) eventInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.interval
+}
+
 // history returns the runs of all engines so far.
 func history(engines []*engine) []engineRun {
 	var all []engineRun
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -80,7 +80,7 @@
 
 // node is a gateway process.
 type node struct {
-	name, front, ready, peer string
+	name, front, ready, peer string // front and ready are empty on a storage machine
 	command                  *exec.Cmd
 	done                     chan struct{}
 }
@@ -121,13 +121,20 @@
 	return a
 }
 
-// addNode prepares a gateway process in a zone; serves says whether it takes requests.
+// addNode prepares the process of an entry machine.
 func (w *world) addNode(name string) *node {
 	n := &node{name: name, front: address(), ready: address(), peer: address()}
 	w.nodes = append(w.nodes, n)
 	return n
 }
 
+// addStorageNode prepares the process of a storage machine.
+func (w *world) addStorageNode(name string) *node {
+	n := &node{name: name, peer: address()}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
 // start starts the process of a node with the settings of the deploy file.
 func (w *world) start(n *node, zone string) {
 	var peers []string
@@ -148,7 +155,7 @@
 	log, err := os.OpenFile(filepath.Join(w.temp, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	n.command = exec.Command("target/pomelocross-gateway")
-	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "POMELOCROSS_BOOT=" + path, "POMELOCROSS_PEER_LISTEN=" + n.peer, "POMELOCROSS_CONTROL=standby"}
+	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "POMELOCROSS_BOOT=" + path, "POMELOCROSS_PEER_LISTEN=" + n.peer, "POMELOCROSS_CONTROL=" + n.control()}
 	n.command.Stdout, n.command.Stderr = log, log
 	check(n.command.Start())
 	n.done = make(chan struct{})
@@ -157,6 +164,14 @@
 	w.rec.say("gateway %s is started", n.name)
 }
 
+// control returns how eagerly a node seeks the control role, by its role in the deploy file.
+func (n *node) control() string {
+	if n.front == "" {
+		return "first"
+	}
+	return "standby"
+}
+
 // awaitReady waits until a node says that it is ready.
 func (w *world) awaitReady(n *node) {
 	for range 200 {
