--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -21,7 +21,9 @@
 	interval time.Duration // between two events
 	// fails reports whether an item fails at each run.
 	fails func(item string) bool
-	rec   *record
+	// text returns the data of an event; nil for a text that names the item and the tenant.
+	text func(item string, event int64) string
+	rec  *record
 
 	mu       sync.Mutex // guards all below
 	running  int
@@ -169,7 +171,12 @@
 			return
 		case <-time.After(e.eventInterval()):
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s, part %d\n\n", n, run.item, run.tenant, n); err != nil || flush.Flush() != nil {
+		data := fmt.Sprintf("%s of %s, part %d", run.item, run.tenant, n)
+		if e.text != nil {
+			data = e.text(run.item, n)
+		}
+		// text/event-stream: a line of data for each line of the text
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.ReplaceAll(data, "\n", "\ndata: ")); err != nil || flush.Flush() != nil {
 			return
 		}
 	}
