--- a/review/standin-3/upload.go
+++ b/review/standin-3/upload.go
@@ -20,11 +20,16 @@
 
 const (
 	blockBytes  = 8192 // of the archive that the client sends
-	blocks      = 16
-	blockPause  = 100 * time.Millisecond
+	writes      = 16   // of the archive
+	writeBlocks = 10   // in each
+	blocks      = writes * writeBlocks
+	writePause  = 100 * time.Millisecond
 	freezeAfter = 400 * time.Millisecond
-	clients     = 16
-	freezeTime  = 3 * time.Second
+	clients     = 8
+	// otherEntries and four storage machines stand beside the machine that freezes, so that it is
+	// one of eleven.
+	otherEntries = 6
+	freezeTime   = 3 * time.Second
 )
 
 // recordedCall returns a block of the archive: a call to hand in a batch, as a client once
@@ -60,8 +65,19 @@
 	}
 	w.configure(append(kept, archive), services)
 	n := w.addNode("edge-a-1")
-	w.start(n, "a")
-	w.awaitReady(n)
+	zones := []string{"a", "b", "c", "d"}
+	for c := range otherEntries {
+		w.addNode(fmt.Sprintf("edge-%s-2", zones[c%len(zones)]) + strings.Repeat("-2", c/len(zones)))
+	}
+	for _, zone := range zones {
+		w.addStorageNode("storage-" + zone + "-1")
+	}
+	for c, m := range w.nodes {
+		w.start(m, zones[c%len(zones)])
+	}
+	for _, m := range w.nodes[:otherEntries+1] {
+		w.awaitReady(m)
+	}
 	w.configure(kept, services)
 	w.rec.say("the operator's second version removes the route /archive/")
 	time.Sleep(3 * time.Second) // ConfigApplyMs is 2,000
@@ -108,12 +124,16 @@
 	first, second := fmt.Sprintf("archive-%d", client), fmt.Sprintf("count-%d", client)
 	fmt.Fprintf(conn, "POST /archive/day HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Pomelocross-Request-Id: %s\r\nX-Pomelocross-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n", host, key, first, blocks*blockBytes)
 	w.rec.say("client %d: request %s with a body of %d bytes", client, first, blocks*blockBytes)
-	for b := range blocks {
-		if _, err := conn.Write([]byte(recordedCall(client, b))); err != nil {
+	for b := range writes {
+		var part strings.Builder
+		for k := range writeBlocks {
+			part.WriteString(recordedCall(client, b*writeBlocks+k))
+		}
+		if _, err := io.WriteString(conn, part.String()); err != nil {
 			w.rec.say("client %d: the gateway closed the channel before the body was sent: %v", client, err)
 			return true
 		}
-		time.Sleep(blockPause)
+		time.Sleep(writePause)
 	}
 	w.rec.say("client %d: the body of %s is sent", client, first)
 	_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
