--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pomelocross/pomelocross/internal/freeport"
 	"github.com/pomelocross/pomelocross/platform/standin"
 )
 
@@ -105,12 +106,12 @@
 	return l.Addr().String()
 }
 
-// freeAddress returns an address with a free port.
+// freeAddress returns an address with a free port, outside the range of outgoing connections, so that
+// a machine can be started again at it.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	must(err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // machine is a machine that runs one instance of the gateway.
