http1: a response without a length is whole only once its request was received

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset (or closed) the connection while the upload was being written. The part was returned as the whole response, on streams too, and as the whole text of a batch item.

Cause: net/http takes the end of the connection for the end of such a body. When the upstream resets a connection, the kernel reports that once: if a write is in progress, the write gets the error and the read the end of the input. If the upstream ends its side first, reads get nothing else at all.

Change: internal/http1 follows the bytes of a connection in both directions, as a state machine without I/O, and holds back the end of a response that ends with its connection: it passes it on once the request was written without an error and the peer has acknowledged it (SIOCOUTQ), and an error otherwise. A body that net/http withholds ("Expect: 100-continue") is not waited for. The clients of package upstream use it.

Evidence: gateway/broken_response_test.go runs the gateway as a process with upstreams at the sockets.

Why it holds: without an error of a write, the read gets the reset itself, or the request has arrived.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 # CONCURRENT lists the packages whose suites run under the race detector.
-CONCURRENT := queue slots sendlimit limit route lease attempt upstream idempotency rollout instance objects link domain notice probe usage intake roster pace forward batch gateway telemetry fleet
+CONCURRENT := queue slots sendlimit limit route lease attempt upstream idempotency rollout instance objects link domain notice probe usage intake roster pace forward batch gateway telemetry fleet internal/http1
 
 .PHONY: all build demo test crowd lint race fuzz clean FORCE
 
--- /dev/null
+++ b/gateway/broken_response_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelocross/pomelocross/internal/standin/rawserver"
+	"github.com/pomelocross/pomelocross/platform/standin"
+)
+
+// earlyEngine serves requests by respond, which is called before the body of a request is read.
+func earlyEngine(respond rawserver.Respond) string {
+	address, closeListener, err := rawserver.ListenEarly(func(conn net.Conn, r *http.Request) {
+		if r.URL.Path == "/report" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") // the instance may have left
+			return
+		}
+		respond(conn, r)
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(closeListener)
+	return address
+}
+
+// brokenAttempts is the number of requests for each broken response. Each needs an upstream of its
+// own, since one that has failed gets no request for a while.
+const brokenAttempts = 10
+
+// Sizes of requests whose upstream doesn't read them: the buffers of the kernel hold one but not
+// the other.
+const (
+	heldBytes   = 1 << 20
+	uploadBytes = 12 << 20
+)
+
+// newBrokenDeployment returns a deployment with upstreams for plain requests that respond is called
+// for. Requests must not run twice, and may be as large as an upload.
+func newBrokenDeployment(kind string, respond rawserver.Respond) *deployment {
+	d := newDeployment(0, 0)
+	d.store.Remove("servers", d.desk.ID)
+	address := earlyEngine(respond)
+	for n := range brokenAttempts {
+		e := &standin.Engine{ID: fmt.Sprint("desk-", n), Service: "desk", Slots: 8}
+		d.store.Set("servers", e.ID, e.Registration(address, "a", "ready"))
+	}
+	d.configure(func(c map[string]any) {
+		route := c["Routes"].([]map[string]any)[0]
+		route["Type"], route["TimeoutMs"], route["Attempts"] = kind, 10000, 1
+		c["Limits"] = map[string]any{"MaxBodyBytes": uploadBytes}
+	})
+	return d
+}
+
+// signedHead returns the status line and header of a response, without the empty line at its end
+// and without a field that states the length of the body.
+func signedHead(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pomelocross-Request-Id: %s\r\nX-Pomelocross-Server-Seal: s\r\n", r.Header.Get("X-Pomelocross-Request-Id"))
+}
+
+// uploadPause is the time in which a client fills the buffers of the kernel with an upload.
+const uploadPause = 50 * time.Millisecond
+
+// connectionBreaks are the ways in which an upstream ends a connection whose request it has not
+// read.
+var connectionBreaks = []struct {
+	name string
+	do   func(*net.TCPConn)
+}{
+	{"a reset", func(conn *net.TCPConn) {
+		_ = conn.SetLinger(0) // resets the connection when it is closed
+		_ = conn.Close()
+	}},
+	{"a close", func(conn *net.TCPConn) { _ = conn.Close() }},
+	{"the end of the response and then a close", func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		time.Sleep(uploadPause)
+		_ = conn.Close()
+	}},
+}
+
+// expectNoPromise sends requests to all upstreams and expects that each gets a response that says
+// nothing about whether the request has run, and nothing that an upstream has sent.
+func expectNoPromise(listen string, body []byte) {
+	for n := range brokenAttempts {
+		a, err := call("POST", listen, "/kits/4", northKey, body, "X-Pomelocross-Request-Id", fmt.Sprint("r-", n))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Status).To(Equal(http.StatusBadGateway), string(a.Body))
+		Expect(a.Header).NotTo(HaveKey("X-Pomelocross-Server-Seal"))
+	}
+}
+
+// The first part of a response without a length was returned as the whole response: the kernel
+// reported the reset to the write of the upload, and the read got the end of the connection.
+var _ = Describe("A response without a length whose connection breaks while the upload is written", func() {
+	for _, size := range []int{heldBytes, uploadBytes} {
+		for _, broken := range connectionBreaks {
+			It(fmt.Sprintf("is not returned as a success, by %s, for an upload of %d bytes", broken.name, size), func() {
+				d := newBrokenDeployment("unsafe", func(conn net.Conn, r *http.Request) {
+					_, _ = io.WriteString(conn, signedHead(r)+"\r\npart") // the instance may have left
+					time.Sleep(uploadPause)
+					broken.do(conn.(*net.TCPConn))
+				})
+				expectNoPromise(d.startProcess().listen, make([]byte, size))
+			})
+
+			It(fmt.Sprintf("is no complete stream, by %s, for an upload of %d bytes", broken.name, size), func() {
+				d := newBrokenDeployment("stream", func(conn net.Conn, r *http.Request) {
+					_, _ = io.WriteString(conn, signedHead(r)+"Content-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n") // as above
+					time.Sleep(uploadPause)
+					broken.do(conn.(*net.TCPConn))
+				})
+				gw := d.startProcess()
+				for n := range brokenAttempts {
+					_, err := call("POST", gw.listen, "/kits/4", northKey, make([]byte, size), "X-Pomelocross-Request-Id", fmt.Sprint("r-", n))
+					Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+				}
+			})
+		}
+	}
+
+	// The begin of the text was listed as the whole text.
+	It("is no complete item of a batch", func() {
+		const items, events = 4, 3
+		var resumed atomic.Int64
+		address := earlyEngine(func(conn net.Conn, r *http.Request) {
+			id := r.Header.Get("X-Pomelocross-Request-Id")
+			first, last := 0, events-2
+			if r.Header.Get("Last-Event-Id") != "" {
+				first, last = events-1, events-1
+				resumed.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(conn, signedHead(r)+"Content-Type: text/event-stream\r\nX-Pomelocross-Weight-Versions: 1\r\n\r\n") // as above
+			for n := first; n <= last; n++ {
+				_, _ = fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", n, standin.EventData(id, int64(n)))
+			}
+			_ = conn.(*net.TCPConn).CloseWrite()
+			time.Sleep(uploadPause)
+			_ = conn.Close()
+		})
+		d := newDeployment(0, 0)
+		for n := range 2 {
+			e := &standin.Engine{ID: fmt.Sprint("engine-", n), Service: "lm", Slots: 8}
+			e.SetVersion(model, 1)
+			d.store.Set("servers", e.ID, e.Registration(address, "a", "ready"))
+		}
+		d.configure(func(c map[string]any) { c["Limits"] = map[string]any{"MaxBodyBytes": uploadBytes} })
+		gw := d.startProcess()
+		Expect(submit(gw.listen, "l", largeBatchBody(items, heldBytes/4))).To(Equal(http.StatusAccepted))
+		expectComplete(results(gw.listen, "l", items), items, events)
+		Expect(resumed.Load()).To(BeNumerically(">=", items))
+	})
+})
+
+// largeBatchBody returns the body of a submission whose items have a body of a size in bytes.
+func largeBatchBody(items, size int) []byte {
+	var body map[string]any
+	Expect(json.Unmarshal(batchBody(items, 1), &body)).To(Succeed())
+	for _, item := range body["Items"].([]any) {
+		item.(map[string]any)["Body"] = make([]byte, size)
+	}
+	encoded, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+// Responses that are sound, though they are early or have no length.
+var _ = Describe("A response without a length that ends in an orderly way", func() {
+	DescribeTable("is returned whole", func(bodyBytes int, respond rawserver.Respond) {
+		d := newBrokenDeployment("unsafe", respond)
+		gw := d.startProcess()
+		for n := range brokenAttempts {
+			a, err := call("POST", gw.listen, "/kits/4", northKey, make([]byte, bodyBytes), "X-Pomelocross-Request-Id", fmt.Sprint("r-", n))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.Status).To(Equal(http.StatusOK), string(a.Body))
+			Expect(string(a.Body)).To(Equal("first second"))
+		}
+	},
+		Entry("after a request without a body", 0, rawserver.Respond(func(conn net.Conn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, signedHead(r)+"\r\nfirst second")
+			_ = conn.Close()
+		})),
+		Entry("that begins before the upload was read", uploadBytes, rawserver.Respond(func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, signedHead(r)+"\r\nfirst ")
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, "second")
+			_ = conn.Close()
+		})),
+		Entry("that ends before the upload was read", uploadBytes, rawserver.Respond(func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, signedHead(r)+"\r\nfirst second")
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = conn.Close()
+		})),
+	)
+})
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/onsi/gomega/gexec"
 
 	"github.com/pomelocross/pomelocross/platform/standin"
 )
@@ -73,9 +71,6 @@
 			callers  = 40
 			load     = 8 * time.Second
 		)
-		binary, err := gexec.Build("github.com/pomelocross/pomelocross/cmd/pomelocross-gateway")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
 		d := newDeployment(2, 3)
 		d.desk.Slots = 64
 		d.setRoute("desk", "Attempts", 3)
@@ -88,15 +83,8 @@
 			lm.SetVersion(model, 1)
 			d.store.Set("servers", lm.ID, lm.Registration(endlessEngine(), "a", "ready"))
 		}
-		listen, ready := freeAddress(), freeAddress()
-		process := exec.Command(binary, "--name", "entry-1", "--domain", "a", "--secret", "0123456789abcdef", "--listen", listen, "--ready-listen", ready,
-			"--peer-listen", freeAddress(), "--store", d.storeAddress, "--cloud", d.cloudAddress, "--memory-mb", fmt.Sprint(memoryMB))
-		Expect(process.Start()).To(Succeed())
-		DeferCleanup(func() {
-			_ = process.Process.Kill() // fails only if the process has ended
-			_ = process.Wait()         // the error of a killed process
-		})
-		Eventually(func() int { return status("GET", ready, "/readyz", "", nil) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		process := d.startProcess("--memory-mb", fmt.Sprint(memoryMB))
+		listen := process.listen
 		var served, sent atomic.Int64
 		var running sync.WaitGroup
 		end := time.Now().Add(load)
@@ -116,7 +104,7 @@
 			})
 		}
 		running.Wait()
-		peak := peakMemoryMB(process.Process.Pid)
+		peak := peakMemoryMB(process.pid)
 		GinkgoWriter.Printf("%d of %d requests served, at most %d MB of memory\n", served.Load(), sent.Load(), peak)
 		AddReportEntry("load", fmt.Sprintf("%d of %d requests served, at most %d MB", served.Load(), sent.Load(), peak))
 		Expect(peak).To(BeNumerically("<", memoryMB))
--- /dev/null
+++ b/internal/http1/response.go
@@ -0,0 +1,104 @@
+package http1
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/samber/oops"
+)
+
+// responseScanner finds the end of the response to one request.
+type responseScanner struct {
+	toHEAD    bool // the request has the method HEAD
+	head      headCollector
+	begun     bool // a byte of it was received
+	headWhole bool
+	continued bool // the peer has asked for the rest of the request
+	body      bodyScanner
+}
+
+// scan checks bytes that were received and returns how many of them may be passed on. After an
+// error, the connection brings no further valid byte.
+func (s *responseScanner) scan(p []byte) (int, error) {
+	n := 0
+	for n < len(p) && !s.whole() {
+		s.begun = true
+		used, err := s.scanPart(p[n:])
+		if err != nil {
+			return n, err
+		}
+		n += used
+	}
+	return len(p), nil
+}
+
+// scanPart scans the rest of a head, or of the body.
+func (s *responseScanner) scanPart(p []byte) (int, error) {
+	if s.headWhole {
+		return s.body.scan(p)
+	}
+	used, head := s.head.add(p)
+	if head == nil {
+		return used, nil
+	}
+	return used, s.endHead(head)
+}
+
+// endHead interprets the head of a response.
+func (s *responseScanner) endHead(head []byte) error {
+	line, lines := nextLine(head)
+	status, err := parseStatusLine(line)
+	if err != nil {
+		return err
+	}
+	fields, err := parseFields(lines)
+	if err != nil {
+		return err
+	}
+	if isInterim(status) {
+		s.continued = s.continued || status == http.StatusContinue
+		return nil
+	}
+	s.headWhole, s.body = true, s.bodyAfter(status, fields)
+	return nil
+}
+
+// isInterim reports whether another response to the same request follows.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// bodyAfter returns the body after a head (RFC 9112, section 6.3).
+func (s *responseScanner) bodyAfter(status int, fields framing) bodyScanner {
+	switch {
+	case s.toHEAD, status == http.StatusNoContent, status == http.StatusNotModified:
+		return sizedBody(0)
+	case fields.chunked:
+		return chunkedBody()
+	case fields.length >= 0:
+		return sizedBody(fields.length)
+	}
+	return sizedBody(untilClose)
+}
+
+// parseStatusLine returns the status of a status line.
+func parseStatusLine(line []byte) (int, error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	status, err := strconv.Atoi(string(code))
+	if err != nil {
+		return 0, oops.In("http1").Errorf("%q is no status", code)
+	}
+	return status, nil
+}
+
+func (s *responseScanner) whole() bool { return s.headWhole && s.body.whole }
+
+// endsWithConnection reports whether the body has no other end than that of the connection.
+func (s *responseScanner) endsWithConnection() bool {
+	return s.headWhole && !s.body.chunked && s.body.left == untilClose
+}
+
+// reset prepares for the response to the next request on the connection.
+func (s *responseScanner) reset() { *s = responseScanner{head: s.head} }
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -9,13 +9,29 @@
 	"net/http"
 )
 
-// Respond writes what a server sends in response to a request, whose body was read, to the
-// connection.
+// Respond writes what a server sends in response to a request to the connection.
 type Respond func(conn net.Conn, r *http.Request)
 
 // Listen serves connections on a free local port until close is called. onConnection returns
-// the Respond of a new connection.
+// the Respond of a new connection, which is called once the body of a request was read.
 func Listen(onConnection func() Respond) (address string, closeListener func() error, err error) {
+	return listen(func(conn net.Conn) { serve(conn, readingBody(onConnection())) })
+}
+
+// receiveBufferBytes is the size of the receive buffer of a server that reads no bodies, so that
+// a client can't write a whole one.
+const receiveBufferBytes = 64 << 10
+
+// ListenEarly is Listen with a respond that is called before the body of a request is read. What
+// it leaves of the body is read afterwards.
+func ListenEarly(respond Respond) (address string, closeListener func() error, err error) {
+	return listen(func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(receiveBufferBytes) // the kernel may allow other sizes only
+		serve(conn, respond)
+	})
+}
+
+func listen(serve func(net.Conn)) (address string, closeListener func() error, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
@@ -26,12 +42,23 @@
 			if err != nil {
 				return // the listener is closed
 			}
-			go serve(conn, onConnection())
+			go serve(conn)
 		}
 	}()
 	return listener.Addr().String(), listener.Close, nil
 }
 
+// readingBody returns a Respond that reads the body of a request first.
+func readingBody(respond Respond) Respond {
+	return func(conn net.Conn, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			_ = conn.Close() // the client has left in the middle of the request
+			return
+		}
+		respond(conn, r)
+	}
+}
+
 func serve(conn net.Conn, respond Respond) {
 	defer conn.Close()
 	requests := bufio.NewReader(conn)
@@ -40,9 +67,9 @@
 		if err != nil {
 			return // the client has closed the connection
 		}
+		respond(conn, r)
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
+			return // one of both sides has closed the connection
 		}
-		respond(conn, r)
 	}
 }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pomelocross/pomelocross/internal/dial"
+	"github.com/pomelocross/pomelocross/internal/http1"
 )
 
 const (
@@ -250,26 +251,19 @@
 }
 
 func newTransport(maxIdle int) *http.Transport {
-	connect := dial.Func(dialTimeout, DeliveryTimeout)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := connect(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &trackedConn{Conn: c}, nil
-		},
-		MaxIdleConns:           maxIdle,
-		MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
-		IdleConnTimeout:        time.Minute,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		DisableCompression:     true,
+	transport := http1.NewTransport(dial.Func(dialTimeout, DeliveryTimeout))
+	connect := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := connect(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: c}, nil
 	}
+	transport.MaxIdleConns = maxIdle
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerUpstream
+	transport.IdleConnTimeout = time.Minute
+	return transport
 }
 
-const (
-	maxIdleConnsPerUpstream = 256
-	// maxResponseHeaderBytes limits a response's status line and headers. A faulty
-	// upstream may send a header without end.
-	maxResponseHeaderBytes = 64 << 10
-)
+const maxIdleConnsPerUpstream = 256
