http1: a field name that is no token makes a response invalid

What callers saw: an upstream in trouble sent a head in which the name of a field held a blank. The response was returned as a success with that line passed on; with "Content-Length : 3" the length was not seen, and the body was another one. The same in interim responses and in the trailer of a chunked body.

Cause: net/http accepts a blank in a name ("Read requests containing spaces as-is"), and doesn't take such a field for the one that it looks like.

Change: each field line of a head, an interim response and a trailer must be a token, a colon and a value without control bytes (RFC 9110, section 5.6.2; RFC 9112, section 5). Folded lines remain allowed where net/http joins them.

Handled before, and kept as specs: tabs, control bytes, zero bytes, bytes over 127 and brackets in a name, an empty name, a line without a colon, a first line that is folded, control bytes and carriage returns in a value.

Why it holds: what the scanner rejects ends the read before net/http gets the end of the head, so it doesn't matter how net/http would read it.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -245,4 +245,34 @@
 		{"interim responses and status 000", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n@FIELDS"},
 		{"an interim response without end", "HTTP/1.1 100 Continue\r\n"},
 	})
+	itExpectsNoSuccess([]brokenHead{
+		{"a field name with a blank", "HTTP/1.1 200 OK\r\n@FIELDSX Y: z\r\n"},
+		{"a length whose name ends with a blank", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length : 3\r\n"},
+		{"a field name that ends with a tab", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length\t: 3\r\n"},
+		{"a field name with a control byte", "HTTP/1.1 200 OK\r\n@FIELDSX\x01Y: z\r\n"},
+		{"a field name with a zero byte", "HTTP/1.1 200 OK\r\n@FIELDSX\x00Y: z\r\n"},
+		{"a field name with a byte over 127", "HTTP/1.1 200 OK\r\n@FIELDSX\xe4Y: z\r\n"},
+		{"a field name with a bracket", "HTTP/1.1 200 OK\r\n@FIELDSX[Y]: z\r\n"},
+		{"a field without a name", "HTTP/1.1 200 OK\r\n@FIELDS: z\r\n"},
+		{"a line without a colon", "HTTP/1.1 200 OK\r\n@FIELDSX\r\n"},
+		{"a first line that is folded", "HTTP/1.1 200 OK\r\n X: y\r\n@FIELDS"},
+		{"a control byte in a value", "HTTP/1.1 200 OK\r\n@FIELDSX: a\x01b\r\n"},
+		{"a carriage return in a value", "HTTP/1.1 200 OK\r\n@FIELDSX: a\rb\r\n"},
+		{"an interim response with a blank in a field name", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n@FIELDS"},
+	})
+
+	const brokenTrailer = "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: a\n\n\r\n0\r\nX Y: z\r\n\r\n"
+	respond := func(conn net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, signedHead(r)+brokenTrailer) // the instance may have left
+	}
+
+	It("gives callers no success after a trailer with a blank in a field name", func() {
+		expectNoPromise(newBrokenDeployment("unsafe", respond).startProcess().listen, nil)
+	})
+
+	It("gives callers no complete stream after a trailer with a blank in a field name", func() {
+		_, err := call("POST", newBrokenDeployment("stream", respond).startProcess().listen, "/kits/4", northKey, nil)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
 })
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -114,11 +114,21 @@
 		}
 		b.part = chunkSize
 	case chunkTrailer:
-		b.whole = len(line) == 0
+		return b.addTrailer(line)
 	}
 	return nil
 }
 
+// addTrailer checks a line after the last chunk. The fields there are not used.
+func (b *bodyScanner) addTrailer(line []byte) error {
+	if len(line) == 0 {
+		b.whole = true
+		return nil
+	}
+	_, _, err := parseField(line)
+	return err
+}
+
 // maxChunkSizeBits limits the size of a chunk.
 const maxChunkSizeBits = 48
 
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // headCollector collects the bytes of a message's head until its end.
@@ -68,16 +70,65 @@
 	return nil
 }
 
-// parseFields parses the lines of a header, without the first line of the message.
+// parseFields parses the lines of a header, without the first line of the message (RFC 9112,
+// section 5). net/http joins folded lines.
 func parseFields(lines []byte) (framing, error) {
 	f := framing{length: -1}
-	for line, rest := nextLine(lines); len(line) > 0; line, rest = nextLine(rest) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if err := f.add(name, bytes.Trim(value, " \t")); err != nil {
+	for n := 0; ; n++ {
+		var line []byte
+		line, lines = nextLine(lines)
+		if len(line) == 0 {
+			return f, nil
+		}
+		var err error
+		if isFolded(line) && n > 0 {
+			err = checkValue(line)
+		} else {
+			err = f.addLine(line)
+		}
+		if err != nil {
 			return framing{}, err
 		}
 	}
-	return f, nil
+}
+
+// isFolded reports whether a line continues the value of the field before it.
+func isFolded(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
+
+// addLine adds the field of a line.
+func (f *framing) addLine(line []byte) error {
+	name, value, err := parseField(line)
+	if err != nil {
+		return err
+	}
+	return f.add(name, value)
+}
+
+// parseField parses a line with a field. A blank around the name is not removed: it may hide a
+// field that says where the message ends from one of two readers.
+func parseField(line []byte) (name, value []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return nil, nil, invalid("%q is not the name of a field", name)
+	}
+	return name, bytes.Trim(value, " \t"), checkValue(value)
+}
+
+func checkValue(value []byte) error {
+	if !isText(value) {
+		return invalid("the value %q of a field has a control byte", value)
+	}
+	return nil
+}
+
+// isToken reports whether text is a token (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, c := range text {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(text) > 0
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
