http1: a response whose framing fields contradict each other is invalid

What callers saw: a response of HTTP/1.0 with "Transfer-Encoding: chunked" was returned with the sizes of the chunks as part of its body; one with a length and a transfer coding was returned as a success.

Cause: net/http drops the transfer coding of an HTTP/1.0 response and reads to the end of the connection, and drops a length beside a transfer coding, so that readers of the response can't see either.

Change: http1 rejects both, as RFC 9112 (sections 6.1 and 6.3) advises, together with what it has to agree on with net/http: a length that is no number or is stated with two values, a folded length, and any coding other than one "chunked".

Handled before, and kept as specs: two lengths, lengths that are negative, signed, empty, folded or too large, other codings.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -206,9 +206,25 @@
 })
 
 // brokenHead is the head of a response that is not valid HTTP/1.1. @FIELDS stands for the fields
-// that name the request and hold the signature.
+// that name the request and hold the signature, and @CHUNKS for a body in chunks.
 type brokenHead struct{ name, text string }
 
+// Bodies with one event.
+const (
+	eventBody   = "\r\nid: 0\ndata: a\n\n"
+	eventChunks = "\r\nf\r\nid: 0\ndata: a\n\n\r\n0\r\n\r\n"
+)
+
+// response returns a response with the head to a request.
+func (h brokenHead) response(r *http.Request) string {
+	_, fields, _ := strings.Cut(signedHead(r), "\r\n")
+	text := strings.ReplaceAll(h.text, "@FIELDS", fields)
+	if head, found := strings.CutSuffix(text, "@CHUNKS"); found {
+		return head + eventChunks
+	}
+	return text + eventBody
+}
+
 // itExpectsNoSuccess adds specs that expect that callers get no success, and no promise, when
 // upstreams send a head and then a body and the end of the connection.
 func itExpectsNoSuccess(heads []brokenHead) {
@@ -217,8 +233,7 @@
 			It(fmt.Sprintf("gives callers no success on a route of type %s after %s", kind, head.name), func() {
 				d := newBrokenDeployment(kind, func(conn net.Conn, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body)
-					fields := strings.SplitN(signedHead(r), "\r\n", 2)[1]
-					_, _ = io.WriteString(conn, strings.ReplaceAll(head.text, "@FIELDS", fields)+"\r\nid: 0\ndata: a\n\n") // the instance may have left
+					_, _ = io.WriteString(conn, head.response(r)) // the instance may have left
 					_ = conn.Close()
 				})
 				expectNoPromise(d.startProcess().listen, nil)
@@ -261,6 +276,20 @@
 		{"an interim response with a blank in a field name", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n@FIELDS"},
 	})
 
+	itExpectsNoSuccess([]brokenHead{
+		{"chunks in version 1.0", "HTTP/1.0 200 OK\r\n@FIELDSTransfer-Encoding: chunked\r\n@CHUNKS"},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\n@FIELDSTransfer-Encoding: chunked\r\nContent-Length: 3\r\n@CHUNKS"},
+		{"chunks stated twice", "HTTP/1.1 200 OK\r\n@FIELDSTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n@CHUNKS"},
+		{"another coding", "HTTP/1.1 200 OK\r\n@FIELDSTransfer-Encoding: gzip, chunked\r\n@CHUNKS"},
+		{"chunks in an empty list", "HTTP/1.1 200 OK\r\n@FIELDSTransfer-Encoding: , chunked\r\n@CHUNKS"},
+		{"two lengths", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: 3\r\nContent-Length: 15\r\n"},
+		{"a negative length", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: -1\r\n"},
+		{"a length with a sign", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: +15\r\n"},
+		{"an empty length", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length:\r\n"},
+		{"a folded length", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: 1\r\n 5\r\n"},
+		{"a length that is too large", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: 18446744073709551631\r\n"},
+	})
+
 	const brokenTrailer = "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: a\n\n\r\n0\r\nX Y: z\r\n\r\n"
 	respond := func(conn net.Conn, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -53,20 +53,53 @@
 	expectsContinue bool
 }
 
-// add adds a field of the header.
-func (f *framing) add(name, value []byte) error {
+// add adds a field of the header. It returns whether the field determines where the message ends.
+func (f *framing) add(name, value []byte) (bool, error) {
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		length, err := strconv.ParseInt(string(value), 10, 64)
-		if err != nil {
-			return invalid("%q is no length", value)
-		}
-		f.length = length
+		return true, f.addLength(value)
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		f.chunked = true
+		return true, f.addCoding(value)
 	case bytes.EqualFold(name, []byte("Expect")):
 		f.expectsContinue = true
 	}
+	return false, nil
+}
+
+// maxLengthBits limits the length of a body.
+const maxLengthBits = 48
+
+// addLength adds a Content-Length. It may be stated again, but must be the same.
+func (f *framing) addLength(value []byte) error {
+	length, err := strconv.ParseUint(string(value), 10, maxLengthBits)
+	if err != nil {
+		return invalid("%q is no length of a body", value)
+	}
+	if f.length >= 0 && f.length != int64(length) {
+		return invalid("the length of the body is stated as %d and as %d", f.length, length)
+	}
+	f.length = int64(length)
+	return nil
+}
+
+// addCoding adds a Transfer-Encoding. Chunks are the only coding that the client accepts.
+func (f *framing) addCoding(value []byte) error {
+	if f.chunked || !bytes.EqualFold(value, []byte("chunked")) {
+		return invalid("the transfer coding %q is not supported", value)
+	}
+	f.chunked = true
+	return nil
+}
+
+// check returns an error if the fields contradict each other or the version 1.minor of the message.
+// Readers differ in which of them they believe (RFC 9112, section 6.1).
+func (f *framing) check(minor int) error {
+	switch {
+	case f.chunked && f.length >= 0:
+		return invalid("the response has a length and a transfer coding")
+	case f.chunked && minor == 0:
+		return invalid("a response of HTTP/1.0 has a transfer coding")
+	}
 	return nil
 }
 
@@ -74,17 +107,18 @@
 // section 5). net/http joins folded lines.
 func parseFields(lines []byte) (framing, error) {
 	f := framing{length: -1}
-	for n := 0; ; n++ {
+	mayFold := false // the next line may continue the value of the field before it
+	for {
 		var line []byte
 		line, lines = nextLine(lines)
 		if len(line) == 0 {
 			return f, nil
 		}
 		var err error
-		if isFolded(line) && n > 0 {
+		if mayFold && isFolded(line) {
 			err = checkValue(line)
 		} else {
-			err = f.addLine(line)
+			mayFold, err = f.addLine(line)
 		}
 		if err != nil {
 			return framing{}, err
@@ -95,13 +129,15 @@
 // isFolded reports whether a line continues the value of the field before it.
 func isFolded(line []byte) bool { return line[0] == ' ' || line[0] == '\t' }
 
-// addLine adds the field of a line.
-func (f *framing) addLine(line []byte) error {
+// addLine adds the field of a line. It returns whether its value may continue on the next line: that
+// of a field that determines where the message ends must not.
+func (f *framing) addLine(line []byte) (mayFold bool, err error) {
 	name, value, err := parseField(line)
 	if err != nil {
-		return err
+		return false, err
 	}
-	return f.add(name, value)
+	determines, err := f.add(name, value)
+	return !determines, err
 }
 
 // parseField parses a line with a field. A blank around the name is not removed: it may hide a
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -45,7 +45,7 @@
 // endHead interprets the head of a response.
 func (s *responseScanner) endHead(head []byte) error {
 	line, lines := nextLine(head)
-	status, err := parseStatusLine(line)
+	minor, status, err := parseStatusLine(line)
 	if err != nil {
 		return err
 	}
@@ -53,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if err := fields.check(minor); err != nil {
+		return err
+	}
 	if isInterim(status) {
 		s.continued = s.continued || status == http.StatusContinue
 		return nil
@@ -77,24 +80,20 @@
 	return sizedBody(untilClose)
 }
 
-// parseStatusLine returns the status of a status line (RFC 9112, section 4). The blank before an
-// empty reason may be missing, since many servers leave it out.
-func parseStatusLine(line []byte) (int, error) {
+// parseStatusLine returns the minor version 1.x and the status of a status line (RFC 9112, section
+// 4). The blank before an empty reason may be missing, since many servers leave it out.
+func parseStatusLine(line []byte) (minor, status int, err error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
-	if !isVersion(version) {
-		return 0, invalid("%q is not a version that the client speaks", version)
+	digit, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || len(digit) != 1 || !isDigit(digit[0]) {
+		return 0, 0, invalid("%q is not a version that the client speaks", version)
 	}
 	if !isText(reason) {
-		return 0, invalid("the reason %q has a control byte", reason)
+		return 0, 0, invalid("the reason %q has a control byte", reason)
 	}
-	return parseStatus(code)
-}
-
-// isVersion reports whether text is a version 1 of HTTP.
-func isVersion(text []byte) bool {
-	minor, ok := bytes.CutPrefix(text, []byte("HTTP/1."))
-	return ok && len(minor) == 1 && isDigit(minor[0])
+	status, err = parseStatus(code)
+	return int(digit[0] - '0'), status, err
 }
 
 // maxStatus is the largest status code (RFC 9110, section 15).
