objects: read the platform's object API through http1

What was seen: a write that the platform answered with status 000, or with a head that is not valid, counted as done, and a refusal of this kind as a refusal.

Cause: the client had a transport of its own, which accepted what net/http accepts.

Change: the transport is made by http1.NewTransport.

--- a/objects/client.go
+++ b/objects/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,12 +15,15 @@
 	"github.com/samber/oops"
 
 	"github.com/pomelocross/pomelocross/internal/fenced"
+	"github.com/pomelocross/pomelocross/internal/http1"
 )
 
 const (
 	callTimeout = 3 * time.Second
 	// maxResponseBytes bounds a response, such as a list of objects of maximum size.
 	maxResponseBytes = 64 << 20
+	// maxIdleConns limits the connections that are kept for further calls.
+	maxIdleConns = 16
 )
 
 // Client is an HTTP client for the platform. It implements Store and Directory, and
@@ -67,7 +71,7 @@
 		o.Counter = noCounter{}
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxIdleConnsPerHost: 16, ResponseHeaderTimeout: time.Minute}
+		o.Transport = newTransport()
 	}
 	return &Client{
 		base:     sling.New().Base("http://" + address + "/v1/"),
@@ -78,6 +82,13 @@
 	}
 }
 
+func newTransport() *http.Transport {
+	transport := http1.NewTransport((&net.Dialer{}).DialContext)
+	transport.MaxIdleConnsPerHost = maxIdleConns
+	transport.ResponseHeaderTimeout = time.Minute
+	return transport
+}
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
