fenced: an order counts as answered only by a whole, valid response

Cause: the sender had a transport of its own, and its callers used the status without reading the body.

Change: the transport is made by http1.NewTransport, and Send returns the status after it has read the response to its end; an error otherwise, which says that the outcome is unknown. The callers used nothing but the status, so Send returns only that.

--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -21,6 +21,8 @@
 
 	"github.com/samber/oops"
 	"golang.org/x/sys/unix"
+
+	"github.com/pomelocross/pomelocross/internal/http1"
 )
 
 // continueTimeout is how long Send waits for "100 Continue". A receiver that
@@ -30,12 +32,17 @@
 // ErrNotSent means that the receiver cannot have received the whole request.
 var ErrNotSent = errors.New("request was not sent")
 
+var errResponseTooLarge = errors.New("the response is too large")
+
 // Check returns nil while the request may still be sent.
 type Check func() error
 
 // Sender sends each request on a new connection.
 type Sender struct{ http *http.Client }
 
+// maxResponseBytes limits the body of a response, which is not used.
+const maxResponseBytes = 64 << 10
+
 // NewSender returns a Sender. The kernel drops bytes that the receiver has not
 // acknowledged within userTimeout (TCP_USER_TIMEOUT), even while this process is
 // suspended.
@@ -43,14 +50,12 @@
 	dialer := &net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
 		return setUserTimeout(c, userTimeout)
 	}}
+	transport := http1.NewTransport(dialer.DialContext)
+	transport.DisableKeepAlives = true
+	transport.ExpectContinueTimeout = continueTimeout
 	return &Sender{http: &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
-			DialContext:           dialer.DialContext,
-			DisableKeepAlives:     true,
-			DisableCompression:    true,
-			ExpectContinueTimeout: continueTimeout,
-		},
+		Transport:     transport,
 	}}
 }
 
@@ -62,42 +67,53 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// Send sends r, whose body must be JSON. Surrounding white space is trimmed:
-// the withheld byte must be one without which a receiver cannot decode the
-// value. If the error is ErrNotSent, the receiver did not get the whole request;
+// Send sends r, whose body must be JSON, and returns the status of the response, which must be
+// whole. Surrounding white space is trimmed: the withheld byte must be one without which a receiver
+// cannot decode the value. If the error is ErrNotSent, the receiver did not get the whole request;
 // after any other error the outcome is unknown.
-func (s *Sender) Send(ctx context.Context, r *http.Request, check Check) (*http.Response, error) {
+func (s *Sender) Send(ctx context.Context, r *http.Request, check Check) (int, error) {
 	if err := check(); err != nil {
-		return nil, notSent(r, err)
+		return 0, notSent(r, err)
 	}
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, notSent(r, err)
+		return 0, notSent(r, err)
 	}
 	body := &checkedBody{remaining: bytes.TrimSpace(data), check: check}
 	r = r.Clone(ctx)
 	r.Body, r.GetBody, r.ContentLength = body, nil, int64(len(body.remaining))
 	r.Header.Set("Expect", "100-continue")
-	response, err := s.http.Do(r)
+	status, err := s.exchange(r)
 	switch {
 	case err == nil:
-		return response, nil
+		return status, nil
 	case !body.complete.Load():
-		return nil, notSent(r, err)
+		return 0, notSent(r, err)
+	}
+	return 0, oops.In("fenced").With("step", "send", "peer", r.URL.Host).Wrap(err)
+}
+
+// exchange sends r and reads the whole response.
+func (s *Sender) exchange(r *http.Request) (status int, err error) {
+	response, err := s.http.Do(r)
+	if err != nil {
+		return 0, err
 	}
-	return nil, oops.In("fenced").With("step", "send", "peer", r.URL.Host).Wrap(err)
+	defer response.Body.Close()
+	_, err = io.CopyN(io.Discard, response.Body, maxResponseBytes)
+	switch err {
+	case io.EOF:
+		return response.StatusCode, nil
+	case nil:
+		return 0, errResponseTooLarge
+	}
+	return 0, err
 }
 
 func notSent(r *http.Request, cause error) error {
 	return oops.In("fenced").With("step", "check", "peer", r.URL.Host).Wrap(errors.Join(ErrNotSent, cause))
 }
 
-// StaleEpoch reports whether the receiver refused the order because it has seen a
-// newer epoch (status 409).
-func StaleEpoch(response *http.Response) bool { return response.StatusCode == http.StatusConflict }
-
-// Close closes the response body. It first reads up to 1 KiB of what remains.
-func Close(response *http.Response) {
-	_, _ = io.CopyN(io.Discard, response.Body, 1<<10)
-	response.Body.Close()
-}
+// StaleEpoch reports whether a status means that the receiver refused the order because it has seen
+// a newer epoch.
+func StaleEpoch(status int) bool { return status == http.StatusConflict }
--- a/internal/fenced/fenced_test.go
+++ b/internal/fenced/fenced_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/pomelocross/pomelocross/internal/standin/rawserver"
 )
 
 // receiver is an HTTP server that counts the orders it could decode.
@@ -68,15 +71,12 @@
 			var lapsed atomic.Bool
 			r := newReceiver(t)
 			c.setup(&lapsed, r)
-			response, err := NewSender(time.Second).Send(context.Background(), order(r.URL), func() error {
+			_, err := NewSender(time.Second).Send(context.Background(), order(r.URL), func() error {
 				if lapsed.Load() {
 					return errConditionLapsed
 				}
 				return nil
 			})
-			if err == nil {
-				Close(response)
-			}
 			if errors.Is(err, ErrNotSent) != c.notSent || (err == nil) == c.notSent {
 				t.Errorf("error is %v", err)
 			}
@@ -114,14 +114,13 @@
 	}
 	total, longest := int64(0), int64(0)
 	for b.Loop() {
-		response, err := s.Send(context.Background(), order(r.URL), func() error {
+		_, err := s.Send(context.Background(), order(r.URL), func() error {
 			checked.Store(time.Now().UnixNano())
 			return nil
 		})
 		if err != nil {
 			b.Fatal(err)
 		}
-		Close(response)
 		window := wrote.Load() - checked.Load()
 		total, longest = total+window, max(longest, window)
 	}
@@ -142,3 +141,40 @@
 		t.Errorf("receiver decoded %d orders, want 1", r.received.Load())
 	}
 }
+
+// rawReceiver returns the URL of a receiver that reads a whole order, answers it with text and
+// closes the connection.
+func rawReceiver(t *testing.T, text string) string {
+	address, closeListener, err := rawserver.ListenEarly(func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // the sender may have left
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = closeListener() }) // fails only if it is closed
+	return "http://" + address
+}
+
+// TestBrokenResponse answers whole orders with bytes that are no response: Send must return neither
+// a status nor ErrNotSent.
+func TestBrokenResponse(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":                          "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"version 2.0":                         "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"a blank in a field name":             "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+		"a success that is cut":               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+		"a success in chunks that are cut":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"a newer epoch, with a body cut":      "HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\n{}",
+		"a newer epoch, with a blank in name": "HTTP/1.1 409 Conflict\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, err := NewSender(time.Second).Send(context.Background(), order(rawReceiver(t, text)), func() error { return nil })
+			if err == nil || errors.Is(err, ErrNotSent) {
+				t.Errorf("status is %d, error is %v", status, err)
+			}
+		})
+	}
+}
--- a/objects/client.go
+++ b/objects/client.go
@@ -186,11 +186,11 @@
 	if err != nil {
 		return response{}, err
 	}
-	return response{resp.StatusCode, resp.Header, body}, statusError(resp)
+	return response{resp.StatusCode, resp.Header, body}, statusError(resp.StatusCode)
 }
 
-func statusError(resp *http.Response) error {
-	switch status := resp.StatusCode; {
+func statusError(status int) error {
+	switch {
 	case status < http.StatusMultipleChoices, status == http.StatusNotModified:
 		return nil
 	case status == http.StatusNotFound:
@@ -202,5 +202,5 @@
 	case status == http.StatusTooManyRequests:
 		return ErrRefused
 	}
-	return oops.Errorf("platform returned status %d", resp.StatusCode)
+	return oops.Errorf("platform returned status %d", status)
 }
--- a/objects/scale.go
+++ b/objects/scale.go
@@ -29,12 +29,11 @@
 		if err != nil {
 			return err
 		}
-		resp, err := c.fencedSender(lifetime).Send(ctx, req, check)
+		status, err := c.fencedSender(lifetime).Send(ctx, req, check)
 		if err != nil {
 			return err
 		}
-		defer fenced.Close(resp)
-		return statusError(resp)
+		return statusError(status)
 	})
 	if err != nil {
 		return oops.In("platform").With("step", class.name).Wrap(err)
--- a/upstream/orders.go
+++ b/upstream/orders.go
@@ -33,16 +33,15 @@
 	if err != nil {
 		return oops.In("upstream").With("step", "build").Wrap(err)
 	}
-	resp, err := o.sender.Send(ctx, r, check)
+	status, err := o.sender.Send(ctx, r, check)
 	if err != nil {
 		return oops.In("upstream").With("step", "order", "peer", address).Wrap(err)
 	}
-	defer fenced.Close(resp)
 	switch {
-	case resp.StatusCode < http.StatusMultipleChoices:
+	case status < http.StatusMultipleChoices:
 		return nil
-	case fenced.StaleEpoch(resp):
+	case fenced.StaleEpoch(status):
 		return oops.In("upstream").With("step", "order", "peer", address).Wrap(ErrStaleEpoch)
 	}
-	return oops.In("upstream").With("step", "order", "peer", address).Errorf("status %d", resp.StatusCode)
+	return oops.In("upstream").With("step", "order", "peer", address).Errorf("status %d", status)
 }
