fenced: a success before the whole order was sent is none

What was seen: a receiver answered the head of an order at once with a 202 that ended with its connection. The order counted as accepted, though its last byte, which is withheld until the receiver asks for the body, was never sent.

Cause: Send returned any response, whether or not the order was complete. After one with a length, net/http sent the body nevertheless, so that a refusal before the body could end as an unknown outcome.

Change: the response ends the order: its last byte is withheld from then on. A success to an order that is not complete is ErrNotSent, which is certain; a refusal is returned as it is. The request asks to close the connection, so that net/http doesn't send the body after a final response.

--- a/internal/fenced/body.go
+++ b/internal/fenced/body.go
@@ -1,28 +1,40 @@
 package fenced
 
 import (
+	"errors"
 	"io"
-	"sync/atomic"
+	"sync"
 )
 
+// errAnswered means that the receiver has answered before it got the whole request.
+var errAnswered = errors.New("the request was answered before it was complete")
+
 // checkedBody is a request body that runs a check before it returns its last
 // byte.
 type checkedBody struct {
-	remaining []byte // not yet read by the transport
-	check     Check
-	complete  atomic.Bool // the last byte was read
+	check Check
+
+	mu        sync.Mutex // guards all below; held during the check
+	remaining []byte     // not yet read by the transport
+	complete  bool       // the last byte was read
+	ended     bool       // the last byte must not be read any more
 }
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	switch len(b.remaining) {
 	case 0:
 		return 0, io.EOF
 	case 1:
+		if b.ended {
+			return 0, errAnswered
+		}
 		if err := b.check(); err != nil {
 			return 0, err
 		}
-		b.complete.Store(true)
+		b.complete = true
 	default:
 		p = p[:min(len(p), len(b.remaining)-1)]
 	}
@@ -31,5 +43,13 @@
 	return n, nil
 }
 
+// end withholds the last byte from then on. It reports whether it was read before.
+func (b *checkedBody) end() (complete bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	return b.complete
+}
+
 // Close implements io.Closer.
 func (b *checkedBody) Close() error { return nil }
--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -79,15 +79,20 @@
 	if err != nil {
 		return 0, notSent(r, err)
 	}
-	body := &checkedBody{remaining: bytes.TrimSpace(data), check: check}
+	data = bytes.TrimSpace(data)
+	body := &checkedBody{remaining: data, check: check}
 	r = r.Clone(ctx)
-	r.Body, r.GetBody, r.ContentLength = body, nil, int64(len(body.remaining))
+	r.Body, r.GetBody, r.ContentLength = body, nil, int64(len(data))
 	r.Header.Set("Expect", "100-continue")
+	r.Close = true // otherwise net/http sends the body after a response that came instead of "100 Continue"
 	status, err := s.exchange(r)
+	complete := body.end()
 	switch {
+	case err == nil && !complete && status < http.StatusMultipleChoices:
+		return 0, notSent(r, errAnswered)
 	case err == nil:
 		return status, nil
-	case !body.complete.Load():
+	case !complete:
 		return 0, notSent(r, err)
 	}
 	return 0, oops.In("fenced").With("step", "send", "peer", r.URL.Host).Wrap(err)
--- a/internal/fenced/fenced_test.go
+++ b/internal/fenced/fenced_test.go
@@ -178,3 +178,29 @@
 		})
 	}
 }
+
+// TestEarlyResponse answers an order before its body was sent. A success is none: the last byte is
+// withheld, and the receiver can't have got the order. A refusal is one.
+func TestEarlyResponse(t *testing.T) {
+	for _, c := range []struct {
+		text   string
+		status int // 0 if the order was not sent
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0},
+		{"HTTP/1.1 202 Accepted\r\n\r\naccepted", 0},
+		{"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", http.StatusConflict},
+	} {
+		address, closeListener, err := rawserver.ListenEarly(func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, c.text) // the sender may have left
+			_ = conn.Close()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = closeListener() }) // fails only if it is closed
+		status, err := NewSender(time.Second).Send(context.Background(), order("http://"+address), func() error { return nil })
+		if status != c.status || errors.Is(err, ErrNotSent) != (c.status == 0) {
+			t.Errorf("after %q: status is %d, error is %v", c.text, status, err)
+		}
+	}
+}
