platform: a refusal of an upstream counts only if its response is whole

What callers saw: an upstream in trouble began a refusal (503 with X-Pomelocross-Not-Run) and broke off. Callers got a 503, which promises that the request has not run and never will, on the word of a response that was cut.

Cause: the header alone decided; the body of a refusal was not read, or its error was ignored.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -305,3 +305,22 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 })
+
+// A refusal promises that the request has not run. Callers got that promise, or the request was sent
+// to another upstream, after a response that broke off.
+var _ = Describe("A refusal that is cut", func() {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Pomelocross-Request-Id: %s\r\nX-Pomelocross-Not-Run: 1\r\nContent-Length: 100\r\n\r\nbusy"
+	for _, kind := range []string{"unsafe", "stream"} {
+		It("promises nothing on a route of type "+kind, func() {
+			var received atomic.Int64
+			d := newBrokenDeployment(kind, func(conn net.Conn, r *http.Request) {
+				received.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = fmt.Fprintf(conn, refusal, r.Header.Get("X-Pomelocross-Request-Id")) // the instance may have left
+				_ = conn.Close()
+			})
+			expectNoPromise(d.startProcess().listen, nil)
+			Expect(received.Load()).To(BeEquivalentTo(brokenAttempts))
+		})
+	}
+})
