batch: an error response to an item counts only if it is whole

What callers saw: an engine in trouble began a 422 (or a 500) to an item and broke off. The item was listed as dead for good after one such 422, and after twice the attempts of its route of such 500s, though no engine had said so in a whole response.

Cause: the runner decided by the status and never read the body of an error.

Evidence: gateway/broken_response_test.go, four items whose first three responses are cut: with 422 and with 500 items were dead before; all are complete now.

--- a/batch/send.go
+++ b/batch/send.go
@@ -70,12 +70,8 @@
 	switch {
 	case response.NotRun:
 		return r.handleRefusal(q, response, choice, now)
-	case response.Status == http.StatusUnprocessableEntity:
-		return outcomeRejected
 	case response.Status != http.StatusOK:
-		r.Roster.MarkFailed(choice.ID, now)
-		r.logItem(q, choice, "engine responded to an item with an error", zap.Int("status", response.Status))
-		return outcomeFailed
+		return r.handleError(ctx, q, response, choice, now)
 	}
 	version := response.Version
 	if version == 0 {
@@ -89,6 +85,19 @@
 	return r.readEvents(ctx, q, response, choice, version)
 }
 
+// handleError handles a response with an error status, which counts only if it is whole.
+func (r *Runner) handleError(ctx context.Context, q queuedItem, response *upstream.Reply, choice roster.Choice, now time.Time) outcome {
+	if err := response.Discard(); err != nil {
+		return r.attemptFailed(ctx, q, choice, err)
+	}
+	if response.Status == http.StatusUnprocessableEntity {
+		return outcomeRejected
+	}
+	r.Roster.MarkFailed(choice.ID, now)
+	r.logItem(q, choice, "engine responded to an item with an error", zap.Int("status", response.Status))
+	return outcomeFailed
+}
+
 // refusalBackoff is how long an engine that refused an item gets no further items of the
 // model. Loading weights takes about a second.
 const refusalBackoff = 150 * time.Millisecond
--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -324,3 +325,39 @@
 		})
 	}
 })
+
+// An item was listed as dead for good after a response that broke off, or after too many of them.
+var _ = Describe("An error response to a batch item that is cut", func() {
+	DescribeTable("does not count against the item", func(status int) {
+		const items, events, cuts = 4, 2, 3
+		var mu sync.Mutex
+		seen := map[string]int{}
+		address := earlyEngine(func(conn net.Conn, r *http.Request) {
+			id := r.Header.Get("X-Pomelocross-Request-Id")
+			_, _ = io.Copy(io.Discard, r.Body)
+			mu.Lock()
+			seen[id]++
+			cut := seen[id] <= cuts
+			mu.Unlock()
+			if !cut {
+				_, _ = io.WriteString(conn, itemResponse(id, events)) // the instance may have left
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Error\r\nX-Pomelocross-Request-Id: %s\r\nContent-Length: 100\r\n\r\nno", status, id) // as above
+			_ = conn.Close()
+		})
+		d := newDeployment(0, 0)
+		for n := range 6 {
+			e := &standin.Engine{ID: fmt.Sprint("engine-", n), Service: "lm", Slots: 8}
+			e.SetVersion(model, 1)
+			d.store.Set("servers", e.ID, e.Registration(address, "a", "ready"))
+		}
+		d.setRoute("lots", "Attempts", 1) // two errors give an item up
+		gw := d.startProcess()
+		Expect(submit(gw.listen, "l", batchBody(items, 1))).To(Equal(http.StatusAccepted))
+		expectComplete(results(gw.listen, "l", items), items, events)
+	},
+		Entry("status 422", http.StatusUnprocessableEntity),
+		Entry("status 500", http.StatusInternalServerError),
+	)
+})
