bodyread: one copy of reading a body that is not used

Upstreams' refusals and fenced orders both read a body to its end to learn whether the response is whole. The function moves to bodyread, where callers state their limit; no behaviour changes.

--- a/internal/bodyread/bodyread.go
+++ b/internal/bodyread/bodyread.go
@@ -1,7 +1,13 @@
 // Package bodyread reads bodies of unknown size without copying them again and again.
 package bodyread
 
-import "io"
+import (
+	"errors"
+	"io"
+)
+
+// ErrTooLarge is the error of a body that is not used and exceeds its limit.
+var ErrTooLarge = errors.New("the body is too large")
 
 // minReadBytes and maxReadBytes limit the parts in which a body is read. They grow with the body.
 const (
@@ -32,6 +38,19 @@
 	}
 }
 
+// Discard reads a body of less than limit bytes to its end. It returns an error unless the body is
+// whole.
+func Discard(body io.Reader, limit int64) error {
+	_, err := io.CopyN(io.Discard, body, limit)
+	switch err {
+	case io.EOF:
+		return nil
+	case nil:
+		return ErrTooLarge
+	}
+	return err
+}
+
 // readPart reads size bytes, or up to an error. Unlike io.ReadFull, it returns io.EOF at the end
 // of the body only: a body that was cut must not look complete.
 func readPart(body io.Reader, size int) ([]byte, error) {
--- a/internal/fenced/fenced.go
+++ b/internal/fenced/fenced.go
@@ -22,6 +22,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/sys/unix"
 
+	"github.com/pomelocross/pomelocross/internal/bodyread"
 	"github.com/pomelocross/pomelocross/internal/http1"
 )
 
@@ -32,8 +33,6 @@
 // ErrNotSent means that the receiver cannot have received the whole request.
 var ErrNotSent = errors.New("request was not sent")
 
-var errResponseTooLarge = errors.New("the response is too large")
-
 // Check returns nil while the request may still be sent.
 type Check func() error
 
@@ -105,14 +104,10 @@
 		return 0, err
 	}
 	defer response.Body.Close()
-	_, err = io.CopyN(io.Discard, response.Body, maxResponseBytes)
-	switch err {
-	case io.EOF:
-		return response.StatusCode, nil
-	case nil:
-		return 0, errResponseTooLarge
+	if err := bodyread.Discard(response.Body, maxResponseBytes); err != nil {
+		return 0, err
 	}
-	return 0, err
+	return response.StatusCode, nil
 }
 
 func notSent(r *http.Request, cause error) error {
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pomelocross/pomelocross/internal/bodyread"
 )
 
 // Target is one incarnation of an upstream, that is, one run of its process.
@@ -67,21 +69,9 @@
 // maxDiscardedBytes limits the body of a response that is not used.
 const maxDiscardedBytes = 1 << 20
 
-// errDiscardedTooLarge is the error of a response whose body is not used and exceeds its limit.
-var errDiscardedTooLarge = errors.New("the body of the response is too large")
-
 // Discard reads the rest of the body. It returns an error unless the response is whole: what it says
 // of its request counts only then.
-func (r *Reply) Discard() error {
-	_, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
-	switch err {
-	case io.EOF:
-		return nil
-	case nil:
-		return errDiscardedTooLarge
-	}
-	return err
-}
+func (r *Reply) Discard() error { return bodyread.Discard(r.Body, maxDiscardedBytes) }
 
 // Occupancy is the load of an upstream in requests: being processed, queued, and
 // the maximum that it processes concurrently.
