upstream: a refusal of the product's own protocols counts only if it is whole

What callers saw: an engine or a plain service that is declared to refuse before it runs anything began a 503 (or 429) and broke off. The request counted as not run: it was sent again, and the caller got that promise, on the word of a response that was cut.

Cause: Complete and Plain decided by the status before they read the body.

Change: both read the body to its end first; one that is cut is ErrTruncated, after which the request may have run.

Evidence: upstream/broken_response_test.go, six broken responses for each of two calls: the cut refusal failed for both before; all pass now. Handled before this commit, and kept as specs: status 000 and a blank in a field name (by http1), successes that are cut.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -73,10 +73,11 @@
 		return PlainAnswer{}, err
 	}
 	defer resp.Body.Close()
-	if request.RefusalMeansNotRun && isRefusal(resp.StatusCode) {
+	answer, err := readPlain(resp, address)
+	if err == nil && request.RefusalMeansNotRun && isRefusal(resp.StatusCode) {
 		return PlainAnswer{}, &RefusedError{Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
 	}
-	return readPlain(resp, address)
+	return answer, err
 }
 
 // readPlain reads the body of resp, up to MaxPlainBytes.
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/pomelocross/pomelocross/internal/bodyread"
 )
 
 const (
@@ -50,8 +52,11 @@
 
 // engineRefusal converts a response without a stream to an error. The engine
 // protocol allows 429 and 503 only before the request is executed; with other
-// statuses it may have been executed.
+// statuses, or if the response is cut, it may have been executed.
 func engineRefusal(resp *http.Response) error {
+	if err := bodyread.Discard(resp.Body, maxDiscardedBytes); err != nil {
+		return oops.In("upstream").With("step", "read refusal", "status", resp.StatusCode).Wrap(errors.Join(ErrTruncated, err))
+	}
 	if isRefusal(resp.StatusCode) {
 		return &RefusedError{Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
 	}
