upstream: a load report counts only if its response is whole

What was seen: a report of an engine that was cut after its JSON value counted as the load of the engine.

Cause: the value was decoded from the body as it came, and the rest of the response was not read.

Change: the body is read to its end (up to 1 MB) and decoded then.

Evidence: the call is added to upstream/broken_response_test.go: cut in a body of stated length and in chunks, both counted before, neither does now.

--- a/upstream/broken_response_test.go
+++ b/upstream/broken_response_test.go
@@ -26,6 +26,10 @@
 	{"a completion", func(ctx SpecContext, c *Client, address string) error {
 		return c.Complete(ctx, address, CompletionRequest{ID: "r", MaxTokens: 1}, func(Chunk) error { return nil })
 	}},
+	{"a load report", func(ctx SpecContext, c *Client, address string) error {
+		_, err := c.ReportedLoad(ctx, address)
+		return err
+	}},
 }
 
 // brokenResponses are no responses, though each has a part of one.
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -129,12 +130,17 @@
 	if resp.StatusCode >= 300 {
 		return oops.In("upstream").With("step", "check status", "peer", r.URL.Host).Errorf("status %d", resp.StatusCode)
 	}
-	if out == nil {
-		return nil
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxJSONBytes))
+	if err != nil || out == nil {
+		return err
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return json.Unmarshal(body, out)
 }
 
+// maxJSONBytes limits the body of a load report and of the response to an order. What exceeds it can't
+// be decoded.
+const maxJSONBytes = 1 << 20
+
 // Send sends r with body, without automatic retries by net/http. The caller must
 // close the body of the response. Errors are of type *SendError.
 func (c *Client) Send(ctx context.Context, r *http.Request, body []byte) (*http.Response, error) {
