--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -361,3 +361,46 @@
 		Entry("status 500", http.StatusInternalServerError),
 	)
 })
+
+// The signature of a reward call's response is the reward. That of a broken response was listed.
+var _ = Describe("A broken response to a reward call", func() {
+	responses := []brokenHead{
+		{"a field name with a blank", "HTTP/1.1 200 OK\r\n@FIELDSX Y: z\r\n"},
+		{"version 2.0", "HTTP/2.0 200 OK\r\n@FIELDS"},
+		{"an end before its length", "HTTP/1.1 200 OK\r\n@FIELDSContent-Length: 100\r\n"},
+	}
+	for _, broken := range responses {
+		It("is no reward: "+broken.name, func() {
+			const items = 4
+			var mu sync.Mutex
+			seen := map[string]bool{}
+			address := earlyEngine(func(conn net.Conn, r *http.Request) {
+				id := r.Header.Get("X-Pomelocross-Request-Id")
+				_, _ = io.Copy(io.Discard, r.Body)
+				mu.Lock()
+				again := seen[id]
+				seen[id] = true
+				mu.Unlock()
+				if again {
+					_, _ = io.WriteString(conn, strings.Replace(signedResponse(id, "rated"), "Seal: s", "Seal: sound", 1)) // the instance may have left
+					return
+				}
+				_, _ = io.WriteString(conn, broken.response(r)) // as above
+				_ = conn.Close()
+			})
+			d := newDeployment(2, 2)
+			d.store.Remove("servers", d.desk.ID)
+			for n := range items {
+				e := &standin.Engine{ID: fmt.Sprint("desk-", n), Service: "desk", Slots: 8}
+				d.store.Set("servers", e.ID, e.Registration(address, "a", "ready"))
+			}
+			gw := d.startProcess()
+			Expect(submit(gw.listen, "l", rewardedBatchBody(items))).To(Equal(http.StatusAccepted))
+			expectComplete(results(gw.listen, "l", items), items, 2)
+			got, _ := read(gw.listen, "l", 0)
+			for _, result := range got.Results {
+				Expect(result.Score).To(Equal("sound"))
+			}
+		})
+	}
+})
