operator: the command reads the answers of instances through http1

What was seen: `pomelocross status` and the commands like it showed what a response with status 000, with a blank in a field name or with an end before its length said, as if it were whole.

Cause: they used http.DefaultClient, and decoded the value without reading the rest of the response.

Change: they have a client of their own with the transport of http1, which takes a proxy from the environment as before, and read the body to its end first.

--- a/operator/status.go
+++ b/operator/status.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,6 +18,7 @@
 
 	"github.com/pomelocross/pomelocross/contract"
 	"github.com/pomelocross/pomelocross/instance"
+	"github.com/pomelocross/pomelocross/internal/http1"
 )
 
 // AllStatus returns the status of all instances as seen by the instance at Admin.
@@ -28,6 +30,15 @@
 // maxReasonBytes limits the text of an error response that is reported.
 const maxReasonBytes = 1 << 10
 
+// adminClient calls the admin interfaces of instances.
+var adminClient = newAdminClient()
+
+func newAdminClient() *http.Client {
+	transport := http1.NewTransport((&net.Dialer{}).DialContext)
+	transport.Proxy = http.ProxyFromEnvironment
+	return &http.Client{Transport: transport}
+}
+
 // getAdmin sends a GET request to the admin interface at Admin and decodes the JSON
 // response.
 func (o *Operator) getAdmin(ctx context.Context, path string, out any) error {
@@ -38,7 +49,7 @@
 	if err != nil {
 		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(err)
 	}
-	resp, err := http.DefaultClient.Do(r.WithContext(ctx))
+	resp, err := adminClient.Do(r.WithContext(ctx))
 	if err != nil {
 		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(err)
 	}
@@ -47,7 +58,11 @@
 		reason, err := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
 		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(errors.Join(fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(reason)), err))
 	}
-	return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(json.NewDecoder(resp.Body).Decode(out))
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(err)
+	}
+	return oops.In("operator").With("step", path, "peer", o.Admin).Wrap(json.Unmarshal(body, out))
 }
 
 // PrintStatus prints one line per instance and where the newest revision is in force.
