platform, objects: calls follow no redirects

What was seen: a server in trouble answered a call with a redirect, and the client sent it once more, to the address that the response named: orders to engines, scaling orders, usage reports and writes too.

Cause: http.Client follows redirects unless it is told otherwise; the clients for upstreams and for fenced calls were, these weren't.

--- a/objects/broken_response_test.go
+++ b/objects/broken_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,3 +69,26 @@
 		}
 	}
 })
+
+var _ = Describe("A redirect of the platform", func() {
+	for _, call := range storeCalls {
+		It("is not followed by the call "+call.name, func(ctx SpecContext) {
+			var received atomic.Int64
+			listen := func(text string) string {
+				address, closeListener, err := rawserver.Listen(func() rawserver.Respond {
+					return func(conn net.Conn, _ *http.Request) {
+						received.Add(1)
+						_, _ = io.WriteString(conn, text) // the client may have closed the connection
+					}
+				})
+				Expect(err).NotTo(HaveOccurred())
+				DeferCleanup(closeListener)
+				return address
+			}
+			other := listen(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body))
+			redirecting := listen("HTTP/1.1 307 Temporary Redirect\r\nLocation: http://" + other + "/\r\nContent-Length: 0\r\n\r\n")
+			Expect(call.do(ctx, objects.NewClient(redirecting, nil))).NotTo(Succeed())
+			Expect(received.Load()).To(BeEquivalentTo(1))
+		})
+	}
+})
