http1: errors quote only the begin of what a peer has sent

What was seen: a field name of 32 KB that is not valid made an error, and with it a line of the log, of 33 KB.

Change: they quote 40 characters. A spec bounds the error; it failed before with 32,913 bytes. A sound case is added beside: a response of stated length that comes before the upload was read, which was and is returned whole.

--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -175,7 +175,7 @@
 }
 
 // Responses that are sound, though they are early or have no length.
-var _ = Describe("A response without a length that ends in an orderly way", func() {
+var _ = Describe("A response that is early, or has no length, and ends in an orderly way", func() {
 	DescribeTable("is returned whole", func(bodyBytes int, respond rawserver.Respond) {
 		d := newBrokenDeployment("unsafe", respond)
 		gw := d.startProcess()
@@ -191,6 +191,10 @@
 			_, _ = io.WriteString(conn, signedHead(r)+"\r\nfirst second")
 			_ = conn.Close()
 		})),
+		Entry("of stated length that comes before the upload was read", uploadBytes, rawserver.Respond(func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, signedHead(r)+"Content-Length: 12\r\n\r\nfirst second")
+			_, _ = io.Copy(io.Discard, r.Body)
+		})),
 		Entry("that begins before the upload was read", uploadBytes, rawserver.Respond(func(conn net.Conn, r *http.Request) {
 			_, _ = io.WriteString(conn, signedHead(r)+"\r\nfirst ")
 			_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -137,7 +137,7 @@
 	digits, _, _ := bytes.Cut(line, []byte(";"))
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, maxChunkSizeBits)
 	if err != nil {
-		return 0, invalid("%q is no size of a chunk", digits)
+		return 0, invalid("%.40q is no size of a chunk", digits)
 	}
 	return int64(size), nil
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -73,7 +73,7 @@
 func (f *framing) addLength(value []byte) error {
 	length, err := strconv.ParseUint(string(value), 10, maxLengthBits)
 	if err != nil {
-		return invalid("%q is no length of a body", value)
+		return invalid("%.40q is no length of a body", value)
 	}
 	if f.length >= 0 && f.length != int64(length) {
 		return invalid("the length of the body is stated as %d and as %d", f.length, length)
@@ -85,7 +85,7 @@
 // addCoding adds a Transfer-Encoding. Chunks are the only coding that the client accepts.
 func (f *framing) addCoding(value []byte) error {
 	if f.chunked || !bytes.EqualFold(value, []byte("chunked")) {
-		return invalid("the transfer coding %q is not supported", value)
+		return invalid("the transfer coding %.40q is not supported", value)
 	}
 	f.chunked = true
 	return nil
@@ -145,14 +145,14 @@
 func parseField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) {
-		return nil, nil, invalid("%q is not the name of a field", name)
+		return nil, nil, invalid("%.40q is not the name of a field", name)
 	}
 	return name, bytes.Trim(value, " \t"), checkValue(value)
 }
 
 func checkValue(value []byte) error {
 	if !isText(value) {
-		return invalid("the value %q of a field has a control byte", value)
+		return invalid("the value %.40q of a field has a control byte", value)
 	}
 	return nil
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -30,7 +30,8 @@
 	ErrSurplus = errors.New("the peer sent more than the response")
 )
 
-// invalid returns an ErrInvalid with its reason.
+// invalid returns an ErrInvalid with its reason, which quotes only the begin of what the peer has
+// sent (%.40q): it ends in a line of the log.
 func invalid(format string, arguments ...any) error {
 	return oops.In("http1").Wrapf(ErrInvalid, format, arguments...)
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -147,4 +147,12 @@
 		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		Expect(err).To(MatchError(ErrSurplus))
 	})
+
+	It("reports a long field that is not valid in a short error", func() {
+		for _, field := range []string{strings.Repeat("n", 1<<15) + " : x", "X: " + strings.Repeat("v", 1<<15) + "\x01", strings.Repeat("l", 1<<15)} {
+			_, _, err := fetch(newClient(), "GET", serve(respondWith("HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n", inOnePiece)))
+			Expect(err).To(MatchError(ErrInvalid))
+			Expect(len(err.Error())).To(BeNumerically("<", 1000))
+		}
+	})
 })
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -87,10 +87,10 @@
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	digit, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || len(digit) != 1 || !isDigit(digit[0]) {
-		return 0, 0, invalid("%q is not a version that the client speaks", version)
+		return 0, 0, invalid("%.40q is not a version that the client speaks", version)
 	}
 	if !isText(reason) {
-		return 0, 0, invalid("the reason %q has a control byte", reason)
+		return 0, 0, invalid("the reason %.40q has a control byte", reason)
 	}
 	status, err = parseStatus(code)
 	return int(digit[0] - '0'), status, err
@@ -102,7 +102,7 @@
 // parseStatus parses a status code. It rejects a switch of protocols, which no client requests.
 func parseStatus(code []byte) (int, error) {
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
-		return 0, invalid("%q is no status", code)
+		return 0, invalid("%.40q is no status", code)
 	}
 	status := int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
