--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
 fuzz:
 	$(GO) test ./contract -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./contract -run '^$$' -fuzz FuzzSplitKey -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/http1 -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME)
 
 FORCE:
 
