http1: an idle connection keeps no memory of a head

What was seen: after a head that came in parts, as callers' heads of over 4 KB are written and long responses arrive, each connection kept its buffer, up to 64 KB for each direction, while it was idle.

Change: the buffer is dropped at the end of the head. Heads that come in one part, as nearly all do, never needed one.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -14,7 +14,7 @@
 }
 
 // add adds bytes up to the end of the head. It returns the number of them that belong to the
-// head, and the head once it is whole, which is valid until the next call.
+// head, and the head once it is whole, which is valid as long as p is.
 func (c *headCollector) add(p []byte) (used int, head []byte) {
 	all := p
 	if len(c.part) > 0 {
@@ -30,7 +30,7 @@
 		start += length + 1
 		if empty {
 			used = start - len(c.part)
-			c.part, c.lineStart = c.part[:0], 0
+			*c = headCollector{} // an idle connection keeps no memory of a long head
 			return used, all[:start]
 		}
 	}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -156,3 +156,19 @@
 		}
 	})
 })
+
+var _ = Describe("A connection", func() {
+	// Callers' heads of 64 KB are forwarded, and responses may have as much: on hundreds of idle
+	// connections that would be tens of MB.
+	It("keeps no memory of a head once it has ended", func() {
+		var response responseScanner
+		line := []byte("X: " + strings.Repeat("v", 1<<10) + "\r\n")
+		Expect(response.scan([]byte("HTTP/1.1 200 OK\r\n"))).Error().NotTo(HaveOccurred())
+		for range 32 {
+			Expect(response.scan(line)).Error().NotTo(HaveOccurred())
+		}
+		Expect(response.scan([]byte("Content-Length: 0\r\n\r\n"))).Error().NotTo(HaveOccurred())
+		Expect(response.whole()).To(BeTrue())
+		Expect(cap(response.head.part)).To(BeZero())
+	})
+})
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -46,4 +46,4 @@
 func (s *requestScanner) withheld() bool { return s.headWhole && s.expects && !s.body.begun }
 
 // reset prepares for the next request on the connection.
-func (s *requestScanner) reset() { *s = requestScanner{head: s.head} }
+func (s *requestScanner) reset() { *s = requestScanner{} }
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -119,4 +119,4 @@
 }
 
 // reset prepares for the response to the next request on the connection.
-func (s *responseScanner) reset() { *s = responseScanner{head: s.head} }
+func (s *responseScanner) reset() { *s = responseScanner{} }
