--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -18,6 +18,16 @@
 	return listen(func(conn net.Conn) { serve(conn, readingBody(onConnection())) })
 }
 
+// ListenText is Listen with a Respond that writes text and closes the connection.
+func ListenText(text string) (address string, closeListener func() error, err error) {
+	return Listen(func() Respond {
+		return func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, text) // the client may have closed the connection
+			_ = conn.Close()
+		}
+	})
+}
+
 // receiveBufferBytes is the size of the receive buffer of a server that reads no bodies, so that
 // a client can't write a whole one.
 const receiveBufferBytes = 64 << 10
--- a/operator/broken_response_test.go
+++ b/operator/broken_response_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"io"
-	"net"
-	"net/http"
 
 	ginkgo "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,12 +10,7 @@
 )
 
 var _ = ginkgo.DescribeTable("A broken response of an instance is reported as an error", func(ctx ginkgo.SpecContext, text string) {
-	address, closeListener, err := rawserver.Listen(func() rawserver.Respond {
-		return func(conn net.Conn, _ *http.Request) {
-			_, _ = io.WriteString(conn, text) // the command may have closed the connection
-			_ = conn.Close()
-		}
-	})
+	address, closeListener, err := rawserver.ListenText(text)
 	Expect(err).NotTo(HaveOccurred())
 	ginkgo.DeferCleanup(closeListener)
 	_, err = (&Operator{Admin: address, Out: io.Discard}).AllStatus(ctx)
--- a/upstream/broken_response_test.go
+++ b/upstream/broken_response_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"io"
-	"net"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,12 +44,7 @@
 	for _, broken := range brokenResponses {
 		for _, call := range clientCalls {
 			It("is an error after which "+call.name+" may have run: "+broken.name, func(ctx SpecContext) {
-				address, closeListener, err := rawserver.Listen(func() rawserver.Respond {
-					return func(conn net.Conn, _ *http.Request) {
-						_, _ = io.WriteString(conn, broken.text) // the client may have closed the connection
-						_ = conn.Close()
-					}
-				})
+				address, closeListener, err := rawserver.ListenText(broken.text)
 				Expect(err).NotTo(HaveOccurred())
 				DeferCleanup(closeListener)
 				err = call.do(ctx, NewClient(), address)
