--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -34,6 +34,7 @@
 type request struct {
 	method, path, id string
 	host             string // host by default
+	key              string // the clients' key by default
 	body             []byte
 	header           map[string]string
 	deadline         time.Duration // 0 if the call bears none
@@ -52,7 +53,7 @@
 		return answer{err: err}
 	}
 	q.Host = cmp.Or(r.host, host)
-	q.Header.Set("X-Api-Key", cmp.Or(l.key, key))
+	q.Header.Set("X-Api-Key", cmp.Or(r.key, key))
 	if r.id != "" {
 		q.Header.Set("X-Pomelocross-Request-Id", r.id)
 	}
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -99,7 +99,6 @@
 	store   *store
 	storeAt string
 	cloudAt string
-	key     string // API key of the clients; key if empty
 
 	nodes   []*node
 	servers []*server
