--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -108,30 +108,6 @@
 	return encoded
 }
 
-// result is a listed result.
-type result struct {
-	ID       string `json:"Id"`
-	State    string
-	Output   string
-	Versions []int64
-}
-
-type page struct {
-	Total     int
-	NextToken int
-	Results   []result
-}
-
-// readPage reads the results of a batch job from a position.
-func (l *lab) readPage(n *node, batch string, after int) (page, answer) {
-	a := l.send(n, request{method: "GET", path: fmt.Sprintf("/lots/%s?After=%d", batch, after), header: map[string]string{"X-Pomelocross-Wait-Ms": "1000"}, deadline: 2500 * time.Millisecond})
-	var p page
-	if a.err == nil && a.status == http.StatusOK {
-		a.err = json.Unmarshal(a.body, &p)
-	}
-	return p, a
-}
-
 // baseConfig is a config with one route of each type.
 func baseConfig() map[string]any {
 	return map[string]any{
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -83,7 +83,7 @@
 }
 
 // maxRun bounds a script.
-const maxRun = 100 * time.Second
+const maxRun = 115 * time.Second
 
 // brokenError says which rule was broken and how.
 type brokenError string
@@ -99,9 +99,18 @@
 	store   *store
 	storeAt string
 	cloudAt string
-
 	nodes   []*node
 	servers []*server
+
+	mu    sync.Mutex // guards round
+	round *lab       // deployment of the current round; nil without rounds
+}
+
+// setRound sets the deployment of a round, which ends with this one.
+func (l *lab) setRound(round *lab) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.round = round
 }
 
 // record is the file of what was sent, answered and run.
@@ -325,6 +334,12 @@
 
 // stop ends all processes that the lab has started.
 func (l *lab) stop() {
+	l.mu.Lock()
+	round := l.round
+	l.mu.Unlock()
+	if round != nil {
+		round.stop()
+	}
 	for _, n := range l.nodes {
 		if n.exited == nil {
 			continue
--- a/review/lab-3/regress.go
+++ b/review/lab-3/regress.go
@@ -44,28 +44,6 @@
 	return nil
 }
 
-// countedStore is the store as one node reaches it. It notes when the node watches the config.
-type countedStore struct {
-	*store
-	mu      sync.Mutex // guards watched
-	watched time.Time
-}
-
-func (c *countedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/objects/config" && r.URL.Query().Get("Watch") != "" {
-		c.mu.Lock()
-		c.watched = time.Now()
-		c.mu.Unlock()
-	}
-	c.store.ServeHTTP(w, r)
-}
-
-func (c *countedStore) watchedAt() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.watched
-}
-
 // regressModels are the models of the trainers; each trainer's batch jobs have an owner of
 // their own.
 var regressModels = []string{"m-a", "m-b", "m-c", "m-d", "m-e", "m-f"}
@@ -96,12 +74,31 @@
 	at   time.Time
 }
 
-// configRegress: a machine freezes while the config changes. Another one runs a batch job that
-// was accepted under the new version, and serves later requests under the old one.
+// configRegress plays rounds, each with a deployment of its own, until a machine regresses.
 func configRegress(l *lab) error {
-	const backMs = 250 * time.Millisecond
+	const rounds = 6
+	for round := 1; round <= rounds; round++ {
+		l.record.line("round", strconv.Itoa(round))
+		one := &lab{ctx: l.ctx, record: l.record, trouble: l.trouble, work: l.work, store: newStore()}
+		l.setRound(one)
+		broken, err := one.regressRound(round)
+		one.stop()
+		if err != nil {
+			return err
+		}
+		if broken != "" {
+			l.record.line("broken", broken)
+			return brokenError(broken)
+		}
+	}
+	return nil
+}
+
+// regressRound: a machine freezes while the config changes. Another one runs a batch job that was
+// accepted under the new version, and serves later requests under the old one. It returns how.
+func (l *lab) regressRound(round int) (broken string, err error) {
 	if err := l.beginPlatform(regressConfig(3, 0)); err != nil {
-		return err
+		return "", err
 	}
 	var mu sync.Mutex
 	var effects []effect
@@ -125,77 +122,65 @@
 			}
 		}
 		if err := l.addServer(s); err != nil {
-			return err
+			return "", err
 		}
 	}
 	l.heartbeats()
 	// Three machines that serve requesters in one zone, one in another, and two store machines there.
-	stores := map[*node]*countedStore{}
 	for i, role := range []string{"entry", "entry", "entry", "entry", "store", "store"} {
 		zone := "mty-a"
 		if i > 2 {
 			zone = "mty-b"
 		}
-		n, err := l.plan(fmt.Sprintf("%s-%s-%d", role, zone, i+1), zone, role)
-		if err != nil {
-			return err
-		}
-		stores[n] = &countedStore{store: l.store}
-		if n.store, err = serve(stores[n]); err != nil {
-			return err
+		if _, err := l.plan(fmt.Sprintf("%s-%s-%d", role, zone, i+1), zone, role); err != nil {
+			return "", err
 		}
 	}
 	for _, n := range l.nodes {
 		if err := l.start(n); err != nil {
-			return err
+			return "", err
 		}
 	}
 	for _, n := range l.entries() {
 		if err := l.awaitReady(n); err != nil {
-			return err
+			return "", err
 		}
 	}
-	time.Sleep(7 * time.Second) // ContactMs is 3 s, CatchUpS 5.2 s
+	time.Sleep(6 * time.Second) // CatchUpS is 5.2 s
 	zone := l.entries()[:3]
-	broken := ""
-	for cycle := 1; cycle <= 11 && broken == ""; cycle++ {
-		side, version := cycle%2, 3+4*cycle
-		reader := zone[0]
-		for _, n := range zone {
-			if stores[n].watchedAt().After(stores[reader].watchedAt()) {
-				reader = n
-			}
-		}
-		if l.trouble {
-			l.signal(reader, syscall.SIGSTOP)
-			time.Sleep(50 * time.Millisecond)
-		}
-		mu.Lock()
-		effects = nil
-		mu.Unlock()
-		l.store.set("config", "main", regressConfig(version, side))
-		l.record.line("config", fmt.Sprintf("version %d is confirmed; all routes lead to the services with %d", version, side))
-		if broken = l.watchRegress(zone, reader, cycle, side, &mu, &effects, backMs); broken != "" {
-			l.record.line("broken", broken)
-		}
-		if l.trouble {
-			l.signal(reader, syscall.SIGCONT)
-		}
-		time.Sleep(5 * time.Second) // longer than ContactMs
-	}
-	if broken != "" {
-		return brokenError(broken)
-	}
-	return nil
+	reader, other := zone[1], zone[2*(round%2)]        // the others of the zone read the config through this one
+	l.store.set("config", "main", regressConfig(5, 0)) // changes no route
+	if l.trouble {
+		// The others read the config each second from now on. One of them freezes, so that it does
+		// so at other times than the third.
+		time.Sleep(300 * time.Millisecond)
+		l.signal(other, syscall.SIGSTOP)
+		time.Sleep(1200 * time.Millisecond)
+		l.signal(other, syscall.SIGCONT)
+	}
+	time.Sleep(5600 * time.Millisecond) // ContactMs is 3 s, CatchUpS 5.2 s
+	if l.trouble {
+		l.signal(reader, syscall.SIGSTOP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	mu.Lock()
+	effects = nil
+	mu.Unlock()
+	l.store.set("config", "main", regressConfig(7, 1))
+	l.record.line("config", "version 7 is confirmed; all routes lead to the services with 1")
+	return l.watchRegress(zone, reader, round, 1, &mu, &effects), nil
 }
 
+// backMs is the bound BackMs.
+const backMs = 250 * time.Millisecond
+
 // watchRegress sends requests to the machines of a zone for 2 s after a change of the config. As
 // soon as one machine serves by the new version, it gets a batch job of each trainer. It
 // returns how a machine regressed, or nothing.
-func (l *lab) watchRegress(zone []*node, frozen *node, cycle, side int, mu *sync.Mutex, effects *[]effect, back time.Duration) string {
+func (l *lab) watchRegress(zone []*node, frozen *node, cycle, side int, mu *sync.Mutex, effects *[]effect) string {
 	var wait sync.WaitGroup
 	var once sync.Once
-	broken, longest := "", back
+	broken, longest := "", backMs
 	stop := time.Now().Add(2 * time.Second)
 	for i, n := range zone {
 		if n == frozen && l.trouble {
--- a/review/lab-3/server.go
+++ b/review/lab-3/server.go
@@ -22,11 +22,9 @@
 	pause  time.Duration // between two events, or the time of a plain request
 	// fail, if set, serves a request in another way, after the engine has begun to work on
 	// it. It returns false if the request is served as usual.
-	fail func(w http.ResponseWriter, r *http.Request, id string) bool
-	// piecesOf, if set, returns them by the request.
-	piecesOf func(r *http.Request) []string
-	models   []string // that a model engine serves; model by default
-	address  string
+	fail    func(w http.ResponseWriter, r *http.Request, id string) bool
+	models  []string // that a model engine serves; model by default
+	address string
 
 	mu      sync.Mutex // guards all below
 	running int
@@ -156,7 +154,7 @@
 	if s.fail != nil && s.fail(w, r, id) {
 		return
 	}
-	if s.pieces == nil && s.piecesOf == nil {
+	if s.pieces == nil {
 		time.Sleep(s.pause)
 		text := "answer to " + id
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -177,12 +175,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Pomelocross-Weight-Versions", strconv.FormatInt(version, 10))
 	flush := http.NewResponseController(w)
-	var pieces []string
-	if s.piecesOf != nil {
-		pieces = s.piecesOf(r)
-	} else {
-		pieces = s.pieces(id)
-	}
+	pieces := s.pieces(id)
 	for n := first; n < len(pieces); n++ {
 		select {
 		case <-r.Context().Done():
