--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -147,14 +147,22 @@
 // kernel gives to connections, which could take it before the process listens.
 func freeAddress() (address string, err error) {
 	for range 100 {
+		port := 20000 + rand.IntN(10000)
+		if portsTaken[port] {
+			continue
+		}
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000))); err == nil {
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			portsTaken[port] = true
 			return listener.Addr().String(), listener.Close()
 		}
 	}
 	return "", err
 }
 
+// portsTaken holds the ports that freeAddress has returned; it is used by one goroutine.
+var portsTaken = map[int]bool{}
+
 // beginPlatform starts the store and the platform's API, and writes the first config.
 func (l *lab) beginPlatform(config map[string]any) (err error) {
 	l.store.set("config", "main", config)
