--- a/review/lab-3/results.go
+++ b/review/lab-3/results.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,7 +13,7 @@
 	"time"
 )
 
-func init() { cases["markup"] = markupResults }
+func init() { cases["markup"], cases["texts"] = markupResults, largeTexts }
 
 // A trainer's step as on the sheet of the site, which has 18 groups of 4 items and texts of 26
 // events on average, 190 at most, with 340 bytes each on average.
@@ -21,6 +22,9 @@
 	textEvents, eventBytes = 30, 340
 )
 
+// The largest text on the sheet.
+const maxEvents, maxEventBytes = 190, 2100
+
 // trainer is a client that submits batch jobs and reads their results.
 type trainer struct {
 	key    string
@@ -34,9 +38,18 @@
 	return strings.Repeat(text, bytes/len(text)+1)[:bytes]
 }
 
+// step returns the items of a step.
+func (t trainer) step(items int) []item {
+	list := make([]item, items)
+	for n := range list {
+		list[n] = newItem(fmt.Sprintf("%s%07x", t.prefix, n), t.path+"1", fmt.Sprintf("%s%d", t.prefix, n/groupItems))
+	}
+	return list
+}
+
 // submit submits a batch job until it is accepted, a call each second, at the machines in turn.
-func (l *lab) submit(t trainer, batch string, body []byte, until time.Time) bool {
-	for n := t.first; time.Now().Before(until); n++ {
+func (l *lab) submit(ctx context.Context, t trainer, batch string, body []byte) bool {
+	for n := t.first; ctx.Err() == nil; n++ {
 		to := l.entries()[n%len(l.entries())]
 		a := l.send(to, request{method: "POST", path: t.path + batch, id: batch, key: t.key, body: body, deadline: 10 * time.Second})
 		if a.status == http.StatusAccepted {
@@ -48,9 +61,9 @@
 }
 
 // readResults reads the results of a batch job about twice a second, at the machines in turn,
-// until all are listed or the time is up. It returns how many were listed as complete.
-func (l *lab) readResults(t trainer, batch string, until time.Time) (complete int) {
-	for n, after, total := t.first, 0, 1; after < total && time.Now().Before(until); n++ {
+// until all are listed or ctx ends. It returns how many were listed as complete.
+func (l *lab) readResults(ctx context.Context, t trainer, batch string) (complete int) {
+	for n, after, total := t.first, 0, 1; after < total && ctx.Err() == nil; n++ {
 		to := l.entries()[n%len(l.entries())]
 		a := l.send(to, request{method: "GET", path: fmt.Sprintf("/lots/%s?After=%d", batch, after), key: t.key, header: map[string]string{"X-Pomelocross-Wait-Ms": "1000"}})
 		var page struct {
@@ -111,19 +124,16 @@
 	for i, t := range trainers {
 		wait.Go(func() {
 			batch := fmt.Sprintf("7c41e09b52d6a%d00", i)
-			list := make([]item, items)
-			for n := range list {
-				list[n] = newItem(fmt.Sprintf("%s%07x", t.prefix, n), t.path+"1", fmt.Sprintf("%s%d", t.prefix, n/groupItems))
-			}
-			until := time.Now().Add(budget)
-			if !l.submit(t, batch, submission(0, list, stepGroups*9/10), until) {
+			ctx, cancel := context.WithTimeout(l.ctx, budget)
+			defer cancel()
+			if !l.submit(ctx, t, batch, submission(0, t.step(items), stepGroups*9/10)) {
 				return
 			}
 			if accepted.Add(1) == int64(len(trainers)) && l.trouble {
 				time.AfterFunc(busyFrom, func() { l.setBusy(true) })
 				time.AfterFunc(busyFrom+busyFor, func() { l.setBusy(false) })
 			}
-			served[i] = l.readResults(t, batch, until)
+			served[i] = l.readResults(ctx, t, batch)
 			l.send(l.entries()[i], request{method: "DELETE", path: "/lots/" + batch, key: t.key})
 		})
 	}
@@ -161,3 +171,54 @@
 	}
 	return len(ids)
 }
+
+// largeTexts: engines generate the longest texts of the sheet for the items of two trainers' batch jobs.
+func largeTexts(l *lab) error {
+	const (
+		limit = 284 // MB
+		items = 800
+	)
+	events, size := textEvents, eventBytes
+	if l.trouble {
+		events, size = maxEvents, maxEventBytes
+	}
+	text := repeated("8 gauze, 4 tape ", size)
+	err := l.beginDeployment(baseConfig(), 2, 6, func(s *server) {
+		s.pause = 5 * time.Millisecond
+		s.pieces = func(string) []string { return slices.Repeat([]string{text}, events) }
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, 80*time.Second)
+	defer cancel()
+	end := l.guardMemory(limit, func(kills map[string]int) {
+		if endedThrice(kills) >= 2 {
+			cancel()
+		}
+	})
+	var wait sync.WaitGroup
+	var accepted, listed atomic.Int64
+	for i := range 2 {
+		wait.Go(func() {
+			t := trainer{key: key, path: "/plan/", first: i, prefix: string(rune('a' + i))}
+			batch := fmt.Sprintf("7c41e09b52d6a%d00", i)
+			body := submission(0, t.step(items), items/groupItems)
+			l.record.line("submission", batch, fmt.Sprintf("%d items, %d bytes", items, len(body)))
+			if l.submit(ctx, t, batch, body) {
+				accepted.Add(1)
+				listed.Add(int64(l.readResults(ctx, t, batch)))
+			}
+		})
+	}
+	wait.Wait()
+	kills := end()
+	if accepted.Load() < 2 {
+		return fmt.Errorf("only %d batch jobs were accepted", accepted.Load())
+	}
+	l.record.line("counted", fmt.Sprintf("%d of %d results read; ends by memory: %v", listed.Load(), 2*items, kills))
+	if machines := endedThrice(kills); machines >= 2 {
+		return brokenError(fmt.Sprintf("Fault: the processes of %d machines of %d ended by themselves three times or more: %v", machines, len(l.nodes), kills))
+	}
+	return nil
+}
