--- a/review/lab-3/results.go
+++ b/review/lab-3/results.go
@@ -25,6 +25,9 @@
 // The largest text on the sheet.
 const maxEvents, maxEventBytes = 190, 2100
 
+// eventTokens is the number of tokens in an event of the site's engines.
+const eventTokens = 63
+
 // trainer is a client that submits batch jobs and reads their results.
 type trainer struct {
 	key    string
@@ -38,11 +41,14 @@
 	return strings.Repeat(text, bytes/len(text)+1)[:bytes]
 }
 
-// step returns the items of a step.
-func (t trainer) step(items int) []item {
+// step returns the items of a step, whose texts have up to a number of events.
+func (t trainer) step(items, events int) []item {
+	const promptTokens = 140
 	list := make([]item, items)
 	for n := range list {
 		list[n] = newItem(fmt.Sprintf("%s%07x", t.prefix, n), t.path+"1", fmt.Sprintf("%s%d", t.prefix, n/groupItems))
+		list[n].NumTokens = promptTokens + events*eventTokens
+		list[n].Headers["X-Pomelocross-Tokens"] = fmt.Sprintf("%d,%d", promptTokens, events*eventTokens)
 	}
 	return list
 }
@@ -126,7 +132,7 @@
 			batch := fmt.Sprintf("7c41e09b52d6a%d00", i)
 			ctx, cancel := context.WithTimeout(l.ctx, budget)
 			defer cancel()
-			if !l.submit(ctx, t, batch, submission(0, t.step(items), stepGroups*9/10)) {
+			if !l.submit(ctx, t, batch, submission(0, t.step(items, textEvents), stepGroups*9/10)) {
 				return
 			}
 			if accepted.Add(1) == int64(len(trainers)) && l.trouble {
@@ -203,7 +209,7 @@
 		wait.Go(func() {
 			t := trainer{key: key, path: "/plan/", first: i, prefix: string(rune('a' + i))}
 			batch := fmt.Sprintf("7c41e09b52d6a%d00", i)
-			body := submission(0, t.step(items), items/groupItems)
+			body := submission(0, t.step(items, events), items/groupItems)
 			l.record.line("submission", batch, fmt.Sprintf("%d items, %d bytes", items, len(body)))
 			if l.submit(ctx, t, batch, body) {
 				accepted.Add(1)
