objects: a rejection of what a call holds is definitive

A value that the store rejects each time, such as one that is too large, was written again until the writer's time ended, and its outcome was reported as unknown.

Cause: statuses other than 404, 409, 410, 429 and 503 were one unknown error. 400, 413, 414, 422 and 431 refer to what the call holds; the same call gets them again, whoever makes it.

Change: ErrRejected, whose outcome is NotDone, which is definitive for PutUntilDefinitive, the relay and the circuit breakers. Both clients of the store check the size of a value as encoded (objects.Encode) and don't send one that is too large. A relayed rejection bears the code that older instances know, and a field. An id that the store rejects names no batch.

--- a/batch/store.go
+++ b/batch/store.go
@@ -151,7 +151,7 @@
 // Head returns the current head of a batch, or ErrNotFound.
 func (st *Store) Head(ctx context.Context, id string) (Stored, error) {
 	o, err := st.objects.Get(ctx, KindHead, id)
-	if errors.Is(err, objects.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrRejected) { // no object can have a rejected name
 		return Stored{}, oops.In("batch").With("batch", id).Wrap(ErrNotFound)
 	}
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,7 +55,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, call.Wait+relayTimeout)
 	defer cancel()
 	err := g.dialer.Call(callCtx, relay, "Store.Call", call, &reply)
-	if err != nil || reply.Code == objects.RelayRefused {
+	if err != nil || reply.Code == objects.RelayRefused && !reply.Rejected {
 		g.membership.setRelay("") // the next call searches for another one
 	}
 	var serverErr rpc.ServerError
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -93,13 +92,10 @@
 
 // Put implements objects.Store.
 func (s *Store) Put(ctx context.Context, kind, name string, expect objects.Version, value any) (objects.Object, error) {
-	data, err := json.Marshal(value)
+	data, err := objects.Encode(value)
 	if err != nil {
 		return objects.Object{}, err
 	}
-	if len(data) > objects.MaxValueBytes {
-		return objects.Object{}, errors.New("value is too large")
-	}
 	o := objects.Object{Kind: kind, Name: name, Value: data}
 	err = s.write(ctx, &o, expect)
 	return o, err
--- a/objects/calls.go
+++ b/objects/calls.go
@@ -95,8 +95,7 @@
 // isHealthy reports whether a call with result err counts as a success for the
 // breaker.
 func isHealthy(err error) bool {
-	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) ||
-		errors.Is(err, ErrGap) || errors.Is(err, context.Canceled)
+	return IsDefinitive(err) || errors.Is(err, context.Canceled)
 }
 
 // execute runs send through the breaker. A watch is never the probe of a half-open
--- a/objects/client.go
+++ b/objects/client.go
@@ -101,9 +101,13 @@
 
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, kind, name string, expect Version, value any) (Object, error) {
+	encoded, err := Encode(value)
+	if err != nil {
+		return Object{}, oops.In("platform").With("kind", kind, "object", name).Wrap(err)
+	}
 	var o Object
-	request := c.base.New().Put(objectPath(kind, name) + "?expect=" + formatVersion(expect)).BodyJSON(value)
-	err := c.call(ctx, objectCall("put", kind), callTimeout, request, &o)
+	request := c.base.New().Put(objectPath(kind, name) + "?expect=" + formatVersion(expect)).BodyJSON(encoded)
+	err = c.call(ctx, objectCall("put", kind), callTimeout, request, &o)
 	return o, err
 }
 
@@ -192,6 +196,17 @@
 	return response{resp.StatusCode, resp.Header, body}, statusError(resp.StatusCode)
 }
 
+// IsRejection reports whether an HTTP status of a store refers to what the call holds, so that
+// the same call gets it each time.
+func IsRejection(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusRequestURITooLong,
+		http.StatusUnprocessableEntity, http.StatusRequestHeaderFieldsTooLarge:
+		return true
+	}
+	return false
+}
+
 func statusError(status int) error {
 	switch {
 	case status < http.StatusMultipleChoices, status == http.StatusNotModified:
@@ -204,6 +219,8 @@
 		return ErrGap
 	case status == http.StatusTooManyRequests:
 		return ErrRefused
+	case IsRejection(status):
+		return ErrRejected
 	}
 	return oops.Errorf("platform returned status %d", status)
 }
--- a/objects/outcome.go
+++ b/objects/outcome.go
@@ -46,7 +46,7 @@
 		return Done
 	case errors.Is(err, ErrConflict):
 		return Conflict
-	case errors.Is(err, ErrBudget), errors.Is(err, ErrCircuitOpen), errors.Is(err, ErrRefused):
+	case errors.Is(err, ErrBudget), errors.Is(err, ErrCircuitOpen), errors.Is(err, ErrRefused), errors.Is(err, ErrRejected):
 		return NotDone
 	}
 	return Unknown
@@ -66,7 +66,7 @@
 )
 
 // PutUntilDefinitive writes value and repeats the write until the response is definitive
-// or ctx ends. All attempts expect the same version, so that at most one of them takes
+// or ctx ends. A rejection is definitive for the attempts before it, too. All attempts expect the same version, so that at most one of them takes
 // effect, even if an earlier one arrives late. No other writer may store the same
 // value, because after a lost response the stored value is compared with it.
 func PutUntilDefinitive(ctx context.Context, s Store, kind, name string, expect Version, value any) PutResult {
@@ -85,6 +85,8 @@
 			}
 		case outcome == Conflict:
 			return PutResult{Outcome: Conflict, Err: err}
+		case errors.Is(err, ErrRejected):
+			return PutResult{Outcome: NotDone, Err: err}
 		case outcome == Unknown:
 			ambiguous = true
 		}
--- a/objects/platform.go
+++ b/objects/platform.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"errors"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 // Version orders all writes to the object API. Zero means that the object does not exist.
@@ -56,14 +58,31 @@
 	// ErrRefused means that the call was not executed, because of the platform's rate
 	// limit or because no source with recent data was available.
 	ErrRefused = errors.New("platform refuses calls for a while")
+	// ErrRejected means that the call was not executed because of what it holds, such as
+	// a value of more than MaxValueBytes. The same call is rejected each time.
+	ErrRejected = errors.New("platform does not accept the call")
 )
 
+// Encode returns the form in which a value is stored. It returns ErrRejected if that is
+// larger than MaxValueBytes.
+func Encode(value any) (json.RawMessage, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil, oops.In("objects").With("step", "encode").Wrap(errors.Join(ErrRejected, err))
+	}
+	if len(encoded) > MaxValueBytes {
+		return nil, oops.In("objects").With("step", "encode", "bytes", len(encoded), "limit", MaxValueBytes).Wrap(ErrRejected)
+	}
+	return encoded, nil
+}
+
 // Store is the object API.
 type Store interface {
 	// Get returns an object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// Put writes value if the object has version expect, and returns ErrConflict
-	// otherwise. Version 0 creates the object.
+	// otherwise. Version 0 creates the object. It returns ErrRejected for a value that
+	// can't be stored.
 	Put(ctx context.Context, kind, name string, expect Version, value any) (Object, error)
 	// Delete removes the object if it has version expect, and returns ErrConflict
 	// otherwise.
--- a/objects/relay.go
+++ b/objects/relay.go
@@ -25,6 +25,17 @@
 	Object Object
 	List   List
 	Code   RelayCode
+	// Rejected means ErrRejected. Code is RelayRefused then, as instances of older versions
+	// know no code for it.
+	Rejected bool
+}
+
+// Err returns the error of the relayed call; nil if it succeeded.
+func (r RelayReply) Err() error {
+	if r.Rejected {
+		return ErrRejected
+	}
+	return r.Code.Err()
 }
 
 // RelayCode is the outcome of a relayed call.
@@ -55,19 +66,25 @@
 	if err == nil {
 		return RelayOK
 	}
-	if OutcomeOf(err) == NotDone {
+	if OutcomeOf(err) == NotDone { // also ErrRejected
 		return RelayRefused
 	}
 	return RelayUnknown
 }
 
-// Err returns the error that a code represents; nil for RelayOK.
-func (c RelayCode) Err() error { return relayErrors[c] }
+// Err returns the error that a code represents; nil for RelayOK. The outcome of a call with
+// a code of a newer version is unknown.
+func (c RelayCode) Err() error {
+	if err, known := relayErrors[c]; known {
+		return err
+	}
+	return relayErrors[RelayUnknown]
+}
 
 // IsDefinitive reports whether err is a result of the store itself. The same call
 // through another instance would have the same result.
 func IsDefinitive(err error) bool {
-	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) || errors.Is(err, ErrGap)
+	return err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrConflict) || errors.Is(err, ErrGap) || errors.Is(err, ErrRejected)
 }
 
 // RelayFunc sends a call to another instance. An error means that no instance
@@ -237,7 +254,7 @@
 	}
 	reply, err := r.callDirect(ctx, c)
 	r.recordCall(ctx, c, err)
-	reply.Code = RelayCodeOf(err)
+	reply.Code, reply.Rejected = RelayCodeOf(err), errors.Is(err, ErrRejected)
 	return reply
 }
 
@@ -285,10 +302,10 @@
 	}
 	reply, sent, err := r.forward(ctx, c)
 	switch {
-	case err == nil && reply.Code == RelayOK:
+	case err == nil && reply.Err() == nil:
 		return reply, nil
 	case err == nil:
-		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(reply.Code.Err())
+		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(reply.Err())
 	case !sent:
 		return reply, oops.In("objects").With("step", "relayed "+c.Verb, "kind", c.Kind).Wrap(errors.Join(ErrRefused, err))
 	}
@@ -319,9 +336,9 @@
 
 // Put implements Store.
 func (r *Relay) Put(ctx context.Context, kind, name string, expect Version, value any) (Object, error) {
-	encoded, err := json.Marshal(value)
+	encoded, err := Encode(value)
 	if err != nil {
-		return Object{}, oops.In("objects").With("step", "encode", "kind", kind).Wrap(err)
+		return Object{}, oops.In("objects").With("kind", kind).Wrap(err)
 	}
 	reply, err := r.do(ctx, RelayCall{Verb: "put", Kind: kind, Name: name, Expect: expect, Value: encoded})
 	return reply.Object, err
--- a/objects/suite_test.go
+++ b/objects/suite_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +68,18 @@
 		}, objects.Unknown, ""),
 	)
 
+	// Five values that were too large opened the circuit breaker: no call was sent for seconds.
+	It("is not hindered by values that the platform rejects", func() {
+		c := client(standin.New(), unlimited)
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		for range 10 {
+			got := objects.PutUntilDefinitive(limited, c, "kind", "large", 0, strings.Repeat("x", objects.MaxValueBytes))
+			Expect(got.Outcome).To(Equal(objects.NotDone))
+		}
+		Expect(objects.PutUntilDefinitive(limited, c, "kind", "name", 0, "ours").Outcome).To(Equal(objects.Done))
+	})
+
 	It("returns Unknown for a write whose response was lost and that was then overwritten", func() {
 		server := standin.New()
 		c := client(server, unlimited)
