forward: an unmarked 408, 421 or 429 leaves open whether the request has run

A reward call is given up, and its item listed as dead, after as many errors as its route allows attempts; an overloaded reward service that answers 429 would have ended items that it could rate a moment later.

Change: OutcomeOf returns Unknown for them.

--- a/forward/decide.go
+++ b/forward/decide.go
@@ -101,8 +101,10 @@
 	switch {
 	case notRun:
 		return Refused
-	case status >= http.StatusInternalServerError, promisesNotRun(status):
+	case status >= http.StatusInternalServerError:
 		return Failed
+	case promisesNotRun(status):
+		return Unknown
 	}
 	return Answered
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -253,6 +253,7 @@
 
 var (
 	errUnsigned = errors.New("response is not signed by the upstream")
+	errNoMark   = errors.New("response does not state that the request has not run")
 )
 
 // exchange sends a request to one upstream and reads the complete response.
@@ -277,9 +278,9 @@
 	case err != nil, len(body) > maxResponseBytes:
 		r.outcome = f.incomplete(ctx, to)
 	case r.outcome == Failed:
-		if reply.Status >= http.StatusInternalServerError { // other errors may be due to the request
-			f.Roster.MarkFailed(to.ID, f.Clock.Now())
-		}
+		f.Roster.MarkFailed(to.ID, f.Clock.Now())
+	case r.outcome == Unknown:
+		r.err = errNoMark
 	case reply.Signature == "" && reply.Status < http.StatusMultipleChoices:
 		r.outcome, r.err = f.incomplete(ctx, to), errUnsigned
 	default:
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -175,7 +175,7 @@
 		return s.forwarder.incomplete(ctx, choice), nil, err
 	}
 	r := attemptResult{upstream: choice.ID, reply: reply, body: body, outcome: OutcomeOf(reply.Status, reply.NotRun)}
-	if r.outcome == Failed {
+	if r.outcome != Answered {
 		err = oops.In("forward").With("peer", choice.ID).Errorf("upstream returned status %d", reply.Status)
 	}
 	return r.outcome, r.response(), err
