batch: what is stored is measured as it is encoded

Batches of many items with long headers or ids were refused each time, an item of 470 KB as well; checkpoints of such texts were never stored.

Cause: a value of the store is JSON, in which each of < > & takes six bytes. Chunks, checkpoints, parts of submissions and pages were each bounded by the lengths of some of their fields.

Change: one measure for all of them, the encoded size. A part or chunk of one entry may fill a value. A batch that the store rejects all the same is answered 413, not 503 with a delay after which to repeat it. Of an item that has failed and whose text doesn't fit into a checkpoint, the failures are kept.

--- a/batch/hookedstore_test.go
+++ b/batch/hookedstore_test.go
@@ -22,6 +22,19 @@
 	return s.Store.Get(ctx, kind, name)
 }
 
+// rejectingStore is a store that rejects values of more than a number of bytes.
+type rejectingStore struct {
+	*memstore.Store
+	limit int
+}
+
+func (s rejectingStore) Put(ctx context.Context, kind, name string, expect objects.Version, value any) (objects.Object, error) {
+	if encodedSize(value) > s.limit {
+		return objects.Object{}, objects.ErrRejected
+	}
+	return s.Store.Put(ctx, kind, name, expect, value)
+}
+
 // slowStore is a store whose reads of an object take a delay.
 type slowStore struct {
 	*memstore.Store
--- a/batch/job.go
+++ b/batch/job.go
@@ -17,7 +17,7 @@
 	item      *Item
 	text      strings.Builder
 	events    int
-	lastEvent int64 // ID of the last event; -1 before the first
+	lastEvent int64 // ID of the last event; noEvent before the first
 	versions  []int64
 	running   *attempt // nil while the item is queued
 	failures  int      // number of error responses from engines, also at earlier owners
@@ -36,6 +36,9 @@
 	reward rewardState
 }
 
+// noEvent stands for the ID of the last event of an item that has none.
+const noEvent = -1
+
 // attempt is one request for an item at an engine.
 type attempt struct {
 	upstream     string
@@ -53,7 +56,7 @@
 // newItemState returns the state of an item that resumes from partial, or starts from the
 // beginning if that is nil.
 func newItemState(item *Item, partial *Partial, now time.Time) *itemState {
-	s := &itemState{item: item, lastEvent: -1, added: now}
+	s := &itemState{item: item, lastEvent: noEvent, added: now}
 	if partial != nil {
 		s.text.WriteString(partial.Text)
 		s.events, s.lastEvent, s.versions = partial.Events, partial.Last, slices.Clone(partial.Versions)
@@ -88,7 +91,7 @@
 // discardText deletes the generated text because its weight versions are not acceptable.
 func (s *itemState) discardText() {
 	s.text.Reset()
-	s.events, s.lastEvent, s.versions, s.whole = 0, -1, nil, false
+	s.events, s.lastEvent, s.versions, s.whole = 0, noEvent, nil, false
 }
 
 // appendEvent appends the data of an event that was generated with a weight version.
--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -5,21 +5,18 @@
 	"slices"
 )
 
-// maxPageBytes limits the size of the texts in a page. Callers accept one megabyte;
-// the rest is left for the encoding.
+// maxPageBytes limits the encoded size of the results in a page. Callers accept one megabyte
+// with the names of the fields.
 const maxPageBytes = 700 << 10
 
-// maxChunkBytes limits the size of the texts in a chunk so that the encoded chunk stays
-// below the maximum size of a stored value.
-const maxChunkBytes = 600 << 10
-
 // ResultLog holds the known results of one batch: the stored ones at their final
 // positions, and the pending ones that are still to be stored. It does no I/O.
 type ResultLog struct {
 	total      int
 	stored     []Result
-	chunks     int // number of stored chunks that were applied
-	bytes      int // size of the stored results
+	chunks     int            // number of stored chunks that were applied
+	bytes      int            // size of the stored results
+	sizes      map[string]int // encoded sizes of the stored and pending results, by item ID
 	storedIDs  map[string]bool
 	pending    []Result
 	pendingIDs map[string]bool
@@ -27,12 +24,12 @@
 
 // NewResultLog returns an empty log for a batch of total items.
 func NewResultLog(total int) *ResultLog {
-	return &ResultLog{total: total, storedIDs: map[string]bool{}, pendingIDs: map[string]bool{}}
+	return &ResultLog{total: total, sizes: map[string]int{}, storedIDs: map[string]bool{}, pendingIDs: map[string]bool{}}
 }
 
 // clone returns a copy without the pending results.
 func (l *ResultLog) clone() *ResultLog {
-	return &ResultLog{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, bytes: l.bytes, storedIDs: maps.Clone(l.storedIDs), pendingIDs: map[string]bool{}}
+	return &ResultLog{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, bytes: l.bytes, sizes: maps.Clone(l.sizes), storedIDs: maps.Clone(l.storedIDs), pendingIDs: map[string]bool{}}
 }
 
 // Chunks returns the number of stored chunks that were applied, which is also the
@@ -47,7 +44,7 @@
 		if l.storedIDs[r.ID] {
 			continue
 		}
-		l.storedIDs[r.ID] = true
+		l.storedIDs[r.ID], l.sizes[r.ID] = true, encodedSize(r)
 		l.stored = append(l.stored, r)
 		l.bytes += r.size()
 		if l.pendingIDs[r.ID] {
@@ -62,7 +59,7 @@
 	if l.storedIDs[r.ID] || l.pendingIDs[r.ID] {
 		return
 	}
-	l.pendingIDs[r.ID] = true
+	l.pendingIDs[r.ID], l.sizes[r.ID] = true, encodedSize(r)
 	l.pending = append(l.pending, r)
 }
 
@@ -72,11 +69,12 @@
 // IsStored reports whether an item has a stored result.
 func (l *ResultLog) IsStored(id string) bool { return l.storedIDs[id] }
 
-// NextChunk returns the results for the next chunk; none if nothing is pending.
+// NextChunk returns the results for the next chunk, up to maxChunkBytes, but at least one if
+// any is pending.
 func (l *ResultLog) NextChunk() []Result {
 	size := 0
 	for i := range l.pending {
-		size += l.pending[i].size()
+		size += l.sizes[l.pending[i].ID] + entryOverhead
 		if i > 0 && size > maxChunkBytes {
 			return slices.Clone(l.pending[:i])
 		}
@@ -99,7 +97,7 @@
 	page := Page{Total: l.total, Next: after}
 	size := 0
 	for i := after; i >= 0 && i < len(l.stored); i++ {
-		size += l.stored[i].size()
+		size += l.sizes[l.stored[i].ID] + entryOverhead
 		if i > after && size > maxPageBytes {
 			break
 		}
--- a/batch/store.go
+++ b/batch/store.go
@@ -23,17 +23,13 @@
 	KindProgress = "batch-progress"
 )
 
-// maxPartBytes limits the size of the items in one stored part so that the encoded part
-// stays below the maximum size of a stored value.
-const maxPartBytes = 600 << 10
-
 // Errors returned by this package.
 var (
 	ErrNotFound = errors.New("no such batch")
 	// ErrOutcomeUnknown means that it is not known whether a write takes effect, now
 	// or later.
 	ErrOutcomeUnknown = errors.New("it is not known whether the batch was stored")
-	ErrTooLarge       = errors.New("item exceeds the maximum size of a stored value")
+	ErrTooLarge       = errors.New("the batch or one of its items cannot be stored because of its size")
 	// ErrNoRoom means that the open batches take too much memory. The batch may have been
 	// accepted before.
 	ErrNoRoom = errors.New("the open batches take too much memory")
@@ -91,7 +87,7 @@
 		found, err := st.Head(ctx, s.ID)
 		return found, false, err
 	case w.Outcome == objects.NotDone:
-		return Stored{}, false, oops.In("batch").With("step", "store head", "batch", s.ID).Wrap(w.Err)
+		return Stored{}, false, oops.In("batch").With("step", "store head", "batch", s.ID).Wrap(tooLargeIfRejected(w.Err))
 	}
 	return Stored{}, false, oops.In("batch").With("step", "store head", "batch", s.ID).Wrap(errors.Join(ErrOutcomeUnknown, w.Err))
 }
@@ -108,23 +104,31 @@
 	if err == nil || errors.Is(err, objects.ErrConflict) {
 		return nil
 	}
-	return oops.In("batch").With("step", "store part", "part", name).Wrap(err)
+	return oops.In("batch").With("step", "store part", "part", name).Wrap(tooLargeIfRejected(err))
+}
+
+// tooLargeIfRejected adds ErrTooLarge to the error of a write that the store rejects each time.
+func tooLargeIfRejected(err error) error {
+	if errors.Is(err, objects.ErrRejected) {
+		return errors.Join(ErrTooLarge, err)
+	}
+	return err
 }
 
 // splitParts splits a submission into parts that fit into stored values.
 func splitParts(s *Submission) ([]Submission, error) {
 	var parts []Submission
-	size := maxPartBytes + 1
+	header := *s
+	header.Items = nil
+	envelope, size := encodedSize(header), maxPartBytes+1
 	for i := range s.Items {
 		item := &s.Items[i]
-		bytes := len(item.Body)*4/3 + len(item.Path) + 512
-		if bytes > maxPartBytes {
+		bytes := item.encodedSize() + entryOverhead
+		if envelope+bytes > maxValueBytes {
 			return nil, oops.In("batch").With("batch", s.ID, "item", item.ID).Wrap(ErrTooLarge)
 		}
 		if size+bytes > maxPartBytes {
-			part := *s
-			part.Items = nil
-			parts, size = append(parts, part), 0
+			parts, size = append(parts, header), envelope
 		}
 		size += bytes
 		last := &parts[len(parts)-1]
@@ -310,19 +314,25 @@
 }
 
 // longestPartials returns the items that have failed and the longest texts, as many as fit into a
-// stored value.
+// stored value. Of an item that has failed and doesn't fit, the failures remain.
 func longestPartials(partials map[string]Partial) map[string]Partial {
 	ids := slices.Collect(maps.Keys(partials))
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(compareBool(partials[b].Failures > 0, partials[a].Failures > 0), len(partials[b].Text)-len(partials[a].Text))
 	})
 	longest, size := map[string]Partial{}, 0
+	add := func(id string, p Partial) bool {
+		bytes := encodedSize(map[string]Partial{id: p})
+		if size+bytes > maxProgressBytes {
+			return false
+		}
+		longest[id], size = p, size+bytes
+		return true
+	}
 	for _, id := range ids {
-		size += len(partials[id].Text) + 128
-		if size > maxChunkBytes {
-			break
+		if p := partials[id]; !add(id, p) && p.Failures > 0 {
+			add(id, Partial{Last: noEvent, Failures: p.Failures})
 		}
-		longest[id] = partials[id]
 	}
 	return longest
 }
--- a/batch/types.go
+++ b/batch/types.go
@@ -96,6 +96,7 @@
 	Reward string `json:"reward,omitempty"`
 }
 
+// size returns the memory that the result takes, in bytes.
 func (r *Result) size() int { return len(r.Text) + len(r.ID) + len(r.Reward) + 64 }
 
 // Page is a range of a batch's results.
@@ -105,11 +106,11 @@
 	Results []Result
 }
 
-// Bytes returns the size of the results.
+// Bytes returns the encoded size of the results.
 func (p *Page) Bytes() int {
 	total := 0
 	for n := range p.Results {
-		total += p.Results[n].size()
+		total += encodedSize(p.Results[n])
 	}
 	return total
 }
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -340,7 +340,7 @@
 	case errors.Is(err, batch.ErrOutcomeUnknown):
 		return rejection{status: http.StatusGatewayTimeout, reason: "it is not known whether the batch was stored"}
 	case errors.Is(err, batch.ErrTooLarge):
-		return rejection{status: http.StatusRequestEntityTooLarge, reason: "an item is too large"}
+		return rejection{status: http.StatusRequestEntityTooLarge, reason: batch.ErrTooLarge.Error()}
 	case errors.Is(err, batch.ErrNotFound):
 		return rejection{status: http.StatusNotFound, reason: "the id belongs to another team's batch"}
 	}
