batch: the writer of results ends with its batch

Cause: a writer ended only once nothing was pending, and an error of the store left the results pending.

Change: after the end of a batch an error of the store drops the results that are pending. The caller has stopped reading; what is listed stays listed. A chunk that a lost write stores later is found by readers as one of another writer.

--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -82,6 +82,12 @@
 	return slices.Clone(l.pending)
 }
 
+// DropPending drops the results that are still to be stored.
+func (l *ResultLog) DropPending() {
+	l.pending = nil
+	clear(l.pendingIDs)
+}
+
 // PendingCount returns the number of results that are still to be stored.
 func (l *ResultLog) PendingCount() int { return len(l.pending) }
 
--- a/batch/write.go
+++ b/batch/write.go
@@ -107,16 +107,13 @@
 	}
 	sent := r.Clock.Now()
 	written, err := r.Store.Append(context.Background(), j.id, n, results)
-	if err != nil {
-		r.Log.Warn("results could not be stored; retrying", zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", len(results)), telemetry.Error(err))
-		r.Clock.Sleep(storeRetryDelay)
-		return true
+	if err == nil && !written {
+		_, err = r.applyForeignChunk(context.Background(), j, n)
 	}
-	if !written {
-		if _, err := r.applyForeignChunk(context.Background(), j, n); err != nil {
-			r.Log.Warn("chunk of another writer could not be read; retrying", zap.String("batch", j.id), zap.Int("chunk", n), telemetry.Error(err))
-			r.Clock.Sleep(storeRetryDelay)
-		}
+	switch {
+	case err != nil:
+		return r.retryChunk(j, n, len(results), err)
+	case !written:
 		return true
 	}
 	r.mu.Lock()
@@ -129,6 +126,26 @@
 	return j.results.PendingCount() > 0
 }
 
+// retryChunk handles an error of storing chunk n, or of reading it after another writer has stored
+// it. It waits and reports whether to try again. Results that could not be stored by the end of
+// their batch are dropped: the caller has stopped reading.
+func (r *Runner) retryChunk(j *job, n, results int, cause error) bool {
+	r.mu.Lock()
+	ended := j.ended
+	if ended {
+		j.results.DropPending()
+	}
+	r.mu.Unlock()
+	fields := []zap.Field{zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", results), telemetry.Error(cause)}
+	if ended {
+		r.Log.Warn("results could not be stored before the batch ended; they are dropped", fields...)
+		return false
+	}
+	r.Log.Warn("results could not be stored; retrying", fields...)
+	r.Clock.Sleep(storeRetryDelay)
+	return true
+}
+
 // applyForeignChunk applies chunk n if another writer has stored it, and reports whether
 // it exists.
 func (r *Runner) applyForeignChunk(ctx context.Context, j *job, n int) (bool, error) {
--- a/batch/write_test.go
+++ b/batch/write_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -81,3 +82,35 @@
 		Eventually(logged).Should(BeClosed())
 	})
 })
+
+var _ = Describe("The writer of a batch's results", func() {
+	// It went on for good, and kept the batch in memory: three of twelve submissions were answered 503
+	// for the calls of writers whose batches had ended.
+	It("ends with its batch while the store does not accept results", func(ctx SpecContext) {
+		store := memstore.New()
+		a := newIdleService(store, "a")
+		a.store.writeTimeout = 20 * time.Millisecond
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		var calls atomic.Int64
+		store.Fault = func(kind, _ string, write bool) memstore.Fault {
+			if kind != KindChunk || !write {
+				return memstore.None
+			}
+			calls.Add(1)
+			return memstore.Down
+		}
+		a.runner.mu.Lock()
+		a.runner.jobs["l"].recordResult(Result{ID: "l-0", State: Complete, Text: "x"})
+		a.runner.jobs["l"].recordResult(Result{ID: "l-1", State: Complete, Text: "x"})
+		a.runner.mu.Unlock()
+		Eventually(calls.Load).Should(BeNumerically(">", 0))
+		a.runner.MarkEnded("l")
+		ended := make(chan struct{})
+		go func() { a.runner.writers.Wait(); close(ended) }()
+		Eventually(ended).WithTimeout(2 * time.Second).Should(BeClosed())
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		Expect(a.runner.jobs["l"].fullyStored()).To(BeTrue())
+	})
+})
