batch: nothing is repeated for good that the store will never hold

A chunk that the store rejected was stored again with more results each time, so that nothing after it was listed. The same goes for a single text that is larger than a value: its item's engine made it to the end, and its batch listed nothing more.

Change: after a rejection chunks become smaller by half; a single result that is rejected is dropped, and so is a text that can't be stored, as soon as it is too long.

Evidence: the spec of a store that accepts 4 KB failed on (0 results stored in 5 s where 7 are due) and passes now. Ruled out as a measure: to list the item as dead at once.

--- a/batch/job.go
+++ b/batch/job.go
@@ -34,6 +34,9 @@
 	// not sent to an engine again.
 	whole  bool
 	reward rewardState
+	// unstorable is set once the text is found to be too large for the store. The item is not sent
+	// again, since any text of it would be, and is abandoned when its batch expires.
+	unstorable bool
 }
 
 // noEvent stands for the ID of the last event of an item that has none.
@@ -79,8 +82,11 @@
 	return !s.awaitsSave
 }
 
+// generating reports whether the item still needs an engine.
+func (s *itemState) generating() bool { return !s.whole && !s.unstorable }
+
 // queued reports whether the item waits for an engine.
-func (s *itemState) queued() bool { return s.running == nil && !s.whole }
+func (s *itemState) queued() bool { return s.running == nil && s.generating() }
 
 // memory returns the KV cache memory, in tokens, that the item needs on its next engine.
 func (s *itemState) memory() roster.Memory {
@@ -200,6 +206,12 @@
 	j.wakeWriter()
 }
 
+// abandonText deletes the text of an item because the store can't hold it.
+func (s *itemState) abandonText() {
+	s.discardText()
+	s.unstorable = true
+}
+
 // cancelAttempts cancels all running attempts and reward calls with a cause.
 func (j *job) cancelAttempts(cause error) {
 	for _, s := range j.items {
@@ -270,7 +282,7 @@
 		}
 		g := &s.Groups[n]
 		g.Open++
-		if state.whole {
+		if !state.generating() {
 			continue
 		}
 		g.TotalTokens += item.Expected()
--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -20,16 +20,17 @@
 	storedIDs  map[string]bool
 	pending    []Result
 	pendingIDs map[string]bool
+	chunkBytes int // limit on the encoded size of a chunk of several results
 }
 
 // NewResultLog returns an empty log for a batch of total items.
 func NewResultLog(total int) *ResultLog {
-	return &ResultLog{total: total, sizes: map[string]int{}, storedIDs: map[string]bool{}, pendingIDs: map[string]bool{}}
+	return &ResultLog{total: total, sizes: map[string]int{}, storedIDs: map[string]bool{}, pendingIDs: map[string]bool{}, chunkBytes: maxChunkBytes}
 }
 
 // clone returns a copy without the pending results.
 func (l *ResultLog) clone() *ResultLog {
-	return &ResultLog{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, bytes: l.bytes, sizes: maps.Clone(l.sizes), storedIDs: maps.Clone(l.storedIDs), pendingIDs: map[string]bool{}}
+	return &ResultLog{total: l.total, stored: slices.Clone(l.stored), chunks: l.chunks, bytes: l.bytes, sizes: maps.Clone(l.sizes), storedIDs: maps.Clone(l.storedIDs), pendingIDs: map[string]bool{}, chunkBytes: l.chunkBytes}
 }
 
 // Chunks returns the number of stored chunks that were applied, which is also the
@@ -69,23 +70,30 @@
 // IsStored reports whether an item has a stored result.
 func (l *ResultLog) IsStored(id string) bool { return l.storedIDs[id] }
 
-// NextChunk returns the results for the next chunk, up to maxChunkBytes, but at least one if
-// any is pending.
+// NextChunk returns the results for the next chunk, up to the limit on chunks, but at least one
+// if any is pending.
 func (l *ResultLog) NextChunk() []Result {
 	size := 0
 	for i := range l.pending {
 		size += l.sizes[l.pending[i].ID] + entryOverhead
-		if i > 0 && size > maxChunkBytes {
+		if i > 0 && size > l.chunkBytes {
 			return slices.Clone(l.pending[:i])
 		}
 	}
 	return slices.Clone(l.pending)
 }
 
-// DropPending drops the results that are still to be stored.
-func (l *ResultLog) DropPending() {
-	l.pending = nil
-	clear(l.pendingIDs)
+// HalveChunks halves the limit on chunks, after the store has rejected one.
+func (l *ResultLog) HalveChunks() { l.chunkBytes /= 2 }
+
+// Drop drops results that are still to be stored.
+func (l *ResultLog) Drop(results ...Result) {
+	dropped := map[string]bool{}
+	for _, r := range results {
+		dropped[r.ID] = true
+		delete(l.pendingIDs, r.ID)
+	}
+	l.pending = slices.DeleteFunc(l.pending, func(p Result) bool { return dropped[p.ID] })
 }
 
 // PendingCount returns the number of results that are still to be stored.
--- a/batch/reward_calls.go
+++ b/batch/reward_calls.go
@@ -150,7 +150,7 @@
 	case rewardValid:
 		r.Log.Info("item has its reward", fields...)
 		reward.value = response.Signature
-		w.job.recordResult(state.result())
+		r.recordComplete(w.job, state)
 	case rewardFails:
 		r.Log.Info("reward call failed at all allowed attempts; the item is abandoned", fields...)
 		w.job.recordResult(Result{ID: state.item.ID, State: Dead})
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -362,7 +362,7 @@
 			index[item.Group] = n
 			groups = append(groups, remainingGroup{resubmitted: resubmitted(item.Group)})
 		}
-		if s := j.items[item.ID]; s != nil && !s.whole {
+		if s := j.items[item.ID]; s != nil && s.generating() {
 			groups[n].events = max(groups[n].events, remainingEvents(s))
 		}
 	}
--- a/batch/send.go
+++ b/batch/send.go
@@ -134,8 +134,11 @@
 	}
 }
 
+// errTextTooLarge ends an attempt whose text has become too large for the store.
+var errTextTooLarge = errors.New("the text is too large for the store")
+
 // addEvent appends an event to the text of an item. It returns errEnded if the item is
-// no longer running.
+// no longer running, and errTextTooLarge if its text could not be stored.
 func (r *Runner) addEvent(q queuedItem, choice roster.Choice, event upstream.Event, version int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,6 +158,10 @@
 	state.running.lastActivity = now
 	state.running.events++
 	r.Roster.SetGeneratedTokens(choice.ID, state.item.ID, state.running.events*eventTokens)
+	if state.text.Len()+len(event.Data) > maxValueBytes {
+		r.abandonText(q.job, state)
+		return errTextTooLarge
+	}
 	state.appendEvent(event.Data, event.ID, version)
 	return nil
 }
@@ -164,7 +171,7 @@
 	if ctx.Err() != nil {
 		return outcomeCanceled
 	}
-	if errors.Is(err, errEnded) {
+	if errors.Is(err, errEnded) || errors.Is(err, errTextTooLarge) {
 		return outcomeCanceled
 	}
 	if errors.Is(err, upstream.ErrWithheld) {
@@ -180,6 +187,23 @@
 	r.Log.Info(message, append(fields, zap.String("batch", q.job.id), zap.String("item", q.state.item.ID), zap.String("upstream", choice.ID))...)
 }
 
+// recordComplete records the result of an item whose text is complete, unless the store can't hold
+// it. The caller holds mu.
+func (r *Runner) recordComplete(j *job, s *itemState) {
+	result := s.result()
+	if encodedSize(result) > maxValueBytes {
+		r.abandonText(j, s)
+		return
+	}
+	j.recordResult(result)
+}
+
+// abandonText deletes the text of an item because the store can't hold it. The caller holds mu.
+func (r *Runner) abandonText(j *job, s *itemState) {
+	s.abandonText()
+	r.Log.Warn("text of an item is too large for the store; the item is abandoned when its batch expires", zap.String("batch", j.id), zap.String("item", s.item.ID), zap.Int("limit", maxValueBytes))
+}
+
 // failuresPerAttempt is the number of error responses that an item may get for each
 // attempt that its route allows, so that a faulty engine does not fail an item that
 // other engines could complete. An owner that crashes may lose the count of as many more
@@ -216,7 +240,7 @@
 			state.awaitReward(r.Clock.Now())
 			return
 		}
-		q.job.recordResult(state.result())
+		r.recordComplete(q.job, state)
 	case outcomeRejected:
 		q.job.recordResult(Result{ID: state.item.ID, State: Dead})
 	case outcomeFailed:
--- a/batch/write.go
+++ b/batch/write.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
+	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/telemetry"
 	"go.uber.org/zap"
 )
@@ -107,6 +110,11 @@
 	}
 	sent := r.Clock.Now()
 	written, err := r.Store.Append(context.Background(), j.id, n, results)
+	if errors.Is(err, objects.ErrRejected) {
+		r.Log.Warn("the store rejects results; storing fewer at once, or dropping a single one", zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", len(results)), telemetry.Error(err))
+		r.rejectedChunk(j, results)
+		return true
+	}
 	if err == nil && !written {
 		_, err = r.applyForeignChunk(context.Background(), j, n)
 	}
@@ -126,18 +134,11 @@
 	return j.results.PendingCount() > 0
 }
 
-// retryChunk handles an error of storing chunk n, or of reading it after another writer has stored
-// it. It waits and reports whether to try again. Results that could not be stored by the end of
-// their batch are dropped: the caller has stopped reading.
+// retryChunk handles an error of storing results as chunk n, or of reading that chunk after another
+// writer has stored it. It waits and reports whether to try again.
 func (r *Runner) retryChunk(j *job, n, results int, cause error) bool {
-	r.mu.Lock()
-	ended := j.ended
-	if ended {
-		j.results.DropPending()
-	}
-	r.mu.Unlock()
 	fields := []zap.Field{zap.String("batch", j.id), zap.Int("chunk", n), zap.Int("results", results), telemetry.Error(cause)}
-	if ended {
+	if r.dropAfterEnd(j) {
 		r.Log.Warn("results could not be stored before the batch ended; they are dropped", fields...)
 		return false
 	}
@@ -146,6 +147,34 @@
 	return true
 }
 
+// rejectedChunk handles results that the store would reject each time: chunks become smaller, and
+// a single result is dropped. Its item then has no result until the batch expires.
+func (r *Runner) rejectedChunk(j *job, results []Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(results) > 1 {
+		j.results.HalveChunks()
+		return
+	}
+	j.results.Drop(results...)
+	if at := slices.IndexFunc(j.sub.Items, func(i Item) bool { return i.ID == results[0].ID }); at >= 0 && results[0].State == Complete {
+		item := &j.sub.Items[at]
+		j.items[item.ID] = newItemState(item, nil, r.Clock.Now())
+		j.items[item.ID].unstorable = true
+	}
+}
+
+// dropAfterEnd drops the results that are still to be stored if the batch has ended, and reports
+// whether it has: its caller has stopped reading.
+func (r *Runner) dropAfterEnd(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.ended {
+		j.results.Drop(j.results.pending...)
+	}
+	return j.ended
+}
+
 // applyForeignChunk applies chunk n if another writer has stored it, and reports whether
 // it exists.
 func (r *Runner) applyForeignChunk(ctx context.Context, j *job, n int) (bool, error) {
--- a/batch/write_test.go
+++ b/batch/write_test.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +86,51 @@
 })
 
 var _ = Describe("The writer of a batch's results", func() {
+	// A chunk that the store rejects was stored again, with more results, for good.
+	It("stores what the store accepts, and abandons an item whose result it never accepts when the batch expires", func(ctx SpecContext) {
+		const items, large = 8, 3
+		store := memstore.New()
+		a := newIdleService(store, "a")
+		a.store.objects = rejectingStore{store, 4 << 10}
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", items), Team: "t", Route: "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.mu.Lock()
+		for n := range items {
+			bytes := 1 << 10
+			if n == large {
+				bytes = 5 << 10
+			}
+			a.runner.jobs["l"].recordResult(Result{ID: fmt.Sprint("l-", n), State: Complete, Text: strings.Repeat("x", bytes)})
+		}
+		a.runner.mu.Unlock()
+		Eventually(func() int { return a.stored("l") }).WithTimeout(5 * time.Second).Should(Equal(items - 1))
+		a.runner.mu.Lock()
+		j := a.runner.jobs["l"]
+		Expect(j.items).To(HaveLen(1))
+		Expect(j.items["l-3"].queued()).To(BeFalse())
+		a.runner.LimitsOf = func(Head) Limits { return Limits{} }
+		a.runner.expireItems(j, time.Now())
+		a.runner.mu.Unlock()
+		Eventually(func() int { return a.stored("l") }).WithTimeout(5 * time.Second).Should(Equal(items))
+	})
+
+	It("gets no text that the store can't hold", func(ctx SpecContext) {
+		a := newIdleService(memstore.New(), "a")
+		_, err := a.SubmitHere(ctx, SubmitArgs{Submission: submission("l", 2), Team: "t", Route: "r"}, time.Now())
+		Expect(err).NotTo(HaveOccurred())
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["l"]
+		j.items["l-0"].appendEvent(markup(maxValueBytes/2), 0, 1)
+		a.runner.recordComplete(j, j.items["l-0"])
+		j.items["l-1"].appendEvent("x", 0, 1)
+		a.runner.recordComplete(j, j.items["l-1"])
+		Expect(j.results.PendingCount()).To(Equal(1))
+		Expect(j.items).To(HaveLen(1))
+		Expect(j.items["l-0"].queued()).To(BeFalse())
+		Expect(j.items["l-0"].text.Len()).To(BeZero())
+	})
+
 	// It went on for good, and kept the batch in memory: three of twelve submissions were answered 503
 	// for the calls of writers whose batches had ended.
 	It("ends with its batch while the store does not accept results", func(ctx SpecContext) {
