catalog: routes are matched by the path as sent

Cause: two readings of one path. Routes were matched by the decoded path; upstreams get the path as sent.

Change: the path as sent is matched, with escapes in the normal form of RFC 3986, section 6.2.2, on both sides. An escaped slash separates no segments, and dot segments stay, as upstreams get them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -92,13 +92,19 @@
 	IdleTimeout   time.Duration
 }
 
+// hostRoute is a route with the normalized form of its prefix.
+type hostRoute struct {
+	Route
+	prefix string
+}
+
 // Catalog is one version of the configuration.
 type Catalog struct {
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
 
-	routesByHost map[string][]Route // host in lower case; longest prefix first
+	routesByHost map[string][]hostRoute // host in lower case; longest prefix first
 	teamsByKey   map[string]Team
 	routesByName map[string]Route
 	keysRequired bool // teams are declared, so requests need a key
@@ -109,18 +115,18 @@
 func New(version int64, routes []Route, services []Service, teams []Team, limits Limits) *Catalog {
 	c := &Catalog{
 		Version: version, Limits: limits, Services: map[string]Service{},
-		routesByHost: map[string][]Route{}, teamsByKey: map[string]Team{}, routesByName: map[string]Route{}, keysRequired: teams != nil,
+		routesByHost: map[string][]hostRoute{}, teamsByKey: map[string]Team{}, routesByName: map[string]Route{}, keysRequired: teams != nil,
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
-		c.routesByHost[host] = append(c.routesByHost[host], r)
+		c.routesByHost[host] = append(c.routesByHost[host], hostRoute{r, NormalizePath(r.Prefix)})
 		c.routesByName[r.Name] = r
 	}
 	for _, list := range c.routesByHost {
-		sort.SliceStable(list, func(a, b int) bool { return len(list[a].Prefix) > len(list[b].Prefix) })
+		sort.SliceStable(list, func(a, b int) bool { return len(list[a].prefix) > len(list[b].prefix) })
 	}
 	for _, t := range teams {
 		for _, key := range t.Keys {
@@ -131,11 +137,12 @@
 }
 
 // Match returns the route of host with the longest prefix of path, and false if there
-// is none.
+// is none. path is the path as sent, with its escapes.
 func (c *Catalog) Match(host, path string) (Route, bool) {
+	path = NormalizePath(path)
 	for _, r := range c.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+		if strings.HasPrefix(path, r.prefix) {
+			return r.Route, true
 		}
 	}
 	return Route{}, false
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -151,7 +151,7 @@
 		g.reject(w, r, rejectionNoConfig)
 		return
 	}
-	route, ok := c.Match(hostOf(r), r.URL.Path)
+	route, ok := c.Match(hostOf(r), pathOf(r))
 	if !ok {
 		g.reject(w, r, rejection{status: http.StatusNotFound, reason: "no route"})
 		return
@@ -206,6 +206,12 @@
 	return r.URL.RequestURI()
 }
 
+// pathOf returns the path as sent by the caller, without normalisation.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(targetOf(r), "?")
+	return path
+}
+
 // hostOf returns the request's host without a port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
