gateway: batch paths belong to hosts that have batches

Cause: the batch interface was looked up before the route, on every host, by a mux that cleans paths.

Change: the host and the path, read once, select the route first. The batch interface counts as a route with its prefix on hosts that have batches, or had until a newer configuration; a route with the same or a longer prefix comes first.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -104,7 +104,8 @@
 	Services map[string]Service
 	Limits   Limits
 
-	routesByHost map[string][]hostRoute // host in lower case; longest prefix first
+	routesByHost map[string][]hostRoute   // host in lower case; longest prefix first
+	batchHosts   map[string]time.Duration // as returned by BatchHosts
 	teamsByKey   map[string]Team
 	routesByName map[string]Route
 	keysRequired bool // teams are declared, so requests need a key
@@ -115,7 +116,7 @@
 func New(version int64, routes []Route, services []Service, teams []Team, limits Limits) *Catalog {
 	c := &Catalog{
 		Version: version, Limits: limits, Services: map[string]Service{},
-		routesByHost: map[string][]hostRoute{}, teamsByKey: map[string]Team{}, routesByName: map[string]Route{}, keysRequired: teams != nil,
+		routesByHost: map[string][]hostRoute{}, batchHosts: map[string]time.Duration{}, teamsByKey: map[string]Team{}, routesByName: map[string]Route{}, keysRequired: teams != nil,
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -124,6 +125,9 @@
 		host := strings.ToLower(r.Host)
 		c.routesByHost[host] = append(c.routesByHost[host], hostRoute{r, NormalizePath(r.Prefix)})
 		c.routesByName[r.Name] = r
+		if r.Kind == KindRollout {
+			c.batchHosts[host] = max(c.batchHosts[host], r.MaxAge)
+		}
 	}
 	for _, list := range c.routesByHost {
 		sort.SliceStable(list, func(a, b int) bool { return len(list[a].prefix) > len(list[b].prefix) })
@@ -139,13 +143,39 @@
 // Match returns the route of host with the longest prefix of path, and false if there
 // is none. path is the path as sent, with its escapes.
 func (c *Catalog) Match(host, path string) (Route, bool) {
+	r, ok := c.match(host, path)
+	return r.Route, ok
+}
+
+func (c *Catalog) match(host, path string) (hostRoute, bool) {
 	path = NormalizePath(path)
 	for _, r := range c.routesByHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.prefix) {
-			return r.Route, true
+			return r, true
 		}
 	}
-	return Route{}, false
+	return hostRoute{}, false
+}
+
+// BatchHosts returns the hosts with routes for batches, in lower case, with the longest time
+// for which a batch of theirs may be open. The caller must not change the map.
+func (c *Catalog) BatchHosts() map[string]time.Duration { return c.batchHosts }
+
+// IsBatchPath reports whether a path of a host that begins with prefix, one of those of the batch
+// interface, is a path of that interface rather than of a route. hasBatches reports whether the
+// host has batches. On such a host the interface counts as a route with that prefix: a route of the
+// same or a longer one is configured for these paths and takes precedence. Paths without a route
+// are left to the interface, since a batch outlives its route, and an instance may not know a new
+// route yet.
+func (c *Catalog) IsBatchPath(host, path, prefix string, hasBatches bool) bool {
+	r, ok := c.match(host, path)
+	switch {
+	case !ok, r.Kind == KindRollout:
+		return true
+	case len(r.prefix) >= len(prefix):
+		return false
+	}
+	return hasBatches
 }
 
 // Service returns the service with the given name. A service that the configuration does not
--- a/catalog/path_test.go
+++ b/catalog/path_test.go
@@ -56,3 +56,33 @@
 		Entry("an escaped slash at the end of the prefix", "c.example", "/open%2F..%2Flook%2F1", "rest"),
 	)
 })
+
+var _ = Describe("Paths of the batch interface", func() {
+	c := New(1, []Route{
+		{Name: "lots", Host: "train.example", Prefix: "/train/", Kind: KindRollout, MaxAge: 5},
+		{Name: "rest", Host: "train.example", Prefix: "/", Kind: KindSafe},
+		{Name: "items", Host: "both.example", Prefix: "/items/", Kind: KindSafe},
+		{Name: "lots", Host: "both.example", Prefix: "/train/", Kind: KindRollout, MaxAge: 9},
+		{Name: "items", Host: "parts.example", Prefix: "/items/", Kind: KindSafe},
+		{Name: "rest", Host: "rest.example", Prefix: "/", Kind: KindSafe},
+		{Name: "lots", Host: "odd.example", Prefix: "/items/", Kind: KindRollout},
+	}, nil, nil, Limits{})
+
+	// All requests of a route under /items/ were answered 404, on a host without batches.
+	DescribeTable("belong to the hosts that have batches", func(host string, hasBatches, want bool) {
+		Expect(c.IsBatchPath(host, "/items/5", "/items/", hasBatches)).To(Equal(want))
+	},
+		Entry("a host with batches", "train.example", true, true),
+		Entry("a route for these paths beside batches", "both.example", true, false),
+		Entry("a route for these paths", "parts.example", false, false),
+		Entry("a route for all paths", "rest.example", false, false),
+		Entry("a route for all paths, and batches of a route that was removed", "rest.example", true, true),
+		Entry("a host that is not known", "other.example", false, true),
+		Entry("a route for batches with this prefix", "odd.example", true, true),
+	)
+
+	It("knows the hosts with batches", func() {
+		Expect(c.BatchHosts()).To(HaveLen(3))
+		Expect(c.BatchHosts()).To(HaveKeyWithValue("both.example", BeEquivalentTo(9)))
+	})
+})
--- a/gateway/batch_paths_test.go
+++ b/gateway/batch_paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,18 +19,23 @@
 			public := route("open", frontHost, "/open/")
 			public["Public"] = true
 			c["Routes"] = append(c["Routes"].([]map[string]any),
-				route("pieces", partsHost, "/pi%C3%A8ces/"),
-				public, route("look", frontHost, "/look/"))
+				route("items", partsHost, "/items/"), route("lots-2", partsHost, "/lots/"), route("pieces", partsHost, "/pi%C3%A8ces/"), route("x", partsHost, "/x/"),
+				public, route("look", frontHost, "/look/"), route("rest", host, "/"))
 		})
 		return d, d.start("entry-1", nil)
 	}
 
-	// A route whose prefix has escapes was never matched.
-	It("selects its route as it was sent", func() {
+	// GET /items/ID and /lots/ID were answered 404 on every host; "/x/../items/5" was answered 307;
+	// a route whose prefix has escapes was never matched.
+	It("selects its route on a host without batches", func() {
 		_, gw := start()
-		for _, path := range []string{"/pi%C3%A8ces/5", "/pi%c3%a8ces/5"} {
-			Expect(status("GET", gw.address, path, northKey, nil, headerTestHost, partsHost)).To(Equal(http.StatusOK), path)
+		for _, path := range []string{"/items/5", "/lots/5", "/%69tems/5", "/x/../items/5", "/pi%C3%A8ces/5", "/pi%c3%a8ces/5"} {
+			a, err := call("GET", gw.address, path, northKey, nil, headerTestHost, partsHost)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.Status).To(Equal(http.StatusOK), path)
+			Expect(a.Header).To(HaveKey("X-Pomelocross-Server-Seal"))
 		}
+		Expect(status("DELETE", gw.address, "/lots/5", northKey, nil, headerTestHost, partsHost)).To(Equal(http.StatusOK))
 	})
 
 	// A request without a key ran on a route without need of one, by its decoded path, and the
@@ -41,4 +47,16 @@
 		Expect(status("GET", gw.address, "/look/1", "", nil, headerTestHost, frontHost)).To(Equal(http.StatusUnauthorized))
 		Expect(d.desk.Runs()).To(HaveLen(1))
 	})
+
+	It("selects the batch interface on a host with batches, also once its routes for batches were removed", func() {
+		d, gw := start()
+		const items, events = 4, 3
+		Expect(submit(gw.address, "l", batchBody(items, 1))).To(Equal(http.StatusAccepted))
+		expectComplete(results(gw.address, "l", items), items, events)
+		Expect(status("GET", gw.address, "/other/5", northKey, nil)).To(Equal(http.StatusOK))
+		d.configure(func(c map[string]any) { c["Routes"] = []map[string]any{route("rest", host, "/")} })
+		Eventually(gw.configVersion).WithTimeout(5 * time.Second).Should(Equal(d.version))
+		expectComplete(results(gw.address, "l", items), items, events)
+		Expect(status("DELETE", gw.address, "/lots/l", northKey, nil)).To(Equal(http.StatusOK))
+	})
 })
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelocross/pomelocross/catalog"
 	"github.com/pomelocross/pomelocross/objects"
 	"github.com/pomelocross/pomelocross/platform"
 	"github.com/pomelocross/pomelocross/telemetry"
@@ -110,8 +111,9 @@
 		g.log.Error("cannot decode the configuration; keeping the current one", telemetry.Error(err))
 		return
 	}
+	var old *catalog.Catalog
 	for {
-		old := g.catalog.Load()
+		old = g.catalog.Load()
 		if old != nil && old.Version >= c.Version {
 			return
 		}
@@ -119,6 +121,7 @@
 			break
 		}
 	}
+	g.formerBatchHosts.removed(old, g.runner.Retention, g.clock.Now())
 	g.boundColdUpstreams(c)
 	g.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("revision", int64(o.Version)))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,10 +73,11 @@
 	background     context.Context
 	stopBackground context.CancelFunc
 
-	catalog         atomic.Pointer[catalog.Catalog]
-	confirmation    confirmation // of catalog
-	upstreamsListed atomic.Bool  // set once the upstreams have been listed
-	limitsAsked     atomic.Bool  // set once other instances were asked for the limits of upstreams
+	catalog          atomic.Pointer[catalog.Catalog]
+	formerBatchHosts batchHosts
+	confirmation     confirmation // of catalog
+	upstreamsListed  atomic.Bool  // set once the upstreams have been listed
+	limitsAsked      atomic.Bool  // set once other instances were asked for the limits of upstreams
 	// evacuationsListed is set once the evacuated failure domains have been listed, or at
 	// the start if there are none on this platform.
 	evacuationsListed atomic.Bool
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -38,11 +38,7 @@
 
 // callerServer returns the HTTP server for callers.
 func (g *Gateway) callerServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathResults, g.withTeam(g.serveResults))
-	mux.HandleFunc("DELETE "+platform.PathResults, g.withTeam(g.serveEnd))
-	mux.HandleFunc("GET "+platform.PathBody, g.withTeam(g.serveBody))
-	server := newServer(httpdrain.Handler(g.instrument(batchPathsOr(mux, http.HandlerFunc(g.serveRouted)))))
+	server := newServer(httpdrain.Handler(g.instrument(http.HandlerFunc(g.serveCaller))))
 	server.BaseContext = func(net.Listener) context.Context { return g.requests }
 	return server
 }
@@ -54,18 +50,6 @@
 	return server
 }
 
-// batchPathsOr serves the batch paths with mux and all others with routed. Forwarded
-// requests bypass mux because it would clean their paths.
-func batchPathsOr(mux *http.ServeMux, routed http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, pattern := mux.Handler(r); strings.Contains(pattern, "{batch}") {
-			mux.ServeHTTP(w, r)
-			return
-		}
-		routed.ServeHTTP(w, r)
-	})
-}
-
 // instrument records responses in the metrics. While the instance stops, it tells
 // callers to close their connections and, once closing is set, rejects requests.
 func (g *Gateway) instrument(next http.Handler) http.Handler {
@@ -353,37 +337,14 @@
 	return rejection{http.StatusServiceUnavailable, "the batch could not be stored: " + err.Error(), batchRetryAfter()}
 }
 
-// withTeam authenticates requests to the batch interface and passes the team on. The host of
-// the request doesn't matter: a batch outlives its route, and this instance may not know a new
-// route yet.
-func (g *Gateway) withTeam(next func(http.ResponseWriter, *http.Request, catalog.Team)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		c := g.catalog.Load()
-		if c == nil {
-			g.reject(w, r, rejectionNoConfig)
-			return
-		}
-		if !g.keysConfirmed() {
-			g.reject(w, r, rejectionUnconfirmed)
-			return
-		}
-		team, known := c.Team(platform.ReadCaller(r.Header).Key)
-		if !known {
-			g.reject(w, r, rejection{status: http.StatusUnauthorized, reason: "unknown key"})
-			return
-		}
-		next(w, r, team)
-	}
-}
-
 // pageFactor is the memory that a byte of results takes until its page is written.
 const pageFactor = 2
 
 // serveResults serves a page of a batch's results. If there are none, it waits for the
 // time that the caller requests, up to maxWait.
-func (g *Gateway) serveResults(w http.ResponseWriter, r *http.Request, team catalog.Team) {
+func (g *Gateway) serveResults(w http.ResponseWriter, r *http.Request, team catalog.Team, id string) {
 	const maxWait = time.Second
-	args := batch.ReadArgs{ID: r.PathValue("batch"), Team: team.Name, After: platform.ResultOffset(r), Wait: min(maxWait, platform.ReadCaller(r.Header).Wait)}
+	args := batch.ReadArgs{ID: id, Team: team.Name, After: platform.ResultOffset(r), Wait: min(maxWait, platform.ReadCaller(r.Header).Wait)}
 	page, err := g.batches.Read(r.Context(), args)
 	if err != nil {
 		g.reject(w, r, batchRejection(err))
@@ -419,8 +380,8 @@
 }
 
 // serveEnd ends a batch.
-func (g *Gateway) serveEnd(w http.ResponseWriter, r *http.Request, team catalog.Team) {
-	if err := g.batches.End(context.WithoutCancel(r.Context()), r.PathValue("batch"), team.Name); err != nil {
+func (g *Gateway) serveEnd(w http.ResponseWriter, r *http.Request, team catalog.Team, id string) {
+	if err := g.batches.End(context.WithoutCancel(r.Context()), id, team.Name); err != nil {
 		g.reject(w, r, batchRejection(err))
 		return
 	}
@@ -428,8 +389,8 @@
 }
 
 // serveBody serves the request body of a batch item.
-func (g *Gateway) serveBody(w http.ResponseWriter, r *http.Request, team catalog.Team) {
-	body, err := g.batches.Body(r.Context(), r.PathValue("batch"), team.Name, platform.ItemID(r))
+func (g *Gateway) serveBody(w http.ResponseWriter, r *http.Request, team catalog.Team, id string) {
+	body, err := g.batches.Body(r.Context(), id, team.Name, platform.ItemID(r))
 	if err != nil {
 		g.reject(w, r, batchRejection(err))
 		return
