instance: services get the path that selected the route

In pomelocrossd a request without a key ran on an open route if its path began with that route's escaped prefix, and services got another path than the caller had sent: "%3F" began a query, "%23" cut the rest off, "%2F" became a slash. Paths with empty or dot segments were redirected.

The decoded path selected the route and was put into the URL of the request to the service, where it was parsed again.

Change: the path as sent selects the route, by the same normal form, and is sent on unchanged; no path is redirected. The check for API keys in a request reads the path decoded, as before. The normal form moves to internal/urlpath, since both daemons use it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/pomelocross/pomelocross/internal/urlpath"
 )
 
 // Kind is the type of the requests of a route. It determines whether they may be
@@ -123,7 +125,7 @@
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
-		c.routesByHost[host] = append(c.routesByHost[host], hostRoute{r, NormalizePath(r.Prefix)})
+		c.routesByHost[host] = append(c.routesByHost[host], hostRoute{r, urlpath.Normalize(r.Prefix)})
 		c.routesByName[r.Name] = r
 		if r.Kind == KindRollout {
 			c.batchHosts[host] = max(c.batchHosts[host], r.MaxAge)
@@ -148,7 +150,7 @@
 }
 
 func (c *Catalog) match(host, path string) (hostRoute, bool) {
-	path = NormalizePath(path)
+	path = urlpath.Normalize(path)
 	for _, r := range c.routesByHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.prefix) {
 			return r, true
--- a/catalog/path_test.go
+++ b/catalog/match_test.go
@@ -1,40 +1,10 @@
 package catalog
 
 import (
-	"net/url"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"pgregory.net/rapid"
 )
 
-var _ = Describe("NormalizePath", func() {
-	DescribeTable("gives equivalent paths the same form", func(path, want string) {
-		Expect(NormalizePath(path)).To(Equal(want))
-	},
-		Entry("plain", "/kits/4", "/kits/4"),
-		Entry("escaped unreserved characters", "/%6Bits/%7e4", "/kits/~4"),
-		Entry("escapes in lower case", "/pi%c3%a8ces/", "/pi%C3%A8ces/"),
-		Entry("characters that must be escaped", "/pièces/a b", "/pi%C3%A8ces/a%20b"),
-		Entry("an escaped slash, which separates no segments", "/open%2f..%2Flook", "/open%2F..%2Flook"),
-		Entry("dot segments, which upstreams get as sent", "/x/../items/./5", "/x/../items/./5"),
-		Entry("reserved characters", "/a%3Bb;c", "/a%3Bb;c"),
-		Entry("no escapes", "/100%/%zz%4", "/100%25/%25zz%254"),
-	)
-
-	It("keeps what a path stands for, and changes a normal path no further", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			path := (&url.URL{Path: "/" + rapid.String().Draw(t, "path")}).EscapedPath()
-			normal := NormalizePath(path)
-			got, err := url.PathUnescape(normal)
-			want, _ := url.PathUnescape(path) // valid, since it was just escaped
-			if err != nil || got != want || NormalizePath(normal) != normal {
-				t.Fatalf("%q became %q", path, normal)
-			}
-		})
-	})
-})
-
 var _ = Describe("Routes with escapes", func() {
 	c := New(1, []Route{
 		{Name: "pieces", Host: "a.example", Prefix: "/pi%C3%A8ces/"},
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/pomelocross/pomelocross/internal/urlpath"
 )
 
 // Revision is the sequence number of an accepted bundle of a deployment. It starts at 1
@@ -44,7 +46,7 @@
 	services     map[string]Service
 	models       map[string]Model
 	exactRoutes  map[string][]Route
-	prefixRoutes []Route // longest path first
+	prefixRoutes []prefixRoute // longest prefix first
 }
 
 // NewSnapshot indexes an accepted bundle. It validates the bundle again and verifies
@@ -77,28 +79,36 @@
 	return m
 }
 
+// prefixRoute is a route with the normalized form of its path, which is a prefix.
+type prefixRoute struct {
+	Route
+	prefix string
+}
+
 func (s *Snapshot) indexRoutes() {
 	for _, r := range s.Bundle.Routes {
-		if strings.HasSuffix(r.Path, "/") {
-			s.prefixRoutes = append(s.prefixRoutes, r)
+		path := urlpath.Normalize(r.Path)
+		if strings.HasSuffix(path, "/") {
+			s.prefixRoutes = append(s.prefixRoutes, prefixRoute{r, path})
 			continue
 		}
-		s.exactRoutes[r.Path] = append(s.exactRoutes[r.Path], r)
+		s.exactRoutes[path] = append(s.exactRoutes[path], r)
 	}
-	slices.SortStableFunc(s.prefixRoutes, func(a, b Route) int { return len(b.Path) - len(a.Path) })
+	slices.SortStableFunc(s.prefixRoutes, func(a, b prefixRoute) int { return len(b.prefix) - len(a.prefix) })
 }
 
 // Match returns the route for a method and path. Exact paths take precedence over
-// prefixes, and longer prefixes over shorter ones.
+// prefixes, and longer prefixes over shorter ones. path is the path as sent, with its escapes.
 func (s *Snapshot) Match(method, path string) (Route, bool) {
+	path = urlpath.Normalize(path)
 	for _, r := range s.exactRoutes[path] {
 		if slices.Contains(r.Methods, method) {
 			return r, true
 		}
 	}
 	for _, r := range s.prefixRoutes {
-		if strings.HasPrefix(path, r.Path) && slices.Contains(r.Methods, method) {
-			return r, true
+		if strings.HasPrefix(path, r.prefix) && slices.Contains(r.Methods, method) {
+			return r.Route, true
 		}
 	}
 	return Route{}, false
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -98,7 +98,7 @@
 // Logs contain this name instead of the path, which is chosen by the caller.
 func (i *Instance) routeLabel(r *http.Request) string {
 	if view := i.view.Load(); view != nil && view.Contract != nil {
-		if matched, ok := view.Contract.Match(r.Method, r.URL.Path); ok {
+		if matched, ok := view.Contract.Match(r.Method, pathOf(r)); ok {
 			return matched.Name
 		}
 	}
--- a/instance/plain.go
+++ b/instance/plain.go
@@ -25,7 +25,7 @@
 		return
 	}
 	plain := upstream.PlainRequest{
-		Method: r.Method, Path: r.URL.Path, Query: queryWithoutCredentials(r), Header: upstream.AllowedHeaders(r.Header), Body: body,
+		Method: r.Method, Path: pathOf(r), Query: queryWithoutCredentials(r), Header: upstream.AllowedHeaders(r.Header), Body: body,
 		RefusalMeansNotRun: admitted.service.RefusalMeansNotRun,
 	}
 	if plainContainsKey(admitted.view.Contract, plain) {
--- a/instance/secret.go
+++ b/instance/secret.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"regexp"
 
 	"go.opentelemetry.io/otel"
@@ -50,7 +51,10 @@
 			}
 		}
 	}
-	return containsKey(c, []byte(request.Path)) || containsKey(c, []byte(request.Query)) || containsKey(c, request.Body)
+	if path, err := url.PathUnescape(request.Path); err != nil || containsKey(c, []byte(path)) {
+		return true
+	}
+	return containsKey(c, []byte(request.Query)) || containsKey(c, request.Body)
 }
 
 // completionContainsKey checks all texts of a completion request that are sent to
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -56,7 +57,23 @@
 	mux.HandleFunc("POST /v1/runs/{run}/steps", i.withTeam(i.postStep))
 	mux.HandleFunc("POST /v1/runs/{run}/pull", i.withTeam(i.postPull))
 	mux.HandleFunc("/", i.serveRouted)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isClean(pathOf(r)) { // the mux would redirect the caller to another path
+			i.serveRouted(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// pathOf returns the path of a request as sent, with its escapes. It selects the route, and
+// services get it unchanged.
+func pathOf(r *http.Request) string { return r.URL.EscapedPath() }
+
+// isClean reports whether a path has no empty segments and none named "." or "..".
+func isClean(urlPath string) bool {
+	clean := path.Clean(urlPath)
+	return clean == urlPath || clean+"/" == urlPath
 }
 
 // serveRouted serves requests of the declared routes.
@@ -96,7 +113,7 @@
 	if response := i.notServing(view); response != nil {
 		return nil, response
 	}
-	matched, ok := view.Contract.Match(r.Method, r.URL.Path)
+	matched, ok := view.Contract.Match(r.Method, pathOf(r))
 	if !ok {
 		return nil, &errorResponse{status: http.StatusNotFound, code: "no_route", notRun: true}
 	}
--- a/catalog/path.go
+++ b/internal/urlpath/urlpath.go
@@ -1,16 +1,17 @@
-package catalog
+// Package urlpath compares the paths of requests and routes.
+package urlpath
 
 import (
 	"fmt"
 	"strings"
 )
 
-// NormalizePath returns the form of a path by which paths are compared. Paths that are
+// Normalize returns the form of a path by which paths are compared. Paths that are
 // equivalent by RFC 3986, section 6.2.2, have the same form: escapes of unreserved characters
 // are decoded, all others are in upper case, and bytes that a path can't hold are escaped. An
 // escaped slash stays escaped and separates no segments, and segments "." and ".." stay, since
 // upstreams get the path as it was sent.
-func NormalizePath(path string) string {
+func Normalize(path string) string {
 	if isNormal(path) {
 		return path
 	}
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -31,6 +31,19 @@
 		c = d.startDaemon("entry-c", "mty-a", "--usage-window", "2s", "--usage-grace", "500ms")
 	})
 
+	// A request without a key ran on an open route by its decoded path, which the service got, and
+	// escapes were lost: "%3F" began a query.
+	It("reads a path in one way for the route, the key and the service", func() {
+		get := func(path, key string) response { return c.do(request{method: "GET", path: path, key: key}) }
+		Expect(get("/catalogue%2F..%2Fkits%2F7", "").status).To(Equal(404))
+		Expect(get("/kits%2F7", demoKey("desk")).status).To(Equal(404))
+		open := get("/catalogue/a%3Fb%23c%2Fd", "")
+		Expect(open.status).To(Equal(200))
+		Expect(open.body).To(ContainSubstring("/catalogue/a?b#c/d"))
+		Expect(get("/%63atalogue/x/../y", "").status).To(Equal(200))
+		Expect(get("/catalogue/"+strings.Replace(demoKey("desk"), "p", "%70", 1), "").status).To(Equal(400))
+	})
+
 	It("streams a completion, answers a plain request and delivers each sample to a trainer once", func() {
 		var got response
 		Eventually(func() int {
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -23,7 +23,7 @@
 // PlainRequest holds all parts of a request that are sent to a plain service.
 type PlainRequest struct {
 	Method string
-	Path   string
+	Path   string // with its escapes
 	Query  string // without credentials
 	Header http.Header
 	Body   []byte
