batch: a change with an unknown outcome is answered without a promise

The end of a batch was answered 503 when the store's response was lost, though the end had taken effect; so was the repeated submission of an accepted batch whose head could not be read. 503 promises that the call has not run and never will.

Change: Store.UpdateHead and Store.Create return ErrOutcomeUnknown in these cases, which is answered 504. Reads still get 503 from an instance that can't be sure, as the users' page says.

--- a/batch/store.go
+++ b/batch/store.go
@@ -28,7 +28,7 @@
 	ErrNotFound = errors.New("no such batch")
 	// ErrOutcomeUnknown means that it is not known whether a write takes effect, now
 	// or later.
-	ErrOutcomeUnknown = errors.New("it is not known whether the batch was stored")
+	ErrOutcomeUnknown = errors.New("it is not known whether the batch or its change was stored")
 	ErrTooLarge       = errors.New("the batch or one of its items cannot be stored because of its size")
 	// ErrNoRoom means that the open batches take too much memory. The batch may have been
 	// accepted before.
@@ -85,6 +85,9 @@
 		return Stored{Head: h, ID: s.ID, Version: w.Object.Version}, true, nil
 	case createdByOther(w):
 		found, err := st.Head(ctx, s.ID)
+		if err != nil { // the batch was accepted
+			err = errors.Join(ErrOutcomeUnknown, err)
+		}
 		return found, false, err
 	case w.Outcome == objects.NotDone:
 		return Stored{}, false, oops.In("batch").With("step", "store head", "batch", s.ID).Wrap(tooLargeIfRejected(w.Err))
@@ -174,7 +177,7 @@
 
 // UpdateHead applies change to the head of a batch and writes it, repeating both on
 // conflicts with other writers. If change returns false, nothing is written. It returns
-// the resulting head.
+// the resulting head. On ErrOutcomeUnknown the change may take effect, now or later.
 func (st *Store) UpdateHead(ctx context.Context, id string, change func(*Head) bool) (Stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, st.writeTimeout)
 	defer cancel()
@@ -191,6 +194,9 @@
 		if errors.Is(err, objects.ErrConflict) {
 			continue
 		}
+		if objects.OutcomeOf(err) == objects.Unknown {
+			err = errors.Join(ErrOutcomeUnknown, err)
+		}
 		return s, oops.In("batch").With("step", "write head", "batch", id).Wrap(err)
 	}
 }
--- a/batch/store_test.go
+++ b/batch/store_test.go
@@ -64,6 +64,37 @@
 		Expect(err).To(MatchError(ErrOutcomeUnknown))
 	})
 
+	// The caller was told that no part of the batch runs.
+	It("returns ErrOutcomeUnknown if the head of a batch that was accepted before can't be read", func(ctx SpecContext) {
+		store := memstore.New()
+		_, _, err := NewStore(store, "a").Create(ctx, submission("l", 1), Head{Owner: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		store.Fault = func(kind, _ string, write bool) memstore.Fault {
+			if kind == KindHead && !write {
+				return memstore.Down
+			}
+			return memstore.None
+		}
+		_, _, err = NewStore(store, "b").Create(ctx, submission("l", 1), Head{Owner: "b"})
+		Expect(err).To(MatchError(ErrOutcomeUnknown))
+	})
+
+	// The caller was told that the batch has not ended and never will by this call.
+	It("returns ErrOutcomeUnknown for a change of a head whose response was lost", func(ctx SpecContext) {
+		store := memstore.New()
+		st := NewStore(store, "a")
+		_, _, err := st.Create(ctx, submission("l", 1), Head{Owner: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		store.Fault = func(_, _ string, write bool) memstore.Fault {
+			if write {
+				return memstore.Lost
+			}
+			return memstore.None
+		}
+		_, err = st.UpdateHead(ctx, "l", func(h *Head) bool { h.Ended = true; return true })
+		Expect(err).To(MatchError(ErrOutcomeUnknown))
+	})
+
 	It("splits a submission that is larger than a stored value and reads it back", func(ctx SpecContext) {
 		store := memstore.New()
 		s := submission("l", 5)
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -381,7 +381,12 @@
 
 // serveEnd ends a batch.
 func (g *Gateway) serveEnd(w http.ResponseWriter, r *http.Request, team catalog.Team, id string) {
-	if err := g.batches.End(context.WithoutCancel(r.Context()), id, team.Name); err != nil {
+	err := g.batches.End(context.WithoutCancel(r.Context()), id, team.Name)
+	if errors.Is(err, batch.ErrOutcomeUnknown) {
+		g.reject(w, r, rejection{status: http.StatusGatewayTimeout, reason: err.Error()})
+		return
+	}
+	if err != nil {
 		g.reject(w, r, batchRejection(err))
 		return
 	}
