batch: pages of many small results are measured as callers get them

Found by reading; no caller saw it.

Change: each result in a page counts the fields that the store omits.

--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -5,10 +5,12 @@
 	"slices"
 )
 
-// maxPageBytes limits the encoded size of the results in a page. Callers accept one megabyte
-// with the names of the fields.
+// maxPageBytes limits the encoded size of the results in a page. Callers accept one megabyte.
 const maxPageBytes = 700 << 10
 
+// pageOverhead is what a result takes more in a page than in the store, which omits empty fields.
+const pageOverhead = len(`"Output":"","Versions":[],`)
+
 // ResultLog holds the known results of one batch: the stored ones at their final
 // positions, and the pending ones that are still to be stored. It does no I/O.
 type ResultLog struct {
@@ -111,7 +113,7 @@
 	page := Page{Total: l.total, Next: after}
 	size := 0
 	for i := after; i >= 0 && i < len(l.stored); i++ {
-		size += l.sizes[l.stored[i].ID] + entryOverhead
+		size += l.sizes[l.stored[i].ID] + entryOverhead + pageOverhead
 		if i > after && size > maxPageBytes {
 			break
 		}
