batch: a batch that is too large says nothing about its owner

A batch that no instance can store was submitted to its preferred owner, declined, and tried here; the owner then got no batches of any team from this instance for ten seconds.

Cause: only a lack of room was known as a reason for which an owner declines; any other counted as a failure of the owner.

Change: the reason is passed on between instances like a lack of room; the batch is rejected at once, and the owner gets the next one.

Evidence: the specs of both packages failed before (1 of 1 and 1 of 1) and pass now.

--- a/batch/submit.go
+++ b/batch/submit.go
@@ -60,6 +60,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, ErrTooLarge) {
+			return err // no instance can store it
+		}
 		if errors.Is(err, ErrNoRoom) {
 			full = owner
 		}
@@ -101,6 +104,9 @@
 		s.log.Info("the preferred owner has no room for a batch", zap.String("batch", args.Submission.ID), zap.String("peer", owner), zap.Int("bytes", args.Submission.bytes()))
 		return err
 	}
+	if errors.Is(err, ErrTooLarge) {
+		return err // says nothing about the owner
+	}
 	s.log.Info("batch could not be submitted to the preferred owner; no batches are submitted to it during the backoff", zap.String("batch", args.Submission.ID), zap.String("peer", owner), telemetry.Error(err))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -77,6 +77,16 @@
 		Expect(b.runner.Runs("m")).To(BeTrue())
 	})
 
+	// One batch that was too large kept those of all others from their owner for ten seconds.
+	It("is rejected if the owner says that it is too large, and the owner gets the next one", func(ctx SpecContext) {
+		peers.refuse, peers.submitErr = true, errors.Join(ErrDeclined, ErrTooLarge)
+		Expect(a.Submit(ctx, args("l"), time.Now())).To(MatchError(ErrTooLarge))
+		Expect(peers.submitCalls).To(Equal(1))
+		peers.refuse, peers.submitErr = false, nil
+		Expect(a.Submit(ctx, args("m"), time.Now())).To(Succeed())
+		Expect(b.runner.Runs("m")).To(BeTrue())
+	})
+
 	It("is run once if the response of the owner is lost", func(ctx SpecContext) {
 		peers.submitErr = context.DeadlineExceeded
 		Expect(a.Submit(ctx, args("l"), time.Now())).To(Succeed())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,6 +53,9 @@
 	Code string // empty if the batch is accepted
 }
 
+// declineReasons are the reasons for declining a batch that the caller of Submit gets to know.
+var declineReasons = []error{batch.ErrNoRoom, batch.ErrTooLarge}
+
 // Submit stores and runs a batch. An error means that the batch is definitely not
 // accepted.
 func (b *batchesService) Submit(args batch.SubmitArgs, reply *SubmitReply) error {
@@ -64,8 +67,10 @@
 		reply.Code = codeIndeterminate
 		return nil
 	}
-	if errors.Is(err, batch.ErrNoRoom) {
-		return batch.ErrNoRoom // without context: the caller compares its text
+	for _, reason := range declineReasons {
+		if errors.Is(err, reason) {
+			return reason // without context: the caller compares its text
+		}
 	}
 	reply.Head = h
 	return err
@@ -137,7 +142,7 @@
 }
 
 // Submit implements batch.Peers. It returns batch.ErrDeclined if the peer has
-// definitely not accepted the batch, joined with batch.ErrNoRoom if that is the reason.
+// definitely not accepted the batch, joined with the reason if that is one of declineReasons.
 func (p *peerClient) Submit(ctx context.Context, peer string, args batch.SubmitArgs) (batch.Stored, error) {
 	var reply SubmitReply
 	err := p.gateway.dialer.Call(ctx, peer, "Batches.Submit", args, &reply)
@@ -147,10 +152,14 @@
 // submitError returns the error of a submission to a peer.
 func submitError(reply SubmitReply, err error) error {
 	var serverErr rpc.ServerError
+	declined := errors.As(err, &serverErr)
+	for _, reason := range declineReasons {
+		if declined && serverErr.Error() == reason.Error() {
+			return errors.Join(batch.ErrDeclined, reason)
+		}
+	}
 	switch {
-	case errors.As(err, &serverErr) && serverErr.Error() == batch.ErrNoRoom.Error():
-		return errors.Join(batch.ErrDeclined, batch.ErrNoRoom)
-	case errors.As(err, &serverErr), errors.Is(err, syscall.ECONNREFUSED):
+	case declined, errors.Is(err, syscall.ECONNREFUSED):
 		return errors.Join(batch.ErrDeclined, err)
 	case err != nil:
 		return err
--- a/gateway/peers_submit_test.go
+++ b/gateway/peers_submit_test.go
@@ -16,6 +16,9 @@
 		noRoom := submitError(SubmitReply{}, rpc.ServerError(batch.ErrNoRoom.Error()))
 		Expect(noRoom).To(MatchError(batch.ErrDeclined))
 		Expect(noRoom).To(MatchError(batch.ErrNoRoom))
+		tooLarge := submitError(SubmitReply{}, rpc.ServerError(batch.ErrTooLarge.Error()))
+		Expect(tooLarge).To(MatchError(batch.ErrDeclined))
+		Expect(tooLarge).To(MatchError(batch.ErrTooLarge))
 		for _, declined := range []error{rpc.ServerError("stopping"), syscall.ECONNREFUSED} {
 			err := submitError(SubmitReply{}, declined)
 			Expect(err).To(MatchError(batch.ErrDeclined))
--- a/objects/outcome.go
+++ b/objects/outcome.go
@@ -66,8 +66,9 @@
 )
 
 // PutUntilDefinitive writes value and repeats the write until the response is definitive
-// or ctx ends. A rejection is definitive for the attempts before it, too. All attempts expect the same version, so that at most one of them takes
-// effect, even if an earlier one arrives late. No other writer may store the same
+// or ctx ends. All attempts expect the same version, so that at most one of them takes
+// effect, even if an earlier one arrives late. A rejection holds for the attempts before
+// it, too. No other writer may store the same
 // value, because after a lost response the stored value is compared with it.
 func PutUntilDefinitive(ctx context.Context, s Store, kind, name string, expect Version, value any) PutResult {
 	delays := backoff.NewExponentialBackOff()
