forward: a success of a stream's route that is not signed is none

Cause: the check of the signature stood on the plain path only; found when both paths got one decision.

Change: the same check for complete responses that are no stream. Responses with status 200 are streams and are judged by their events, as before.

Evidence: the new spec failed before (204 where 502 is due) and passes now. No run with real upstreams has shown the fault.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -281,7 +281,7 @@
 		f.Roster.MarkFailed(to.ID, f.Clock.Now())
 	case r.outcome == Unknown:
 		r.err = errNoMark
-	case reply.Signature == "" && reply.Status < http.StatusMultipleChoices:
+	case unsignedSuccess(reply):
 		r.outcome, r.err = f.incomplete(ctx, to), errUnsigned
 	default:
 		f.Roster.MarkSucceeded(to.ID)
@@ -291,6 +291,11 @@
 	return r
 }
 
+// unsignedSuccess reports whether a response is a success that the upstream has not signed.
+func unsignedSuccess(reply *upstream.Reply) bool {
+	return reply.Signature == "" && reply.Status < http.StatusMultipleChoices
+}
+
 // readBody reads the body of a response, up to maxResponseBytes+1.
 func (f *Forwarder) readBody(reply *upstream.Reply) ([]byte, error) {
 	buffer := f.Buffers.Open(func() { _ = reply.Body.Close() }) // ends the read with an error
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -242,6 +242,20 @@
 		}),
 	)
 
+	// A success without a signature was returned on the routes of streams, unless its status was 200.
+	It("for a stream does not return a success that is not signed", func(ctx SpecContext) {
+		f := &fakeUpstreams{respond: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
+			reply := completeReply(r.ID, "")
+			reply.Status, reply.Signature = http.StatusNoContent, ""
+			return reply, nil
+		}}
+		stream := unsafe
+		stream.Kind = catalog.KindStream
+		response := newForwarder(f, 2).Stream(ctx, request(stream), nil)
+		Expect(response.Status).To(Equal(http.StatusBadGateway))
+		Expect(response.Header).To(BeNil())
+	})
+
 	It("returns an upstream's error response when no other upstream succeeds", func(ctx SpecContext) {
 		f := &fakeUpstreams{respond: func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
 			reply := completeReply(r.ID, "broken")
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -171,6 +171,9 @@
 // incomplete or a stream has begun.
 func (s *streamRequest) handleNonStream(ctx context.Context, choice roster.Choice, reply *upstream.Reply) (Outcome, *Response, error) {
 	body, err := s.forwarder.readBody(reply)
+	if err == nil && unsignedSuccess(reply) {
+		err = errUnsigned
+	}
 	if err != nil || len(body) > maxResponseBytes || s.headerSent {
 		return s.forwarder.incomplete(ctx, choice), nil, err
 	}
