Comments in plainer English, and escapes read by strconv

Read as a newcomer: comments that described a fault from the caller's view name the status instead, and the hand-written digits of urlpath give way to strconv.ParseUint. No behaviour changes; the specs of urlpath, catalog, contract, forward and platform pass.

--- a/batch/job.go
+++ b/batch/job.go
@@ -39,7 +39,7 @@
 	unstorable bool
 }
 
-// noEvent stands for the ID of the last event of an item that has none.
+// noEvent is the ID of the last event of an item without events.
 const noEvent = -1
 
 // attempt is one request for an item at an engine.
--- a/batch/size_test.go
+++ b/batch/size_test.go
@@ -78,7 +78,7 @@
 		Entry("a body that needs most of a value", submission("l", 3), func(i *Item) { i.Body = make([]byte, 700<<10) }),
 	)
 
-	// The caller was told to come back, each time.
+	// Such a batch was answered 503 with a delay after which to repeat it.
 	It("has no batch that the store rejects", func(ctx SpecContext) {
 		rejecting := rejectingStore{memstore.New(), 200}
 		s := submission("l", 1)
--- a/batch/store_test.go
+++ b/batch/store_test.go
@@ -64,7 +64,7 @@
 		Expect(err).To(MatchError(ErrOutcomeUnknown))
 	})
 
-	// The caller was told that no part of the batch runs.
+	// The caller got 503, though the batch ran.
 	It("returns ErrOutcomeUnknown if the head of a batch that was accepted before can't be read", func(ctx SpecContext) {
 		store := memstore.New()
 		_, _, err := NewStore(store, "a").Create(ctx, submission("l", 1), Head{Owner: "a"})
@@ -79,7 +79,7 @@
 		Expect(err).To(MatchError(ErrOutcomeUnknown))
 	})
 
-	// The caller was told that the batch has not ended and never will by this call.
+	// The caller got 503, though the batch had ended.
 	It("returns ErrOutcomeUnknown for a change of a head whose response was lost", func(ctx SpecContext) {
 		store := memstore.New()
 		st := NewStore(store, "a")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -175,7 +175,7 @@
 	return p.giveUp(false), true
 }
 
-// response returns the response of an upstream.
+// response returns the upstream's response as a response for the caller.
 func (r *attemptResult) response() *Response {
 	return &Response{FinalStatus: FinalStatus{Status: r.reply.Status}, Header: r.reply.Header, Body: r.body, Signature: r.reply.Signature, From: r.upstream}
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -207,7 +207,7 @@
 		Entry("503", http.StatusServiceUnavailable),
 	)
 
-	// The last response decided what the caller was told, whatever the sends before had done.
+	// The last response alone decided the status for the caller.
 	It("that may have run is not answered with a promise because a later upstream refuses it", func(ctx SpecContext) {
 		f := &fakeUpstreams{}
 		f.respond = func(_ context.Context, _ upstream.Target, r upstream.Forward) (*upstream.Reply, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 	stopBackground context.CancelFunc
 
 	catalog          atomic.Pointer[catalog.Catalog]
-	formerBatchHosts batchHosts
+	formerBatchHosts batchHosts   // of earlier configurations
 	confirmation     confirmation // of catalog
 	upstreamsListed  atomic.Bool  // set once the upstreams have been listed
 	limitsAsked      atomic.Bool  // set once other instances were asked for the limits of upstreams
--- a/internal/urlpath/urlpath.go
+++ b/internal/urlpath/urlpath.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -45,26 +46,13 @@
 	return true
 }
 
-// unescape returns the byte that the escape at the begin of text stands for, if there is one.
+// unescape returns the byte that the escape at the start of text represents, if there is one.
 func unescape(text string) (byte, bool) {
 	if len(text) < len("%2F") || text[0] != '%' {
 		return 0, false
 	}
-	high, low := fromHex(text[1]), fromHex(text[2])
-	return byte(high<<4 | low), high >= 0 && low >= 0
-}
-
-// fromHex returns the value of a hexadecimal digit, or -1.
-func fromHex(c byte) int {
-	switch {
-	case c >= '0' && c <= '9':
-		return int(c - '0')
-	case c >= 'a' && c <= 'f':
-		return int(c-'a') + 10
-	case c >= 'A' && c <= 'F':
-		return int(c-'A') + 10
-	}
-	return -1
+	value, err := strconv.ParseUint(text[1:len("%2F")], 16, 8)
+	return byte(value), err == nil
 }
 
 func isUnreserved(c byte) bool {
